Path: Serve a request from caller to upstream in separate processes

Entries and sides with pure cores (EntryCore, SideCore), a bounded cereal protocol, Qt HTTP behind a guarding socket, stand-ins for platform, upstream and caller, and Utilities/demo.sh that runs all of it.

Batch work is not there yet.

--- /dev/null
+++ b/Source/Connection/GuardedSocket.cxx
@@ -0,0 +1,322 @@
+#include "Connection/GuardedSocket.h"
+
+#include "Connection/HttpFraming.h"
+
+#include <QHostAddress>
+#include <QTimer>
+
+#include <algorithm>
+#include <string>
+
+namespace cactusrail {
+
+namespace {
+
+constexpr qint64 kKernelReadAhead = 64 * 1024;
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+
+QByteArray
+RefusalText(const char* aStatusLine, const std::string& aReason)
+{
+  const QByteArray body = "{\"verdict\":\"did not run\",\"message\":\"" +
+                          QByteArray::fromStdString(aReason) + "\"}\n";
+  return QByteArray("HTTP/1.1 ") + aStatusLine +
+         "\r\nContent-Type: application/json\r\nConnection: close\r\n"
+         "Content-Length: " +
+         QByteArray::number(body.size()) + "\r\n\r\n" + body;
+}
+
+}
+
+class GuardedSocket::Private
+{
+public:
+  Private(GuardedSocket* aOwner,
+          const HttpLimits& aLimits,
+          HttpGuardCounts* aCounts)
+    : owner_(aOwner)
+    , limits_(aLimits)
+    , counts_(aCounts)
+    , inner_(aOwner)
+    , timer_(aOwner)
+  {
+  }
+
+  void OnReadyRead();
+  void OnInnerGone();
+  void OnTimer();
+  void Refuse(const char* aStatusLine, const std::string& aReason);
+  void ReleaseIfComplete();
+  void EndConnection();
+
+  GuardedSocket* owner_;
+  HttpLimits limits_;
+  HttpGuardCounts* counts_;
+  QTcpSocket inner_;
+  QTimer timer_;
+  std::string incoming_;
+  std::string released_;
+  std::size_t releasedRead_ = 0;
+  HttpRequestBounds bounds_;
+  bool headRead_ = false;
+  bool busy_ = false;
+  bool closing_ = false;
+  bool refused_ = false;
+  bool callerGone_ = false;
+  bool ended_ = false;
+};
+
+void
+GuardedSocket::Private::OnReadyRead()
+{
+  if (refused_) {
+    inner_.readAll();
+    return;
+  }
+  if (busy_) {
+    // The bytes of a pipelined request stay where they are; the socket's read
+    // buffer is bounded, so the kernel slows the caller down.
+    return;
+  }
+  if (incoming_.empty() && inner_.bytesAvailable() > 0) {
+    timer_.start(limits_.receiveTimeout_);
+  }
+  const QByteArray bytes = inner_.readAll();
+  incoming_.append(bytes.constData(), static_cast<std::size_t>(bytes.size()));
+  ReleaseIfComplete();
+}
+
+void
+GuardedSocket::Private::ReleaseIfComplete()
+{
+  if (busy_ || refused_ || incoming_.empty()) {
+    return;
+  }
+  if (!headRead_) {
+    const std::size_t end = incoming_.find(kHeadEnd);
+    const std::size_t headBytes =
+      end == std::string::npos ? incoming_.size() : end + kHeadEnd.size();
+    if (headBytes > limits_.maxHeadBytes_) {
+      ++counts_->headTooLarge_;
+      Refuse("431 Request Header Fields Too Large",
+             "The request's head is over the limit.");
+      return;
+    }
+    if (end == std::string::npos) {
+      return;
+    }
+    const Result<HttpRequestBounds> bounds =
+      ReadHttpBounds(std::string_view(incoming_).substr(0, headBytes));
+    if (const auto* failure = std::get_if<Failure>(&bounds)) {
+      ++counts_->malformed_;
+      Refuse("400 Bad Request", failure->message_);
+      return;
+    }
+    bounds_ = std::get<HttpRequestBounds>(bounds);
+    if (bounds_.bodyBytes_ > limits_.maxBodyBytes_) {
+      ++counts_->bodyTooLarge_;
+      Refuse("413 Payload Too Large", "The request's body is over the limit.");
+      return;
+    }
+    headRead_ = true;
+  }
+  const std::size_t whole = bounds_.headBytes_ + bounds_.bodyBytes_;
+  if (incoming_.size() < whole) {
+    return;
+  }
+  timer_.stop();
+  released_.assign(incoming_, 0, whole);
+  releasedRead_ = 0;
+  incoming_.erase(0, whole);
+  headRead_ = false;
+  busy_ = true;
+  closing_ = closing_ || bounds_.lastOnConnection_;
+  Q_EMIT owner_->readyRead();
+}
+
+void
+GuardedSocket::Private::Refuse(const char* aStatusLine,
+                               const std::string& aReason)
+{
+  refused_ = true;
+  timer_.start(Millis(1000));
+  inner_.write(RefusalText(aStatusLine, aReason));
+  inner_.disconnectFromHost();
+}
+
+void
+GuardedSocket::Private::OnInnerGone()
+{
+  if (busy_) {
+    callerGone_ = true;
+    ++counts_->callersGone_;
+    Q_EMIT owner_->CallerHungUp();
+    return;
+  }
+  EndConnection();
+}
+
+void
+GuardedSocket::Private::EndConnection()
+{
+  if (ended_) {
+    return;
+  }
+  ended_ = true;
+  timer_.stop();
+  owner_->setSocketState(QAbstractSocket::UnconnectedState);
+  Q_EMIT owner_->disconnected();
+}
+
+void
+GuardedSocket::Private::OnTimer()
+{
+  if (busy_) {
+    return;
+  }
+  if (refused_ || incoming_.empty()) {
+    inner_.abort();
+    return;
+  }
+  ++counts_->tooSlow_;
+  Refuse("408 Request Timeout", "The request did not arrive in time.");
+}
+
+GuardedSocket::GuardedSocket(qintptr aDescriptor,
+                             const HttpLimits& aLimits,
+                             HttpGuardCounts* aCounts,
+                             QObject* aParent)
+  : QTcpSocket(aParent)
+  , private_(std::make_unique<Private>(this, aLimits, aCounts))
+{
+  Private* self = private_.get();
+  self->inner_.setSocketDescriptor(aDescriptor);
+  self->inner_.setReadBufferSize(kKernelReadAhead);
+  self->inner_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  setOpenMode(QIODevice::ReadWrite | QIODevice::Unbuffered);
+  setSocketState(QAbstractSocket::ConnectedState);
+  setPeerAddress(self->inner_.peerAddress());
+  setPeerPort(self->inner_.peerPort());
+  self->timer_.setSingleShot(true);
+  connect(&self->inner_, &QTcpSocket::readyRead, this, [self] {
+    self->OnReadyRead();
+  });
+  connect(&self->inner_, &QTcpSocket::disconnected, this, [self] {
+    self->OnInnerGone();
+  });
+  connect(&self->timer_, &QTimer::timeout, this, [self] { self->OnTimer(); });
+  self->timer_.start(aLimits.idleTimeout_);
+}
+
+GuardedSocket::~GuardedSocket()
+{
+  private_->inner_.disconnect(this);
+  private_->timer_.disconnect(this);
+}
+
+void
+GuardedSocket::FinishRequest()
+{
+  if (!private_->busy_) {
+    return;
+  }
+  private_->busy_ = false;
+  if (private_->callerGone_) {
+    // Queued: the library still holds this socket on its stack.
+    QMetaObject::invokeMethod(
+      this, [this] { private_->EndConnection(); }, Qt::QueuedConnection);
+    return;
+  }
+  if (private_->closing_) {
+    private_->inner_.disconnectFromHost();
+    return;
+  }
+  private_->timer_.start(private_->limits_.idleTimeout_);
+  QMetaObject::invokeMethod(
+    this,
+    [this] {
+      if (!private_->incoming_.empty()) {
+        private_->timer_.start(private_->limits_.receiveTimeout_);
+      }
+      private_->ReleaseIfComplete();
+      private_->OnReadyRead();
+    },
+    Qt::QueuedConnection);
+}
+
+void
+GuardedSocket::CloseWhenIdle()
+{
+  private_->closing_ = true;
+  if (!private_->busy_ && private_->incoming_.empty()) {
+    private_->inner_.disconnectFromHost();
+  }
+}
+
+bool
+GuardedSocket::CallerGone() const
+{
+  return private_->callerGone_;
+}
+
+bool
+GuardedSocket::Busy() const
+{
+  return private_->busy_;
+}
+
+qint64
+GuardedSocket::bytesAvailable() const
+{
+  const std::size_t held = private_->released_.size() - private_->releasedRead_;
+  return QIODevice::bytesAvailable() + static_cast<qint64>(held);
+}
+
+bool
+GuardedSocket::canReadLine() const
+{
+  return private_->released_.find('\n', private_->releasedRead_) !=
+           std::string::npos ||
+         QIODevice::canReadLine();
+}
+
+qint64
+GuardedSocket::bytesToWrite() const
+{
+  return private_->inner_.bytesToWrite();
+}
+
+void
+GuardedSocket::close()
+{
+  disconnectFromHost();
+}
+
+void
+GuardedSocket::disconnectFromHost()
+{
+  private_->busy_ = false;
+  private_->inner_.disconnectFromHost();
+}
+
+qint64
+GuardedSocket::readData(char* aData, qint64 aMaxSize)
+{
+  const std::size_t held = private_->released_.size() - private_->releasedRead_;
+  const std::size_t size =
+    std::min(held, static_cast<std::size_t>(std::max<qint64>(aMaxSize, 0)));
+  private_->released_.copy(aData, size, private_->releasedRead_);
+  private_->releasedRead_ += size;
+  return static_cast<qint64>(size);
+}
+
+qint64
+GuardedSocket::writeData(const char* aData, qint64 aSize)
+{
+  if (private_->callerGone_) {
+    return aSize;
+  }
+  return private_->inner_.write(aData, aSize);
+}
+
+}
--- /dev/null
+++ b/Source/Connection/SideLink.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Connection/FrameReader.h"
+#include "Connection/WireMessages.h"
+
+#include <QObject>
+#include <QTcpSocket>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace cactusrail {
+
+/**
+ * A connection between two of our own processes, opened or accepted. Lives in
+ * one thread. Frames that are sent before the connection stands wait for it.
+ */
+class SideLink : public QObject
+{
+  Q_OBJECT
+
+public:
+  /** Opens a connection to a side. */
+  SideLink(const std::string& aAddress, std::uint16_t aPort, QObject* aParent);
+
+  /** Takes over an accepted connection. */
+  SideLink(QTcpSocket* aSocket, QObject* aParent);
+
+  void Send(const WireMessage& aMessage);
+
+  /** Ends the connection once what was sent has left. */
+  void Close();
+
+Q_SIGNALS:
+  void Received(const cactusrail::WireMessage& aMessage);
+  /** Once: the end. aNeverConnected: nothing that was sent can have arrived. */
+  void Lost(bool aNeverConnected, const QString& aReason);
+
+private:
+  void Connect();
+  void OnReadyRead();
+  void OnEnd(const QString& aReason);
+
+  QTcpSocket* socket_;
+  FrameReader reader_;
+  std::vector<std::string> waiting_;
+  bool connected_ = false;
+  bool ended_ = false;
+};
+
+}
--- /dev/null
+++ b/Source/Connection/WireMessages.h
@@ -0,0 +1,227 @@
+#pragma once
+
+#include "Request/Verdict.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace cactusrail {
+
+/**
+ * The messages between the system's own processes. Every length and list is
+ * checked against the bytes that arrived before memory is taken for it; see
+ * BoundedInputArchive. Times on the wire are what is left until a deadline, in
+ * microseconds, because two hosts share no clock; the receiver stores a
+ * deadline at once.
+ */
+
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+using Labels = std::vector<std::pair<std::string, std::string>>;
+
+/** Entry to side: run one attempt of a request at the upstream. */
+struct DispatchMessage
+{
+  std::string requestId_;
+  /** Unique over all entries and restarts; the side takes each only once. */
+  std::string attemptId_;
+  /** The upstream's incarnation that the entry meant; another one refuses. */
+  std::uint64_t upstreamIncarnation_ = 0;
+  std::uint64_t remainingMicros_ = 0;
+  std::string tenant_;
+  bool idempotent_ = false;
+  std::string method_;
+  std::string target_;
+  HeaderList headers_;
+  std::string body_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(requestId_,
+       attemptId_,
+       upstreamIncarnation_,
+       remainingMicros_,
+       tenant_,
+       idempotent_,
+       method_,
+       target_,
+       headers_,
+       body_);
+  }
+};
+
+/** Entry to side: the caller no longer waits for this attempt. */
+struct CancelMessage
+{
+  std::string attemptId_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(attemptId_);
+  }
+};
+
+/** Side to entry: the end of one attempt. */
+struct AnswerMessage
+{
+  std::string requestId_;
+  std::string attemptId_;
+  Verdict verdict_ = Verdict::MayHaveRun;
+  /** The upstream's HTTP status; 0 when there is no answer of its own. */
+  std::uint16_t status_ = 0;
+  HeaderList headers_;
+  std::string body_;
+  /** Why there is no answer; a whole sentence. */
+  std::string reason_;
+  std::uint32_t retryAfterMs_ = 0;
+  /** How long the attempt waited at the side, and ran at the upstream. */
+  std::uint64_t queuedMicros_ = 0;
+  std::uint64_t servedMicros_ = 0;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(requestId_,
+       attemptId_,
+       verdict_,
+       status_,
+       headers_,
+       body_,
+       reason_,
+       retryAfterMs_,
+       queuedMicros_,
+       servedMicros_);
+  }
+};
+
+/** What a side can do for entries just now. */
+enum class SideState : std::uint8_t
+{
+  NoUpstream = 0,
+  Ready = 1,
+  Leaving = 2,
+};
+
+/** Side to every entry, by datagram, a few times a second. */
+struct HeartbeatMessage
+{
+  std::string sideId_;
+  /** Changes with every start of the side process. */
+  std::uint64_t sideIncarnation_ = 0;
+  /** Rises with every heartbeat of an incarnation; older ones are dropped. */
+  std::uint64_t sequence_ = 0;
+  std::string dataCentre_;
+  std::string address_;
+  std::uint16_t port_ = 0;
+  std::string service_;
+  Labels labels_;
+  SideState state_ = SideState::NoUpstream;
+  std::uint64_t upstreamIncarnation_ = 0;
+  std::uint16_t slots_ = 0;
+  std::uint16_t busy_ = 0;
+  std::uint16_t queued_ = 0;
+  std::uint64_t configVersion_ = 0;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(sideId_,
+       sideIncarnation_,
+       sequence_,
+       dataCentre_,
+       address_,
+       port_,
+       service_,
+       labels_,
+       state_,
+       upstreamIncarnation_,
+       slots_,
+       busy_,
+       queued_,
+       configVersion_);
+  }
+};
+
+/** Entry to side, by datagram: heard; these are the entries that I know. */
+struct HeartbeatAckMessage
+{
+  std::string entryId_;
+  std::uint64_t sequence_ = 0;
+  std::uint64_t configVersion_ = 0;
+  /** "IP:port" of the entries' membership sockets. */
+  std::vector<std::string> entries_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(entryId_, sequence_, configVersion_, entries_);
+  }
+};
+
+/** Either side of a connection: send me the configuration that you hold. */
+struct ConfigRequestMessage
+{
+  std::uint64_t heldVersion_ = 0;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(heldVersion_);
+  }
+};
+
+/** The answer: a whole configuration, as the text that was accepted. */
+struct ConfigMessage
+{
+  std::uint64_t version_ = 0;
+  std::string text_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(version_, text_);
+  }
+};
+
+/** Entry to side: what do you remember of this request? */
+struct RecallMessage
+{
+  std::string question_;
+  std::string requestId_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(question_, requestId_);
+  }
+};
+
+/** The side's memory of a request, as JSON lines of RequestStep. */
+struct RecollectionMessage
+{
+  std::string question_;
+  std::vector<std::string> steps_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(question_, steps_);
+  }
+};
+
+/** All messages. The index is the type's number on the wire: append only. */
+using WireMessage = std::variant<DispatchMessage,
+                                 CancelMessage,
+                                 AnswerMessage,
+                                 HeartbeatMessage,
+                                 HeartbeatAckMessage,
+                                 ConfigRequestMessage,
+                                 ConfigMessage,
+                                 RecallMessage,
+                                 RecollectionMessage>;
+
+}
--- /dev/null
+++ b/Source/Process/Journal.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Request/RequestStep.h"
+
+#include <array>
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace cactusrail {
+
+/**
+ * The steps that this process saw of the latest requests, for explain. Bounded:
+ * the oldest request goes first. Sharded by request; safe from any thread.
+ */
+class Journal
+{
+public:
+  explicit Journal(std::string aHost, std::size_t aMaxRequests);
+
+  /** Adds a step, stamped with this host's name and wall clock. */
+  void Add(RequestStep aStep);
+
+  std::vector<RequestStep> Recall(std::string_view aRequestId) const;
+
+private:
+  struct Shard
+  {
+    mutable std::mutex mutex_;
+    std::unordered_map<std::string, std::vector<RequestStep>> steps_;
+    std::deque<std::string> order_;
+  };
+
+  static constexpr std::size_t kShards = 16;
+  /** A request's later steps beyond this are dropped. */
+  static constexpr std::size_t kMaxSteps = 64;
+
+  Shard& ShardOf(std::string_view aRequestId);
+  const Shard& ShardOf(std::string_view aRequestId) const;
+
+  std::string host_;
+  std::size_t maxRequestsPerShard_;
+  std::array<Shard, kShards> shards_;
+};
+
+}
--- /dev/null
+++ b/Source/Request/SideCore.cxx
@@ -0,0 +1,444 @@
+#include "Request/SideCore.h"
+
+#include <algorithm>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+/** How long attempt ids are remembered after their deadline. */
+constexpr Millis kRememberAttempts{ 60000 };
+
+enum class AttemptState : std::uint8_t
+{
+  Queued,
+  Running,
+};
+
+struct Attempt
+{
+  LinkId link_ = 0;
+  bool linkLost_ = false;
+  AttemptState state_ = AttemptState::Queued;
+  DispatchMessage dispatch_;
+  Instant deadline_;
+  Instant arrivedAt_;
+  Instant startedAt_;
+};
+
+}
+
+class SideCore::Private
+{
+public:
+  explicit Private(const Limits& aLimits)
+    : limits_(aLimits)
+  {
+  }
+
+  using Actions = std::vector<SideAction>;
+
+  void Record(Actions& aActions,
+              const std::string& aRequestId,
+              std::string aStep,
+              Verdict aVerdict,
+              bool aConclusive,
+              std::string aDetail) const;
+  void Refuse(Actions& aActions,
+              LinkId aLink,
+              const DispatchMessage& aDispatch,
+              std::string aReason,
+              Millis aRetryAfter) const;
+  std::string ReasonToRefuse(const DispatchMessage& aDispatch,
+                             Instant aNow) const;
+  void Start(Actions& aActions, const std::string& aAttemptId, Instant aNow);
+  void StartQueued(Actions& aActions, Instant aNow);
+  void RefuseQueued(Actions& aActions, const std::string& aReason);
+  void DropQueued(const std::string& aAttemptId);
+  void Finish(Actions& aActions, AnswerMessage aAnswer, Instant aNow);
+  void ForgetOld(Instant aNow);
+
+  Limits limits_;
+  std::optional<Announcement> upstream_;
+  bool upstreamLeaving_ = false;
+  bool stopping_ = false;
+  std::unordered_map<std::string, Attempt> attempts_;
+  std::deque<std::string> queue_;
+  std::size_t running_ = 0;
+  /** Attempt ids that were taken, with the time to forget them. */
+  std::unordered_map<std::string, Instant> taken_;
+  std::deque<std::pair<Instant, std::string>> takenOrder_;
+};
+
+void
+SideCore::Private::Record(Actions& aActions,
+                          const std::string& aRequestId,
+                          std::string aStep,
+                          Verdict aVerdict,
+                          bool aConclusive,
+                          std::string aDetail) const
+{
+  RequestStep step;
+  step.requestId_ = aRequestId;
+  step.step_ = std::move(aStep);
+  step.verdict_ = aVerdict;
+  step.conclusive_ = aConclusive;
+  step.detail_ = std::move(aDetail);
+  aActions.emplace_back(RecordStep{ std::move(step) });
+}
+
+void
+SideCore::Private::Refuse(Actions& aActions,
+                          LinkId aLink,
+                          const DispatchMessage& aDispatch,
+                          std::string aReason,
+                          Millis aRetryAfter) const
+{
+  Record(aActions,
+         aDispatch.requestId_,
+         "refused",
+         Verdict::DidNotRun,
+         false,
+         "attempt " + aDispatch.attemptId_ + ": " + aReason);
+  AnswerMessage answer;
+  answer.requestId_ = aDispatch.requestId_;
+  answer.attemptId_ = aDispatch.attemptId_;
+  answer.verdict_ = Verdict::DidNotRun;
+  answer.reason_ = std::move(aReason);
+  answer.retryAfterMs_ = static_cast<std::uint32_t>(aRetryAfter.count());
+  aActions.emplace_back(SendAnswer{ aLink, std::move(answer) });
+}
+
+std::string
+SideCore::Private::ReasonToRefuse(const DispatchMessage& aDispatch,
+                                  Instant aNow) const
+{
+  if (stopping_) {
+    return "The side is stopping.";
+  }
+  if (!upstream_.has_value() || upstream_->deadline_ <= aNow) {
+    return "No upstream is announced here.";
+  }
+  if (upstreamLeaving_) {
+    return "The upstream is leaving.";
+  }
+  if (aDispatch.upstreamIncarnation_ != upstream_->incarnation_) {
+    return "The upstream was started anew since the entry last heard of it.";
+  }
+  if (aDispatch.remainingMicros_ == 0) {
+    return "The deadline had passed on arrival.";
+  }
+  if (running_ >= upstream_->slots_ && queue_.size() >= limits_.maxQueued_) {
+    return "All slots are taken and the queue is full.";
+  }
+  return {};
+}
+
+void
+SideCore::Private::Start(Actions& aActions,
+                         const std::string& aAttemptId,
+                         Instant aNow)
+{
+  Attempt& attempt = attempts_.at(aAttemptId);
+  attempt.state_ = AttemptState::Running;
+  attempt.startedAt_ = aNow;
+  ++running_;
+  Record(aActions,
+         attempt.dispatch_.requestId_,
+         "started",
+         Verdict::MayHaveRun,
+         false,
+         "attempt " + aAttemptId + " sent to the upstream");
+  CallUpstream call;
+  call.attemptId_ = aAttemptId;
+  call.url_ = "http://" + upstream_->address_ + ":" +
+              std::to_string(upstream_->port_) + attempt.dispatch_.target_;
+  call.dispatch_ = attempt.dispatch_;
+  call.deadline_ = attempt.deadline_;
+  aActions.emplace_back(std::move(call));
+}
+
+void
+SideCore::Private::StartQueued(Actions& aActions, Instant aNow)
+{
+  const bool open = upstream_.has_value() && upstream_->deadline_ > aNow;
+  while (open && !queue_.empty() && running_ < upstream_->slots_) {
+    const std::string attemptId = queue_.front();
+    queue_.pop_front();
+    Start(aActions, attemptId, aNow);
+  }
+}
+
+void
+SideCore::Private::RefuseQueued(Actions& aActions, const std::string& aReason)
+{
+  for (const std::string& attemptId : queue_) {
+    const Attempt& attempt = attempts_.at(attemptId);
+    Refuse(aActions, attempt.link_, attempt.dispatch_, aReason, Millis(0));
+    attempts_.erase(attemptId);
+  }
+  queue_.clear();
+}
+
+void
+SideCore::Private::DropQueued(const std::string& aAttemptId)
+{
+  std::erase(queue_, aAttemptId);
+  attempts_.erase(aAttemptId);
+}
+
+void
+SideCore::Private::Finish(Actions& aActions,
+                          AnswerMessage aAnswer,
+                          Instant aNow)
+{
+  const auto found = attempts_.find(aAnswer.attemptId_);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const Attempt& attempt = found->second;
+  aAnswer.requestId_ = attempt.dispatch_.requestId_;
+  aAnswer.queuedMicros_ = static_cast<std::uint64_t>(
+    (attempt.startedAt_ - attempt.arrivedAt_).count());
+  aAnswer.servedMicros_ =
+    static_cast<std::uint64_t>((aNow - attempt.startedAt_).count());
+  const std::string detail =
+    "attempt " + aAnswer.attemptId_ +
+    (aAnswer.status_ != 0 ? ": status " + std::to_string(aAnswer.status_)
+                          : ": " + aAnswer.reason_);
+  Record(aActions,
+         aAnswer.requestId_,
+         aAnswer.verdict_ == Verdict::Ran ? "ran" : "failed",
+         aAnswer.verdict_,
+         aAnswer.verdict_ == Verdict::Ran,
+         detail);
+  if (!attempt.linkLost_) {
+    aActions.emplace_back(SendAnswer{ attempt.link_, std::move(aAnswer) });
+  }
+  attempts_.erase(found);
+  --running_;
+  StartQueued(aActions, aNow);
+}
+
+void
+SideCore::Private::ForgetOld(Instant aNow)
+{
+  while (!takenOrder_.empty() && takenOrder_.front().first <= aNow) {
+    taken_.erase(takenOrder_.front().second);
+    takenOrder_.pop_front();
+  }
+}
+
+SideCore::SideCore(const Limits& aLimits)
+  : private_(std::make_unique<Private>(aLimits))
+{
+}
+
+SideCore::~SideCore() = default;
+
+std::vector<SideAction>
+SideCore::OnAnnounce(const Announcement& aAnnouncement, Instant aNow)
+{
+  std::vector<SideAction> actions;
+  Private& self = *private_;
+  const bool restarted =
+    self.upstream_.has_value() &&
+    self.upstream_->incarnation_ != aAnnouncement.incarnation_;
+  if (restarted) {
+    self.RefuseQueued(actions, "The upstream was started anew.");
+  }
+  if (restarted || !self.upstream_.has_value()) {
+    self.upstreamLeaving_ = false;
+  }
+  self.upstream_ = aAnnouncement;
+  self.StartQueued(actions, aNow);
+  return actions;
+}
+
+std::vector<SideAction>
+SideCore::OnGoodbye(Instant)
+{
+  std::vector<SideAction> actions;
+  private_->upstreamLeaving_ = true;
+  private_->RefuseQueued(actions, "The upstream is leaving.");
+  return actions;
+}
+
+std::vector<SideAction>
+SideCore::OnDispatch(LinkId aLink,
+                     const DispatchMessage& aDispatch,
+                     Instant aNow)
+{
+  std::vector<SideAction> actions;
+  Private& self = *private_;
+  // A dispatch that arrives twice must not run twice, and the second must not
+  // be told "did not run", because the first may: it gets no answer at all.
+  if (self.taken_.contains(aDispatch.attemptId_)) {
+    return actions;
+  }
+  std::string reason = self.ReasonToRefuse(aDispatch, aNow);
+  if (!reason.empty()) {
+    self.Refuse(
+      actions, aLink, aDispatch, std::move(reason), self.limits_.retryAfter_);
+    return actions;
+  }
+  const Instant deadline =
+    aNow + Micros(static_cast<std::int64_t>(aDispatch.remainingMicros_));
+  const Instant forgetAt = deadline + kRememberAttempts;
+  self.taken_.emplace(aDispatch.attemptId_, forgetAt);
+  self.takenOrder_.emplace_back(forgetAt, aDispatch.attemptId_);
+  Attempt attempt;
+  attempt.link_ = aLink;
+  attempt.dispatch_ = aDispatch;
+  attempt.deadline_ = deadline;
+  attempt.arrivedAt_ = aNow;
+  self.attempts_.emplace(aDispatch.attemptId_, std::move(attempt));
+  self.queue_.push_back(aDispatch.attemptId_);
+  self.StartQueued(actions, aNow);
+  return actions;
+}
+
+std::vector<SideAction>
+SideCore::OnCancel(LinkId aLink, const CancelMessage& aCancel, Instant)
+{
+  std::vector<SideAction> actions;
+  const auto found = private_->attempts_.find(aCancel.attemptId_);
+  if (found == private_->attempts_.end() || found->second.link_ != aLink ||
+      found->second.state_ != AttemptState::Queued) {
+    // What runs goes on: the upstream can't be made to forget it, and its
+    // answer is the only way to learn what became of it.
+    return actions;
+  }
+  private_->Refuse(actions,
+                   aLink,
+                   found->second.dispatch_,
+                   "The caller gave up while the request was queued.",
+                   Millis(0));
+  private_->DropQueued(aCancel.attemptId_);
+  return actions;
+}
+
+std::vector<SideAction>
+SideCore::OnUpstreamAnswer(const std::string& aAttemptId,
+                           int aStatus,
+                           const HeaderList& aHeaders,
+                           const std::string& aBody,
+                           Instant aNow)
+{
+  std::vector<SideAction> actions;
+  AnswerMessage answer;
+  answer.attemptId_ = aAttemptId;
+  answer.verdict_ = Verdict::Ran;
+  answer.status_ = static_cast<std::uint16_t>(aStatus);
+  answer.headers_ = aHeaders;
+  answer.body_ = aBody;
+  private_->Finish(actions, std::move(answer), aNow);
+  return actions;
+}
+
+std::vector<SideAction>
+SideCore::OnUpstreamFailure(const std::string& aAttemptId,
+                            const Failure& aFailure,
+                            Instant aNow)
+{
+  std::vector<SideAction> actions;
+  AnswerMessage answer;
+  answer.attemptId_ = aAttemptId;
+  answer.verdict_ = aFailure.verdict_;
+  answer.reason_ = aFailure.message_;
+  private_->Finish(actions, std::move(answer), aNow);
+  return actions;
+}
+
+std::vector<SideAction>
+SideCore::OnLinkLost(LinkId aLink, Instant)
+{
+  std::vector<SideAction> actions;
+  std::vector<std::string> dropped;
+  for (auto& [attemptId, attempt] : private_->attempts_) {
+    if (attempt.link_ != aLink) {
+      continue;
+    }
+    attempt.linkLost_ = true;
+    if (attempt.state_ == AttemptState::Queued) {
+      dropped.push_back(attemptId);
+    }
+  }
+  std::sort(dropped.begin(), dropped.end());
+  for (const std::string& attemptId : dropped) {
+    private_->Record(actions,
+                     private_->attempts_.at(attemptId).dispatch_.requestId_,
+                     "dropped",
+                     Verdict::DidNotRun,
+                     false,
+                     "attempt " + attemptId +
+                       ": its entry was lost while it was queued");
+    private_->DropQueued(attemptId);
+  }
+  return actions;
+}
+
+std::vector<SideAction>
+SideCore::OnStop(Instant)
+{
+  private_->stopping_ = true;
+  return {};
+}
+
+std::vector<SideAction>
+SideCore::OnTick(Instant aNow)
+{
+  std::vector<SideAction> actions;
+  Private& self = *private_;
+  if (self.upstream_.has_value() && self.upstream_->deadline_ <= aNow) {
+    self.upstream_.reset();
+    self.RefuseQueued(actions, "The upstream is no longer announced.");
+  }
+  std::vector<std::string> expired;
+  for (const std::string& attemptId : self.queue_) {
+    if (self.attempts_.at(attemptId).deadline_ <= aNow) {
+      expired.push_back(attemptId);
+    }
+  }
+  for (const std::string& attemptId : expired) {
+    const Attempt& attempt = self.attempts_.at(attemptId);
+    self.Refuse(actions,
+                attempt.link_,
+                attempt.dispatch_,
+                "The deadline passed while the request was queued.",
+                Millis(0));
+    self.DropQueued(attemptId);
+  }
+  self.ForgetOld(aNow);
+  return actions;
+}
+
+HeartbeatMessage
+SideCore::Heartbeat() const
+{
+  HeartbeatMessage heartbeat;
+  if (!private_->upstream_.has_value()) {
+    return heartbeat;
+  }
+  const Announcement& upstream = *private_->upstream_;
+  const bool leaving = private_->upstreamLeaving_ || private_->stopping_;
+  heartbeat.state_ = leaving ? SideState::Leaving : SideState::Ready;
+  heartbeat.service_ = upstream.service_;
+  heartbeat.labels_ = upstream.labels_;
+  heartbeat.upstreamIncarnation_ = upstream.incarnation_;
+  heartbeat.slots_ = upstream.slots_;
+  heartbeat.busy_ = static_cast<std::uint16_t>(private_->running_);
+  heartbeat.queued_ = static_cast<std::uint16_t>(private_->queue_.size());
+  return heartbeat;
+}
+
+bool
+SideCore::Idle() const
+{
+  return private_->attempts_.empty();
+}
+
+}
--- /dev/null
+++ b/Source/Version/JsonText.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Request/Failure.h"
+
+#include <cereal/archives/json.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace cactusrail {
+
+/** A record as one line of JSON, with the names that its serialize() gives. */
+template<typename Record>
+std::string
+ToJson(const Record& aRecord)
+{
+  std::ostringstream stream;
+  {
+    cereal::JSONOutputArchive archive(
+      stream, cereal::JSONOutputArchive::Options::NoIndent());
+    const_cast<Record&>(aRecord).serialize(archive);
+  }
+  std::string text = std::move(stream).str();
+  std::erase(text, '\n');
+  return text;
+}
+
+/** A record from JSON, or a sentence that names what is missing or wrong. */
+template<typename Record>
+Result<Record>
+FromJson(std::string_view aText)
+{
+  try {
+    std::istringstream stream{ std::string(aText) };
+    cereal::JSONInputArchive archive(stream);
+    Record record;
+    record.serialize(archive);
+    return record;
+  } catch (const std::exception& error) {
+    return NotRun(FailureKind::BadInput,
+                  std::string("The JSON text can't be read: ") + error.what());
+  }
+}
+
+}
