--- a/Source/Connection/GuardedSocket.cxx
+++ b/Source/Connection/GuardedSocket.cxx
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr qint64 kKernelReadAhead = 64 * 1024;
+constexpr qint64 kKernelReadAhead = 65536;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
 QByteArray
@@ -269,7 +269,7 @@
 GuardedSocket::bytesAvailable() const
 {
   const std::size_t held = private_->released_.size() - private_->releasedRead_;
-  return QIODevice::bytesAvailable() + static_cast<qint64>(held);
+  return QTcpSocket::bytesAvailable() + static_cast<qint64>(held);
 }
 
 bool
@@ -277,7 +277,7 @@
 {
   return private_->released_.find('\n', private_->releasedRead_) !=
            std::string::npos ||
-         QIODevice::canReadLine();
+         QTcpSocket::canReadLine();
 }
 
 qint64
--- a/Source/Connection/HttpFront.cxx
+++ b/Source/Connection/HttpFront.cxx
@@ -203,7 +203,7 @@
 std::string
 HttpExchange::Query(std::string_view aKey) const
 {
-  const QString key = QString::fromUtf8(aKey.data(), aKey.size());
+  const QString key = QString::fromStdString(std::string(aKey));
   return private_->query_.queryItemValue(key, QUrl::FullyDecoded).toStdString();
 }
 
--- /dev/null
+++ b/Source/Process/MembershipListener.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Process/MembershipView.h"
+#include "Process/OperatorRoutes.h"
+#include "Process/SettingsFile.h"
+#include "Request/Failure.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cactusrail {
+
+/**
+ * Hears the sides' heartbeats on an entry's datagram socket, keeps the view
+ * that operators see and hands each heartbeat on. Owned by EntryProcess.
+ */
+class MembershipListener
+{
+public:
+  using OnHeartbeat = std::function<void(const HeartbeatMessage&)>;
+  using ConfigVersion = std::function<std::uint64_t()>;
+
+  static Result<std::unique_ptr<MembershipListener>> Open(
+    const std::string& aEntryName,
+    const SocketAddress& aAddress,
+    ConfigVersion aConfigVersion,
+    OnHeartbeat aOnHeartbeat);
+  ~MembershipListener();
+
+  void AddRoutes(OperatorRoutes& aRoutes);
+
+  std::uint16_t Port() const;
+  const MembershipView& View() const;
+
+private:
+  class Private;
+  explicit MembershipListener(std::unique_ptr<Private> aPrivate);
+  std::unique_ptr<Private> private_;
+};
+
+}
--- a/Utilities/install.sh
+++ b/Utilities/install.sh
@@ -6,7 +6,7 @@
   g++ cmake ninja-build clang-format clang-tidy
   qt6-base-dev qt6-httpserver-dev qt6-websockets-dev
   libcereal-dev libboost-dev libboost-log-dev libboost-program-options-dev
-  libcriterion-dev libbenchmark-dev
+  libcriterion-dev libbenchmark-dev curl
 )
 
 missing=()
