Process: Run real processes in tests and compare callers with runs

The harness starts platform, entries, sides and upstreams on kernel-chosen ports, waits for events, kills by its own process ids and compares what callers were told with the upstream's 'ran' lines and with explain. The upstream stand-in reads HTTP with plain sockets, so that fail=close, truncate and lengthless really happen.

--- /dev/null
+++ b/Tests/Process/Bench.cxx
@@ -0,0 +1,402 @@
+#include "Bench.h"
+
+#include "Version/JsonText.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace cactusrail;
+
+namespace {
+
+constexpr std::chrono::seconds kCallBound{ 25 };
+constexpr const char* kTenantKey = "bench-key";
+/** SHA-256 of kTenantKey. */
+constexpr const char* kTenantKeyHash =
+  "b0962662e937d44c699c8305d90cbf190b3150c59b13863d1380b5cc3c711bb7";
+
+struct StepList
+{
+  std::vector<RequestStep> steps_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(cereal::make_nvp("steps", steps_));
+  }
+};
+
+std::string
+HeaderOf(const HttpReply& aReply, std::string_view aName)
+{
+  for (const auto& [name, value] : aReply.headers_) {
+    if (name == aName) {
+      return value;
+    }
+  }
+  return {};
+}
+
+}
+
+Bench::Bench()
+  : application_(argumentCount_, &arguments_)
+{
+}
+
+Bench::~Bench() = default;
+
+Child&
+Bench::Add(const std::string& aName,
+           const std::string& aProgram,
+           const QStringList& aArguments)
+{
+  std::unique_ptr<Child>& place = children_[aName];
+  if (place != nullptr) {
+    former_.push_back(std::move(place));
+  }
+  place = std::make_unique<Child>(aName, aProgram, aArguments);
+  return *place;
+}
+
+std::string
+Bench::WriteSettings(const std::string& aName, const std::string& aText)
+{
+  const std::string path = folder_.filePath("").toStdString() + aName + ".ini";
+  std::ofstream(path) << aText;
+  return path;
+}
+
+Child&
+Bench::StartPlatform()
+{
+  return Add("platform",
+             STANDIN_FOLDER "/standin-platform",
+             { "--listen", "127.0.0.1" });
+}
+
+Child&
+Bench::StartEntry(const std::string& aName, const std::string& aExtra)
+{
+  const std::string path = WriteSettings(
+    aName,
+    "[platform]\ntable = " + (*this)["platform"].Value("http") +
+      "\n[entry]\nname = " + aName +
+      "\ndata-centre = dc1\nlisten = 127.0.0.1:0\noperators = 127.0.0.1:0\n"
+      "membership = 127.0.0.1:0\n" +
+      aExtra);
+  return Add(
+    aName, CACTUSRAIL_PROGRAM, { "entry", QString::fromStdString(path) });
+}
+
+Child&
+Bench::StartSide(const std::string& aName, const std::string& aExtra)
+{
+  std::string entries;
+  for (const auto& [name, child] : children_) {
+    if (name.starts_with("entry")) {
+      entries += (entries.empty() ? "" : ",") + child->Value("membership");
+    }
+  }
+  const std::string path = WriteSettings(
+    aName,
+    "[side]\nname = " + aName +
+      "\ndata-centre = dc1\nlisten = 127.0.0.1:0\nannounce = 127.0.0.1:0\n"
+      "heartbeat-ms = 100\nentries = " +
+      entries + "\n" + aExtra);
+  return Add(
+    aName, CACTUSRAIL_PROGRAM, { "side", QString::fromStdString(path) });
+}
+
+Child&
+Bench::StartUpstream(const std::string& aSide,
+                     const std::string& aService,
+                     const QStringList& aExtra)
+{
+  QStringList arguments{
+    "--listen",   "127.0.0.1",
+    "--announce", QString::fromStdString((*this)[aSide].Value("announce")),
+    "--service",  QString::fromStdString(aService),
+  };
+  arguments += aExtra;
+  return Add(
+    "upstream-" + aSide, STANDIN_FOLDER "/standin-upstream", arguments);
+}
+
+void
+Bench::StartRunner(const std::string& aSide,
+                   const std::string& aService,
+                   const QStringList& aExtra)
+{
+  StartSide(aSide);
+  StartUpstream(aSide, aService, aExtra);
+}
+
+void
+Bench::StartUsual(std::size_t aEntries, std::size_t aRunners)
+{
+  StartPlatform();
+  for (std::size_t number = 1; number <= aEntries; ++number) {
+    StartEntry("entry" + std::to_string(number));
+  }
+  for (std::size_t number = 1; number <= aRunners; ++number) {
+    StartRunner("side" + std::to_string(number));
+  }
+  Configure("entry1");
+  for (std::size_t entry = 1; entry <= aEntries; ++entry) {
+    for (std::size_t side = 1; side <= aRunners; ++side) {
+      WaitForSide("entry" + std::to_string(entry),
+                  "side" + std::to_string(side));
+    }
+  }
+}
+
+Child&
+Bench::operator[](const std::string& aName)
+{
+  return *children_.at(aName);
+}
+
+std::string
+Bench::ConfigText(std::uint64_t aVersion)
+{
+  return "{\"version\":" + std::to_string(aVersion) +
+         ",\"tenants\":[{\"name\":\"clerk\",\"keySha256\":\"" + kTenantKeyHash +
+         "\",\"share\":1,\"quotaMilliCpus\":0}],\"services\":["
+         "{\"name\":\"once\",\"labels\":[],\"idempotent\":false,"
+         "\"timeoutMs\":10000,\"paused\":false},"
+         "{\"name\":\"again\",\"labels\":[],\"idempotent\":true,"
+         "\"timeoutMs\":10000,\"paused\":false},"
+         "{\"name\":\"brief\",\"labels\":[],\"idempotent\":false,"
+         "\"timeoutMs\":1500,\"paused\":false}],"
+         "\"weights\":{\"tailLatency\":1.0,\"batchThroughput\":1.0,"
+         "\"evictions\":1.0}}";
+}
+
+void
+Bench::Configure(const std::string& aEntry)
+{
+  const auto put =
+    Ask("PUT",
+        "http://" + (*this)[aEntry].Value("operators") + "/v1/config",
+        ConfigText(1));
+  const auto* reply = std::get_if<HttpReply>(&put);
+  cr_assert(reply != nullptr && reply->status_ == 200,
+            "The configuration was not accepted: %s",
+            reply == nullptr ? std::get<Failure>(put).message_.c_str()
+                             : reply->body_.c_str());
+  for (const auto& [name, child] : children_) {
+    if (!name.starts_with("entry")) {
+      continue;
+    }
+    WaitUntil(
+      [this, name = name] {
+        const auto got = AskOperators(name, "/readyz");
+        const auto* ready = std::get_if<HttpReply>(&got);
+        return ready != nullptr && ready->status_ == 200;
+      },
+      name + " to have the configuration");
+  }
+}
+
+void
+Bench::WaitForSide(const std::string& aEntry,
+                   const std::string& aSide,
+                   bool aUsable)
+{
+  WaitUntil(
+    [this, &aEntry, &aSide, aUsable] {
+      const auto got = AskOperators(aEntry, "/v1/sides");
+      const auto* reply = std::get_if<HttpReply>(&got);
+      if (reply == nullptr) {
+        return false;
+      }
+      std::istringstream lines(reply->body_);
+      std::string line;
+      bool usable = false;
+      while (std::getline(lines, line)) {
+        usable = usable || (line.starts_with(aSide + " ") &&
+                            line.find(" usable ") != std::string::npos);
+      }
+      return usable == aUsable;
+    },
+    aSide + (aUsable ? " to be usable at " : " to be unusable at ") + aEntry);
+}
+
+std::size_t
+Bench::Send(const std::string& aEntry, const CallPlan& aPlan)
+{
+  const std::size_t index = calls_.size();
+  CallRecord& record = calls_.emplace_back();
+  record.mark_ =
+    aPlan.mark_.empty() ? "m" + std::to_string(nextMark_++) : aPlan.mark_;
+  record.atMostOnce_ = aPlan.service_ != "again" && aPlan.method_ != "GET";
+  HttpCall call;
+  call.method_ = aPlan.method_;
+  call.url_ = "http://" + (*this)[aEntry].Value("http") + "/s/" +
+              aPlan.service_ + "/work?" + aPlan.query_;
+  call.headers_ = { { "Authorization", std::string("Bearer ") + kTenantKey },
+                    { "X-Mark", record.mark_ } };
+  if (!aPlan.idempotencyKey_.empty()) {
+    call.headers_.emplace_back("Idempotency-Key", aPlan.idempotencyKey_);
+  }
+  call.body_ = aPlan.body_;
+  call.deadline_ = ReadMonotonicClock() + kCallBound;
+  caller_.Start(std::move(call),
+                [this, index](const Result<HttpReply>& aReply) {
+                  CallRecord& ended = calls_[index];
+                  ended.ended_ = true;
+                  if (const auto* reply = std::get_if<HttpReply>(&aReply)) {
+                    ended.status_ = reply->status_;
+                    ended.requestId_ = HeaderOf(*reply, "X-Request-Id");
+                    ended.verdictText_ = HeaderOf(*reply, "X-Verdict");
+                    ended.body_ = reply->body_;
+                  }
+                });
+  return index;
+}
+
+const CallRecord&
+Bench::SendAndWait(const std::string& aEntry, const CallPlan& aPlan)
+{
+  const std::size_t index = Send(aEntry, aPlan);
+  WaitUntil([this, index] { return calls_[index].ended_; }, "a call's answer");
+  return calls_[index];
+}
+
+void
+Bench::WaitForCalls()
+{
+  WaitUntil(
+    [this] {
+      return std::all_of(calls_.begin(), calls_.end(), [](const auto& aCall) {
+        return aCall.ended_;
+      });
+    },
+    "all calls to end");
+}
+
+Result<HttpReply>
+Bench::Ask(const std::string& aMethod,
+           const std::string& aUrl,
+           const std::string& aBody)
+{
+  HttpCall call;
+  call.method_ = aMethod;
+  call.url_ = aUrl;
+  call.body_ = aBody;
+  call.deadline_ = ReadMonotonicClock() + kCallBound;
+  // Shared: the call may outlive a test that gave up waiting.
+  auto result = std::make_shared<std::optional<Result<HttpReply>>>();
+  caller_.Start(std::move(call),
+                [result](Result<HttpReply> aReply) { *result = aReply; });
+  WaitUntil([result] { return result->has_value(); }, aMethod + " " + aUrl);
+  return **result;
+}
+
+Result<HttpReply>
+Bench::AskOperators(const std::string& aEntry, const std::string& aTarget)
+{
+  return Ask("GET", "http://" + (*this)[aEntry].Value("operators") + aTarget);
+}
+
+void
+Bench::SetFault(const std::string& aMode, const std::string& aCount)
+{
+  const std::string count = aCount.empty() ? "" : "&count=" + aCount;
+  Ask("POST",
+      "http://" + (*this)["platform"].Value("http") + "/fault?mode=" + aMode +
+        count);
+}
+
+std::map<std::string, std::size_t>
+Bench::Runs(bool aById) const
+{
+  std::map<std::string, std::size_t> runs;
+  const auto add = [&runs, aById](const Child& aChild) {
+    for (const std::string& line : aChild.Lines("ran ")) {
+      std::istringstream words(line);
+      std::string ran;
+      std::string id;
+      std::string mark;
+      words >> ran >> id >> mark;
+      ++runs[aById ? id : mark];
+    }
+  };
+  for (const auto& [name, child] : children_) {
+    add(*child);
+  }
+  for (const std::unique_ptr<Child>& child : former_) {
+    add(*child);
+  }
+  return runs;
+}
+
+std::size_t
+Bench::RunsOf(const std::string& aMark) const
+{
+  const auto runs = Runs();
+  const auto found = runs.find(aMark);
+  return found == runs.end() ? 0 : found->second;
+}
+
+std::vector<RequestStep>
+Bench::Explain(const std::string& aEntry, const std::string& aRequestId)
+{
+  const auto got = AskOperators(aEntry, "/v1/explain?id=" + aRequestId);
+  const auto* reply = std::get_if<HttpReply>(&got);
+  if (reply == nullptr || reply->status_ != 200) {
+    return {};
+  }
+  Result<StepList> list = FromJson<StepList>(reply->body_);
+  return Succeeded(list) ? std::get<StepList>(list).steps_
+                         : std::vector<RequestStep>();
+}
+
+Verdict
+Bench::Conclude(const std::vector<RequestStep>& aSteps)
+{
+  Verdict verdict = Verdict::MayHaveRun;
+  for (const RequestStep& step : aSteps) {
+    if (step.conclusive_) {
+      verdict = step.verdict_;
+    }
+  }
+  return verdict;
+}
+
+Tally
+Bench::Settle(const std::string& aTestName, const std::string& aEntry)
+{
+  WaitForCalls();
+  const auto runsById = Runs(true);
+  const Tally tally = Compare(calls_, Runs(), runsById);
+  std::size_t doubtful = 0;
+  std::size_t untrue = 0;
+  for (const CallRecord& call : calls_) {
+    if (call.requestId_.empty()) {
+      continue;
+    }
+    const Verdict verdict = Conclude(Explain(aEntry, call.requestId_));
+    const bool ran = runsById.contains(call.requestId_);
+    doubtful += verdict == Verdict::MayHaveRun ? 1 : 0;
+    const bool wrong = (verdict == Verdict::DidNotRun && ran) ||
+                       (verdict == Verdict::Ran && !ran);
+    untrue += wrong ? 1 : 0;
+    if (wrong) {
+      std::cerr << "explain of " << call.requestId_ << " says "
+                << VerdictText(verdict) << '\n';
+    }
+  }
+  std::cerr << TallyText(aTestName, tally) << " explain-doubtful=" << doubtful
+            << " explain-untrue=" << untrue << std::endl;
+  cr_assert(tally.doubled_ == 0, "A request ran twice.");
+  cr_assert(tally.falseNotRun_ == 0, "A false 'did not run'.");
+  cr_assert(tally.wrongBody_ == 0, "An answer was another's or not whole.");
+  cr_assert(untrue == 0, "Explain was untrue.");
+  return tally;
+}
--- /dev/null
+++ b/Tests/Process/Child.cxx
@@ -0,0 +1,145 @@
+#include "Child.h"
+
+#include "Process/Instant.h"
+
+#include <QCoreApplication>
+#include <QTimer>
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+namespace {
+
+constexpr std::chrono::seconds kBound{ 30 };
+constexpr std::chrono::milliseconds kWake{ 20 };
+
+}
+
+void
+WaitUntil(const std::function<bool()>& aCondition, const std::string& aWhat)
+{
+  const auto deadline = cactusrail::ReadMonotonicClock() + kBound;
+  QTimer wake;
+  wake.start(kWake);
+  while (!aCondition()) {
+    cr_assert(cactusrail::ReadMonotonicClock() < deadline,
+              "Waited in vain for: %s",
+              aWhat.c_str());
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+  }
+}
+
+Child::Child(std::string aName,
+             const std::string& aProgram,
+             QStringList aArguments)
+  : name_(std::move(aName))
+{
+  QObject::connect(&process_,
+                   &QProcess::readyReadStandardOutput,
+                   &process_,
+                   [this] { TakeOutput(); });
+  QObject::connect(
+    &process_, &QProcess::readyReadStandardError, &process_, [this] {
+      log_ += process_.readAllStandardError().toStdString();
+    });
+  process_.start(QString::fromStdString(aProgram), aArguments);
+  WaitUntil([this] { return !Lines("ready ").empty() || !Running(); },
+            name_ + " to be ready");
+  cr_assert(!Lines("ready ").empty(),
+            "%s did not start: %s",
+            name_.c_str(),
+            log_.c_str());
+}
+
+Child::~Child()
+{
+  process_.disconnect();
+  process_.kill();
+  process_.waitForFinished();
+}
+
+void
+Child::TakeOutput()
+{
+  partial_ += process_.readAllStandardOutput().toStdString();
+  std::size_t end = partial_.find('\n');
+  while (end != std::string::npos) {
+    lines_.push_back(partial_.substr(0, end));
+    partial_.erase(0, end + 1);
+    end = partial_.find('\n');
+  }
+}
+
+std::string
+Child::Value(std::string_view aKey) const
+{
+  std::istringstream words(Lines("ready ").front());
+  const std::string start = std::string(aKey) + "=";
+  std::string word;
+  while (words >> word) {
+    if (word.starts_with(start)) {
+      return word.substr(start.size());
+    }
+  }
+  cr_assert_fail("No such value in the ready line of %s", name_.c_str());
+  return {};
+}
+
+std::vector<std::string>
+Child::Lines(std::string_view aPrefix) const
+{
+  std::vector<std::string> found;
+  std::copy_if(
+    lines_.begin(),
+    lines_.end(),
+    std::back_inserter(found),
+    [aPrefix](const std::string& aLine) { return aLine.starts_with(aPrefix); });
+  return found;
+}
+
+void
+Child::Signal(int aSignal)
+{
+  cr_assert(Running(), "%s has ended: %s", name_.c_str(), log_.c_str());
+  ::kill(static_cast<pid_t>(process_.processId()), aSignal);
+}
+
+void
+Child::Kill()
+{
+  Signal(SIGKILL);
+  WaitForEnd();
+}
+
+bool
+Child::Running() const
+{
+  return process_.state() != QProcess::NotRunning;
+}
+
+int
+Child::WaitForEnd()
+{
+  WaitUntil([this] { return !Running(); }, name_ + " to end");
+  return process_.exitStatus() == QProcess::NormalExit ? process_.exitCode()
+                                                       : -1;
+}
+
+std::size_t
+Child::ResidentKilobytes() const
+{
+  std::ifstream status("/proc/" + std::to_string(process_.processId()) +
+                       "/status");
+  std::string word;
+  std::size_t kilobytes = 0;
+  while (status >> word) {
+    if (word == "VmRSS:") {
+      status >> kilobytes;
+      break;
+    }
+  }
+  return kilobytes;
+}
--- a/Tests/StandIns/UpstreamStandIn.cxx
+++ b/Tests/StandIns/UpstreamStandIn.cxx
@@ -1,25 +1,34 @@
 // Takes the place of a runner of a service: announces itself to its side and
 // serves HTTP with a number of slots. The query of a request tells it how to
 // behave: work=MS serves for so long; fail=close ends the connection without an
-// answer; fail=truncate sends half an answer; fail=hang never answers.
-// Every request that it begins is written to stdout: "ran ID", so that tests
-// can compare what callers were told with what truly ran. SIGUSR1 sends the
-// goodbye; SIGTERM ends it.
+// answer; fail=truncate sends half an answer; fail=lengthless sends one that
+// does not state its length; fail=hang never answers.
+// Every request that it begins is written to stdout: "ran ID MARK", MARK being
+// the caller's X-Mark, so that tests can compare what callers were told with
+// what truly ran; "busy N" tells the most that ran at once. It reads HTTP with
+// plain sockets, because a library would not fail so. SIGTERM sends the goodbye
+// and ends it once what runs is finished.
 
 #include "Connection/HttpCaller.h"
-#include "Connection/HttpFront.h"
+#include "Connection/HttpFraming.h"
+#include "Process/StopSignal.h"
 #include "StandInOptions.h"
 
 #include <QCoreApplication>
+#include <QPointer>
+#include <QTcpServer>
+#include <QTcpSocket>
 #include <QTimer>
+#include <QUrl>
+#include <QUrlQuery>
 
-#include <vector>
+#include <map>
+#include <memory>
+#include <sstream>
+#include <string>
 
 namespace {
 
-using cactusrail::HttpAnswer;
-using cactusrail::HttpExchange;
-
 struct UpstreamFacts
 {
   std::string announceAt_;
@@ -40,6 +49,48 @@
          ",\"incarnation\":" + std::to_string(aFacts.incarnation_) + "}";
 }
 
+/** One request as it arrived, and the connection to answer on. */
+struct Arrival
+{
+  QPointer<QTcpSocket> socket_;
+  std::string target_;
+  std::map<std::string, std::string> headers_;
+  std::string body_;
+
+  std::string Query(const std::string& aKey) const
+  {
+    const QUrlQuery query(QUrl(QString::fromStdString(target_)));
+    return query.queryItemValue(QString::fromStdString(aKey)).toStdString();
+  }
+};
+
+/** Splits a whole request; its bounds were found before. */
+Arrival
+ReadArrival(QTcpSocket* aSocket,
+            const std::string& aBytes,
+            const cactusrail::HttpRequestBounds& aBounds)
+{
+  Arrival arrival;
+  arrival.socket_ = aSocket;
+  arrival.body_ = aBytes.substr(aBounds.headBytes_, aBounds.bodyBytes_);
+  std::istringstream head(aBytes.substr(0, aBounds.headBytes_));
+  std::string method;
+  std::string line;
+  head >> method >> arrival.target_;
+  std::getline(head, line);
+  while (std::getline(head, line)) {
+    const std::size_t colon = line.find(": ");
+    if (colon == std::string::npos) {
+      continue;
+    }
+    const std::size_t length = line.size() - colon - 3;
+    const QString name = QString::fromStdString(line.substr(0, colon));
+    arrival.headers_[name.toLower().toStdString()] =
+      line.substr(colon + 2, length);
+  }
+  return arrival;
+}
+
 class Upstream
 {
 public:
@@ -48,42 +99,136 @@
   {
   }
 
-  void Handle(const HttpExchange& aExchange);
+  bool Listen(const std::string& aAddress, std::uint16_t aPort);
+  std::uint16_t Port() const { return server_.serverPort(); }
+  void EndWhenIdle();
 
 private:
+  void OnConnection(QTcpSocket* aSocket);
+  void OnBytes(QTcpSocket* aSocket, std::string& aHeld);
+  void Handle(Arrival aArrival);
+  void Finish(const Arrival& aArrival);
+
   unsigned slots_;
   unsigned busy_ = 0;
-  std::vector<HttpExchange> hanging_;
+  unsigned mostBusy_ = 0;
+  bool ending_ = false;
+  QTcpServer server_;
 };
 
 void
-Upstream::Handle(const HttpExchange& aExchange)
+Upstream::EndWhenIdle()
+{
+  ending_ = true;
+  if (busy_ == 0) {
+    QCoreApplication::quit();
+  }
+}
+
+bool
+Upstream::Listen(const std::string& aAddress, std::uint16_t aPort)
+{
+  QObject::connect(&server_, &QTcpServer::newConnection, &server_, [this] {
+    while (QTcpSocket* socket = server_.nextPendingConnection()) {
+      OnConnection(socket);
+    }
+  });
+  return server_.listen(QHostAddress(QString::fromStdString(aAddress)), aPort);
+}
+
+void
+Upstream::OnConnection(QTcpSocket* aSocket)
 {
-  std::cout << "ran " << aExchange.Header("X-Request-Id") << std::endl;
+  auto held = std::make_shared<std::string>();
+  QObject::connect(aSocket, &QTcpSocket::readyRead, aSocket, [=, this] {
+    OnBytes(aSocket, *held);
+  });
+  QObject::connect(
+    aSocket, &QTcpSocket::disconnected, aSocket, &QObject::deleteLater);
+}
+
+void
+Upstream::OnBytes(QTcpSocket* aSocket, std::string& aHeld)
+{
+  aHeld += aSocket->readAll().toStdString();
+  const std::size_t end = aHeld.find("\r\n\r\n");
+  if (end == std::string::npos) {
+    return;
+  }
+  const auto read = cactusrail::ReadHttpBounds(
+    std::string_view(aHeld).substr(0, end + std::size("\r\n\r\n") - 1));
+  const auto* bounds = std::get_if<cactusrail::HttpRequestBounds>(&read);
+  if (bounds == nullptr) {
+    aSocket->abort();
+    return;
+  }
+  const std::size_t whole = bounds->headBytes_ + bounds->bodyBytes_;
+  if (aHeld.size() < whole) {
+    return;
+  }
+  Arrival arrival = ReadArrival(aSocket, aHeld, *bounds);
+  aHeld.erase(0, whole);
+  Handle(std::move(arrival));
+}
+
+void
+Upstream::Handle(Arrival aArrival)
+{
+  std::cout << "ran " << aArrival.headers_["x-request-id"] << " "
+            << aArrival.headers_["x-mark"] << std::endl;
   ++busy_;
   if (busy_ > slots_) {
     std::cout << "overloaded " << busy_ << std::endl;
   }
-  const std::string fail = aExchange.Query("fail");
-  if (fail == "hang") {
-    hanging_.push_back(aExchange);
+  if (busy_ > mostBusy_) {
+    mostBusy_ = busy_;
+    std::cout << "busy " << busy_ << std::endl;
+  }
+  if (aArrival.Query("fail") == "hang") {
     return;
   }
-  const std::string work = aExchange.Query("work");
-  const int workMs = work.empty() ? 0 : std::stoi(work);
-  const auto finish = [this, aExchange, fail] {
-    --busy_;
-    HttpAnswer answer;
-    answer.contentType_ = "text/plain";
-    answer.body_ = "served " + aExchange.Header("X-Request-Id") + " " +
-                   aExchange.Body() + "\n";
-    aExchange.Answer(answer);
-  };
-  if (workMs == 0) {
-    finish();
+  const std::string work = aArrival.Query("work");
+  if (work.empty()) {
+    Finish(aArrival);
     return;
   }
-  QTimer::singleShot(workMs, finish);
+  QTimer::singleShot(
+    std::stoi(work), &server_, [this, aArrival] { Finish(aArrival); });
+}
+
+void
+Upstream::Finish(const Arrival& aArrival)
+{
+  --busy_;
+  if (aArrival.socket_.isNull()) {
+    return;
+  }
+  const auto mark = aArrival.headers_.find("x-mark");
+  const std::string served =
+    "served " +
+    (mark == aArrival.headers_.end() ? std::string("-") : mark->second) + " " +
+    aArrival.headers_.at("x-request-id") + " " + aArrival.body_ + " end\n";
+  const std::string fail = aArrival.Query("fail");
+  std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+  if (fail == "lengthless") {
+    head += "Connection: close\r\n";
+  } else {
+    head += "Content-Length: " + std::to_string(served.size()) + "\r\n";
+  }
+  const std::string whole = head + "\r\n" + served;
+  if (fail == "truncate") {
+    aArrival.socket_->write(
+      whole.data(), static_cast<qint64>(whole.size() - served.size() / 2));
+  } else if (fail != "close") {
+    aArrival.socket_->write(whole.data(), static_cast<qint64>(whole.size()));
+  }
+  if (!fail.empty()) {
+    aArrival.socket_->disconnectFromHost();
+  }
+  if (ending_ && busy_ == 0) {
+    aArrival.socket_->flush();
+    QCoreApplication::quit();
+  }
 }
 
 }
@@ -112,16 +257,11 @@
   facts.slots_ = (*values)["slots"].as<unsigned>();
   facts.incarnation_ = cactusrail::ReadWallClock();
   Upstream upstream(facts.slots_);
-  const auto front = cactusrail::HttpFront::Listen(
-    facts.address_,
-    (*values)["port"].as<std::uint16_t>(),
-    cactusrail::HttpLimits{},
-    [&upstream](const HttpExchange& aExchange) { upstream.Handle(aExchange); });
-  if (const auto* failure = std::get_if<cactusrail::Failure>(&front)) {
-    std::cerr << failure->message_ << '\n';
+  if (!upstream.Listen(facts.address_, (*values)["port"].as<std::uint16_t>())) {
+    std::cerr << "The address can't be listened on.\n";
     return 1;
   }
-  facts.port_ = std::get<std::unique_ptr<cactusrail::HttpFront>>(front)->Port();
+  facts.port_ = upstream.Port();
   std::cout << "ready http=" << facts.address_ << ":" << facts.port_
             << std::endl;
   cactusrail::HttpCaller caller;
@@ -141,5 +281,18 @@
     repeat.start(1000);
     announce();
   }
+  cactusrail::StopSignal signal;
+  QObject::connect(&signal, &cactusrail::StopSignal::Arrived, &repeat, [&] {
+    repeat.stop();
+    cactusrail::HttpCall call;
+    call.method_ = "POST";
+    call.url_ = "http://" + facts.announceAt_ + "/v1/goodbye";
+    call.deadline_ =
+      cactusrail::ReadMonotonicClock() + cactusrail::Millis(1000);
+    caller.Start(std::move(call),
+                 [&](const cactusrail::Result<cactusrail::HttpReply>&) {
+                   upstream.EndWhenIdle();
+                 });
+  });
   return QCoreApplication::exec();
 }
