Stop: Drain the accept queue, half-sent requests and buffers before the end

Cause: the planned stop closed the listening socket with connections still in its accept queue (reset by the kernel), counted only requests that had arrived whole, and read a number refreshed by a tick. Now SYNs are dropped by a socket filter, handshakes under way are accepted, half-sent requests are received and answered, answers carry 'Connection: close', and a lane says 'drained' only when nothing can come any more. A side ends only after its links are flushed.

BadInput: refuse control characters and a tab before a colon (tests printed 'accepted: G\nET / HTTP/1.1' and 'accepted: Content-Length\t: 5' without); a refused caller that still sends now reads its refusal (the test waited in vain for 'HTTP/1.1 413' when the close reset the connection).

--- a/Source/Connection/GuardedSocket.cxx
+++ b/Source/Connection/GuardedSocket.cxx
@@ -7,12 +7,15 @@
 
 #include <algorithm>
 #include <string>
+#include <sys/socket.h>
 
 namespace cactusrail {
 
 namespace {
 
 constexpr qint64 kKernelReadAhead = 65536;
+/** How long a refused caller may go on sending. */
+constexpr Millis kRefusalLinger{ 1000 };
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
 QByteArray
@@ -48,6 +51,7 @@
   void Refuse(const char* aStatusLine, const std::string& aReason);
   void ReleaseIfComplete();
   void EndConnection();
+  bool MoreHasArrived() const;
 
   GuardedSocket* owner_;
   HttpLimits limits_;
@@ -60,7 +64,10 @@
   HttpRequestBounds bounds_;
   bool headRead_ = false;
   bool busy_ = false;
+  /** The caller wants the connection closed after this answer. */
   bool closing_ = false;
+  /** A planned stop wants it closed once all that arrived is answered. */
+  bool stopping_ = false;
   bool refused_ = false;
   bool callerGone_ = false;
   bool ended_ = false;
@@ -134,14 +141,23 @@
   Q_EMIT owner_->readyRead();
 }
 
+/**
+ * Failure guarded against: closing while the caller still sends resets the
+ * connection, and the reset wipes out the refusal before the caller reads it.
+ * So only the sending side is closed, and what arrives is read and dropped
+ * until the caller closes or the linger time is over.
+ */
 void
 GuardedSocket::Private::Refuse(const char* aStatusLine,
                                const std::string& aReason)
 {
   refused_ = true;
-  timer_.start(Millis(1000));
+  incoming_.clear();
+  incoming_.shrink_to_fit();
+  timer_.start(kRefusalLinger);
   inner_.write(RefusalText(aStatusLine, aReason));
-  inner_.disconnectFromHost();
+  inner_.flush();
+  ::shutdown(static_cast<int>(inner_.socketDescriptor()), SHUT_WR);
 }
 
 void
@@ -156,6 +172,22 @@
   EndConnection();
 }
 
+/**
+ * Looks into the kernel's buffer too: closing a connection with unread bytes
+ * resets it, and the reset may overtake the answer that was just written.
+ */
+bool
+GuardedSocket::Private::MoreHasArrived() const
+{
+  if (!incoming_.empty() || inner_.bytesAvailable() > 0) {
+    return true;
+  }
+  char byte = 0;
+  const auto descriptor = static_cast<int>(inner_.socketDescriptor());
+  return descriptor >= 0 &&
+         ::recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void
 GuardedSocket::Private::EndConnection()
 {
@@ -227,7 +259,7 @@
       this, [this] { private_->EndConnection(); }, Qt::QueuedConnection);
     return;
   }
-  if (private_->closing_) {
+  if (AnswersLast()) {
     private_->inner_.disconnectFromHost();
     return;
   }
@@ -244,15 +276,28 @@
     Qt::QueuedConnection);
 }
 
+void
+GuardedSocket::CloseAfterAnswer()
+{
+  private_->stopping_ = true;
+}
+
 void
 GuardedSocket::CloseWhenIdle()
 {
-  private_->closing_ = true;
-  if (!private_->busy_ && private_->incoming_.empty()) {
+  private_->stopping_ = true;
+  if (!private_->busy_ && !private_->MoreHasArrived()) {
     private_->inner_.disconnectFromHost();
   }
 }
 
+bool
+GuardedSocket::AnswersLast() const
+{
+  return private_->closing_ ||
+         (private_->stopping_ && !private_->MoreHasArrived());
+}
+
 bool
 GuardedSocket::CallerGone() const
 {
@@ -262,7 +307,7 @@
 bool
 GuardedSocket::Busy() const
 {
-  return private_->busy_;
+  return private_->busy_ || !private_->incoming_.empty();
 }
 
 qint64
--- a/Source/Connection/GuardedSocket.h
+++ b/Source/Connection/GuardedSocket.h
@@ -59,13 +59,22 @@
   /** The answer to the request in progress has been written whole. */
   void FinishRequest();
 
-  /** No further request is taken; an idle connection closes now. */
+  /**
+   * A planned stop began: the connection closes after the answers to what has
+   * arrived, part of a request included. It does not close yet if it is idle.
+   */
+  void CloseAfterAnswer();
+
+  /** The connection closes now if nothing has arrived that needs an answer. */
   void CloseWhenIdle();
 
+  /** The answer about to be written is the connection's last. */
+  bool AnswersLast() const;
+
   /** The caller has hung up; its answer has nowhere to go. */
   bool CallerGone() const;
 
-  /** A request has been handed to the library and not answered yet. */
+  /** A request, or the first part of one, has arrived and has no answer. */
   bool Busy() const;
 
   // The names of overridden functions are Qt's.
--- a/Source/Connection/HttpFraming.cxx
+++ b/Source/Connection/HttpFraming.cxx
@@ -51,14 +51,38 @@
   return length;
 }
 
+/**
+ * A bare carriage return or line feed ends a line for some programs and not for
+ * others, so that they cut the same bytes at different places.
+ */
+bool
+HasControl(std::string_view aLine)
+{
+  return std::any_of(aLine.begin(), aLine.end(), [](char aChar) {
+    const auto byte = static_cast<unsigned char>(aChar);
+    return (byte < ' ' && aChar != '\t') || byte == 0x7f;
+  });
+}
+
+/** "Name: value", with nothing between the name and the colon. */
+bool
+IsHeaderLine(std::string_view aLine)
+{
+  const std::size_t colon = aLine.find(':');
+  if (colon == std::string_view::npos || colon == 0 || HasControl(aLine)) {
+    return false;
+  }
+  return aLine.substr(0, colon).find_first_of(" \t") == std::string_view::npos;
+}
+
 /** "METHOD target HTTP/1.x", with one space between each. */
 bool
 IsRequestLine(std::string_view aLine)
 {
   const std::size_t firstSpace = aLine.find(' ');
   const std::size_t lastSpace = aLine.rfind(' ');
-  if (firstSpace == std::string_view::npos || firstSpace == 0 ||
-      lastSpace <= firstSpace + 1) {
+  if (HasControl(aLine) || firstSpace == std::string_view::npos ||
+      firstSpace == 0 || lastSpace <= firstSpace + 1) {
     return false;
   }
   const std::string_view version = aLine.substr(lastSpace + 1);
@@ -93,11 +117,10 @@
     }
     const std::string_view line = aHead.substr(start, end - start);
     start = end + kLineEnd.size();
-    const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos || colon == 0 || line[0] == ' ' ||
-        line[0] == '\t' || line[colon - 1] == ' ') {
+    if (!IsHeaderLine(line)) {
       return Malformed("A header line is not 'Name: value'.");
     }
+    const std::size_t colon = line.find(':');
     const std::string name = LowerCase(line.substr(0, colon));
     const std::string_view value = Trim(line.substr(colon + 1));
     if (name == "transfer-encoding") {
--- a/Source/Connection/HttpFront.cxx
+++ b/Source/Connection/HttpFront.cxx
@@ -5,12 +5,16 @@
 #include <QHttpServerResponder>
 #include <QPointer>
 #include <QTcpServer>
+#include <QTimer>
 #include <QUrl>
 #include <QUrlQuery>
 
 #include <algorithm>
+#include <array>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <optional>
+#include <poll.h>
 #include <set>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -20,6 +24,9 @@
 namespace {
 
 constexpr int kBacklog = 512;
+/** Handshakes that had begun end within this long; callers are 3 ms away. */
+constexpr Millis kHandshakeGrace{ 250 };
+constexpr Millis kAcceptCheck{ 10 };
 
 std::string_view
 MethodText(QHttpServerRequest::Method aMethod)
@@ -68,12 +75,23 @@
 
   const std::set<GuardedSocket*>& Sockets() const { return sockets_; }
 
+  void CloseAfterAnswers()
+  {
+    stopping_ = true;
+    for (GuardedSocket* socket : sockets_) {
+      socket->CloseAfterAnswer();
+    }
+  }
+
 protected:
   // NOLINTNEXTLINE(readability-identifier-naming): Qt names it so.
   void incomingConnection(qintptr aDescriptor) override
   {
     auto* socket = new GuardedSocket(aDescriptor, limits_, counts_, this);
     sockets_.insert(socket);
+    if (stopping_) {
+      socket->CloseAfterAnswer();
+    }
     connect(socket, &QObject::destroyed, this, [this, socket] {
       sockets_.erase(socket);
     });
@@ -83,6 +101,7 @@
 private:
   HttpLimits limits_;
   HttpGuardCounts* counts_;
+  bool stopping_ = false;
   std::set<GuardedSocket*> sockets_;
 };
 
@@ -113,6 +132,43 @@
   return descriptor;
 }
 
+/**
+ * Drops further connection requests (SYN) at a listening socket.
+ *
+ * Failure guarded against: closing a listening socket resets the connections
+ * that wait in its accept queue, and callers that had already sent a request
+ * on one see it cut off. With SYNs dropped no new one can enter the queue, so
+ * it is empty for good once the handshakes under way have ended. A caller whose
+ * SYN was dropped has sent nothing; its next try is refused or goes elsewhere.
+ */
+void
+RefuseHandshakes(int aDescriptor)
+{
+  constexpr std::uint32_t kFlagsOffset = 13;
+  constexpr std::uint32_t kSynAndAck = 0x12;
+  constexpr std::uint32_t kSyn = 0x02;
+  constexpr std::uint32_t kKeepAll = 0xffffffff;
+  std::array<sock_filter, 5> program{ {
+    BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsOffset),
+    BPF_STMT(BPF_ALU | BPF_AND | BPF_K, kSynAndAck),
+    BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, kSyn, 0, 1),
+    BPF_STMT(BPF_RET | BPF_K, 0),
+    BPF_STMT(BPF_RET | BPF_K, kKeepAll),
+  } };
+  const sock_fprog filter{ program.size(), program.data() };
+  // Without the filter the accept queue is still drained before the close; a
+  // connection made in the last instant can then be lost.
+  ::setsockopt(
+    aDescriptor, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
+}
+
+bool
+HasPendingConnection(int aDescriptor)
+{
+  pollfd listening{ aDescriptor, POLLIN, 0 };
+  return ::poll(&listening, 1, 0) > 0;
+}
+
 }
 
 class HttpExchange::Private
@@ -165,6 +221,9 @@
                          QByteArray::fromStdString(aAnswer.contentType_));
   responder_.writeHeader("Content-Length",
                          QByteArray::number(aAnswer.body_.size()));
+  if (socket_->AnswersLast()) {
+    responder_.writeHeader("Connection", "close");
+  }
   for (const auto& [name, value] : aAnswer.headers_) {
     responder_.writeHeader(QByteArray::fromStdString(name),
                            QByteArray::fromStdString(value));
@@ -259,6 +318,8 @@
   {
   }
 
+  void CloseOnceAccepted();
+
   HttpGuardCounts counts_;
   GuardedServer server_;
   Handler handler_;
@@ -301,6 +362,20 @@
 {
 }
 
+void
+HttpFront::Private::CloseOnceAccepted()
+{
+  if (HasPendingConnection(static_cast<int>(server_.socketDescriptor()))) {
+    QTimer::singleShot(kAcceptCheck, this, [this] { CloseOnceAccepted(); });
+    return;
+  }
+  server_.close();
+  const std::set<GuardedSocket*> sockets = server_.Sockets();
+  for (GuardedSocket* socket : sockets) {
+    socket->CloseWhenIdle();
+  }
+}
+
 HttpFront::HttpFront(std::unique_ptr<Private> aPrivate)
   : private_(std::move(aPrivate))
 {
@@ -346,11 +421,29 @@
 void
 HttpFront::StopListening()
 {
-  private_->server_.close();
-  const std::set<GuardedSocket*> sockets = private_->server_.Sockets();
-  for (GuardedSocket* socket : sockets) {
-    socket->CloseWhenIdle();
-  }
+  CloseAfterAnswers();
+  RefuseHandshakes(static_cast<int>(private_->server_.socketDescriptor()));
+  Private* self = private_.get();
+  QTimer::singleShot(
+    kHandshakeGrace, self, [self] { self->CloseOnceAccepted(); });
+}
+
+void
+HttpFront::CloseAfterAnswers()
+{
+  private_->server_.CloseAfterAnswers();
+}
+
+bool
+HttpFront::Listening() const
+{
+  return private_->server_.isListening();
+}
+
+std::size_t
+HttpFront::Connections() const
+{
+  return private_->server_.Sockets().size();
 }
 
 std::size_t
--- a/Source/Connection/HttpFront.h
+++ b/Source/Connection/HttpFront.h
@@ -78,13 +78,23 @@
   std::uint16_t Port() const;
   const HttpGuardCounts& Counts() const;
 
-  /** Takes no further connection; idle ones close, busy ones after answering.
+  /** Every connection closes after its next answer; all are still taken. */
+  void CloseAfterAnswers();
+
+  /**
+   * Takes no further connection, but loses none that was made: see
+   * RefuseHandshakes() in the source. Idle connections close, busy ones after
+   * answering. Listening() is true until the last has been accepted.
    */
   void StopListening();
+  bool Listening() const;
 
-  /** How many requests have been taken and not answered. */
+  /** Connections on which a request, or part of one, has no answer yet. */
   std::size_t Unanswered() const;
 
+  /** Open connections, those that still write an answer included. */
+  std::size_t Connections() const;
+
 private:
   class Private;
   explicit HttpFront(std::unique_ptr<Private> aPrivate);
--- a/Source/Connection/SideLink.cxx
+++ b/Source/Connection/SideLink.cxx
@@ -80,6 +80,12 @@
   socket_->disconnectFromHost();
 }
 
+bool
+SideLink::Flushed() const
+{
+  return waiting_.empty() && socket_->bytesToWrite() == 0;
+}
+
 void
 SideLink::OnReadyRead()
 {
@@ -87,6 +93,7 @@
   const Result<std::vector<WireMessage>> messages =
     reader_.Take({ bytes.constData(), static_cast<std::size_t>(bytes.size()) });
   if (const auto* failure = std::get_if<Failure>(&messages)) {
+    broken_ = true;
     OnEnd(QString::fromStdString(failure->message_));
     return;
   }
--- a/Source/Connection/SideLink.h
+++ b/Source/Connection/SideLink.h
@@ -32,6 +32,12 @@
   /** Ends the connection once what was sent has left. */
   void Close();
 
+  /** All that was sent has left this process. */
+  bool Flushed() const;
+
+  /** It ended because of what the peer sent. */
+  bool Broken() const { return broken_; }
+
 Q_SIGNALS:
   void Received(const cactusrail::WireMessage& aMessage);
   /** Once: the end. aNeverConnected: nothing that was sent can have arrived. */
@@ -47,6 +53,7 @@
   std::vector<std::string> waiting_;
   bool connected_ = false;
   bool ended_ = false;
+  bool broken_ = false;
 };
 
 }
--- a/Source/Connection/TableClient.cxx
+++ b/Source/Connection/TableClient.cxx
@@ -80,6 +80,12 @@
 
 TableClient::~TableClient() = default;
 
+std::size_t
+TableClient::InFlight() const
+{
+  return private_->caller_.InFlight();
+}
+
 void
 TableClient::Transact(const TableTransaction& aTransaction,
                       Instant aDeadline,
--- a/Source/Connection/TableClient.h
+++ b/Source/Connection/TableClient.h
@@ -35,6 +35,9 @@
             Instant aDeadline,
             std::function<void(Result<std::vector<TableRow>>)> aCallback);
 
+  /** Calls that have not called back yet. */
+  std::size_t InFlight() const;
+
 private:
   class Private;
   std::unique_ptr<Private> private_;
--- a/Source/Process/EntryProcess.cxx
+++ b/Source/Process/EntryProcess.cxx
@@ -165,10 +165,11 @@
     return;
   }
   std::size_t open = 0;
+  bool finished = !listening_;
   for (const std::unique_ptr<Lane>& lane : lanes_) {
     open += lane->InProgress();
+    finished = finished && lane->Drained();
   }
-  const bool finished = !listening_ && open == 0;
   if (!finished && now < stopDeadline_) {
     return;
   }
@@ -205,6 +206,9 @@
   self->stopDeadline_ = now + Millis(self->settings_.stopBoundMs_);
   self->stopped_ = std::move(aDone);
   LogChange("stopping", {});
+  for (const std::unique_ptr<Lane>& lane : self->lanes_) {
+    lane->CloseAfterAnswers();
+  }
   QObject::connect(&self->stopCheck_, &QTimer::timeout, self, [self] {
     self->CheckStopped();
   });
--- a/Source/Process/Lane.cxx
+++ b/Source/Process/Lane.cxx
@@ -134,6 +134,7 @@
   QThread thread_;
   std::uint64_t nextRequest_ = 1;
   std::atomic<std::size_t> inProgress_{ 0 };
+  std::atomic<bool> drained_{ false };
 
   // Made and destroyed in the lane's thread.
   std::unique_ptr<EntryCore> core_;
@@ -168,6 +169,8 @@
   connect(tick_.get(), &QTimer::timeout, this, [this] {
     Run(core_->OnTick(ReadMonotonicClock()));
     inProgress_ = exchanges_.size();
+    drained_ = !front_->Listening() && front_->Connections() == 0 &&
+               exchanges_.empty() && table_->InFlight() == 0;
   });
   tick_->start(kTick);
   return true;
@@ -454,6 +457,20 @@
     raw, [raw] { raw->front_->StopListening(); }, Qt::QueuedConnection);
 }
 
+void
+Lane::CloseAfterAnswers()
+{
+  Private* raw = private_.get();
+  QMetaObject::invokeMethod(
+    raw, [raw] { raw->front_->CloseAfterAnswers(); }, Qt::QueuedConnection);
+}
+
+bool
+Lane::Drained() const
+{
+  return private_->drained_;
+}
+
 std::size_t
 Lane::InProgress() const
 {
--- a/Source/Process/Lane.h
+++ b/Source/Process/Lane.h
@@ -36,10 +36,19 @@
   /** Hands on a heartbeat; returns at once. */
   void Observe(const HeartbeatMessage& aHeartbeat);
 
-  /** No further connections; calls back, in the lane, when all is answered. */
+  /** A planned stop is near: connections close after their next answer. */
+  void CloseAfterAnswers();
+
+  /** No further connections; Drained() follows. */
   void StopListening();
 
-  /** Requests without their final answer; rough, for the planned stop. */
+  /**
+   * The lane has stopped listening, every connection that was made is closed
+   * with its answers written, and the table has answered. Never false again.
+   */
+  bool Drained() const;
+
+  /** Requests without their final answer, a few milliseconds ago. */
   std::size_t InProgress() const;
 
 private:
--- a/Source/Process/MembershipListener.cxx
+++ b/Source/Process/MembershipListener.cxx
@@ -138,6 +138,12 @@
     answer.body_ = self->Table();
     aExchange.Answer(answer);
   });
+  aRoutes.Add("GET", "/v1/counters", [self](const HttpExchange& aExchange) {
+    HttpAnswer answer;
+    answer.body_ =
+      "{\"badDatagrams\":" + std::to_string(self->badDatagrams_) + "}\n";
+    aExchange.Answer(answer);
+  });
 }
 
 std::uint16_t
--- a/Source/Process/SideProcess.cxx
+++ b/Source/Process/SideProcess.cxx
@@ -27,6 +27,8 @@
 constexpr Millis kAnnouncementLife{ 3000 };
 /** Heartbeats that say "leaving" before the process ends. */
 constexpr Millis kLeavingNotice{ 1000 };
+/** A stopping side ends only after entries have sent nothing for this long. */
+constexpr Millis kQuietBeforeEnd{ 200 };
 
 /** The JSON body of an upstream's announcement. */
 struct AnnouncementBody
@@ -122,9 +124,13 @@
   LinkId nextLink_ = 1;
   std::uint64_t sequence_ = 0;
   std::uint64_t badDatagrams_ = 0;
+  /** Connections ended for what they sent. */
+  std::uint64_t badLinks_ = 0;
   SideState loggedState_ = SideState::NoUpstream;
   bool stopping_ = false;
   Instant stopEarliest_;
+  /** When an entry last sent something. */
+  Instant quietSince_;
   Instant stopDeadline_;
   std::function<void()> stopped_;
 };
@@ -193,9 +199,14 @@
              aExchange.Path() == "/v1/goodbye") {
     Run(core_.OnGoodbye(now));
     answer.body_ = "{}\n";
+  } else if (aExchange.Method() == "GET" &&
+             aExchange.Path() == "/v1/counters") {
+    answer.body_ = "{\"badDatagrams\":" + std::to_string(badDatagrams_) +
+                   ",\"badLinks\":" + std::to_string(badLinks_) + "}\n";
   } else {
     answer.status_ = 404;
-    answer.body_ = "Use POST /v1/announce or POST /v1/goodbye.\n";
+    answer.body_ = "Use POST /v1/announce, POST /v1/goodbye or GET "
+                   "/v1/counters.\n";
   }
   aExchange.Answer(answer);
   SendHeartbeat();
@@ -214,6 +225,7 @@
       });
     connect(link, &SideLink::Lost, this, [this, id, link] {
       links_.erase(id);
+      badLinks_ += link->Broken() ? 1 : 0;
       link->deleteLater();
       Run(core_.OnLinkLost(id, ReadMonotonicClock()));
     });
@@ -224,6 +236,7 @@
 SideProcess::Private::OnMessage(LinkId aLink, const WireMessage& aMessage)
 {
   const Instant now = ReadMonotonicClock();
+  quietSince_ = now;
   if (const auto* dispatch = std::get_if<DispatchMessage>(&aMessage)) {
     Run(core_.OnDispatch(aLink, *dispatch, now));
   } else if (const auto* cancel = std::get_if<CancelMessage>(&aMessage)) {
@@ -355,7 +368,16 @@
     return;
   }
   const Instant now = ReadMonotonicClock();
-  const bool finished = core_.Idle() && now >= stopEarliest_;
+  // Failure guarded against: an answer that is still in this process's buffers
+  // when it ends never reaches the caller, and one that is on its way is lost
+  // if the connection is reset because a late dispatch arrived unread.
+  const bool quiet = now >= quietSince_ + kQuietBeforeEnd;
+  const bool flushed =
+    std::all_of(links_.begin(), links_.end(), [](const auto& aLink) {
+      return aLink.second->Flushed();
+    });
+  const bool finished =
+    core_.Idle() && flushed && quiet && now >= stopEarliest_;
   if (finished || now >= stopDeadline_) {
     LogChange("stopped", { { "in-flight-left", core_.Idle() ? "no" : "yes" } });
     std::exchange(stopped_, nullptr)();
--- /dev/null
+++ b/Tests/Process/BadInputTest.cxx
@@ -0,0 +1,294 @@
+#include "Bench.h"
+#include "RawCaller.h"
+
+#include "Connection/Codec.h"
+
+#include <QUdpSocket>
+
+#include <criterion/criterion.h>
+
+using namespace cactusrail;
+
+namespace {
+
+constexpr const char* kKeyHeader = "Authorization: Bearer bench-key\r\n";
+/** What a process may grow by while it turns bad input away. */
+constexpr std::size_t kGrowthKilobytes = 48 * 1024;
+
+std::string
+GoodRequest(const std::string& aMark, const std::string& aQuery)
+{
+  return "GET /s/once/work?" + aQuery + " HTTP/1.1\r\nHost: x\r\n" +
+         kKeyHeader + "X-Mark: " + aMark + "\r\n\r\n";
+}
+
+/** Frames that no peer of ours sends, by what is wrong with them. */
+std::vector<std::pair<std::string, std::string>>
+BadFrames()
+{
+  const std::string good = EncodeFrame(CancelMessage{ "attempt" });
+  std::string future = good;
+  future[4] = 99;
+  std::string absurd = good;
+  absurd[3] = 0x7f;
+  std::string innerLength = good;
+  innerLength[kFrameHeaderBytes + 8] = 0x7f;
+  std::string unknownType = good;
+  unknownType[6] = 77;
+  std::string tooShort = good;
+  tooShort[0] = 3;
+  return {
+    { "future version", future },
+    { "absurd length", absurd },
+    { "inner length", innerLength },
+    { "unknown type", unknownType },
+    { "length below the header", tooShort },
+    { "not ours", "GET / HTTP/1.1\r\nHost: x\r\n\r\n" },
+  };
+}
+
+std::string
+Body(const Result<HttpReply>& aResult)
+{
+  const auto* reply = std::get_if<HttpReply>(&aResult);
+  return reply == nullptr ? "" : reply->body_;
+}
+
+}
+
+// A broken client (or a hostile one) sends what is not HTTP, or HTTP that means
+// two things at once. It must get a clear refusal that says "did not run";
+// callers beside it must notice nothing, and the entry must not grow.
+Test(BadInput, MalformedHttpIsRefusedAndOthersUnharmed)
+{
+  struct Case
+  {
+    const char* name_;
+    std::string bytes_;
+    const char* status_;
+  };
+  const std::string post = "POST /s/once/work HTTP/1.1\r\nHost: x\r\n";
+  const std::vector<Case> cases{
+    { "garbage", "\x01\x02\x03 nonsense\r\n\r\n", "HTTP/1.1 400" },
+    { "no version", "GET /s/once/work\r\n\r\n", "HTTP/1.1 400" },
+    { "future version", "GET / HTTP/3.0\r\n\r\n", "HTTP/1.1 400" },
+    { "two lengths",
+      post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+      "HTTP/1.1 400" },
+    { "length no number", post + "Content-Length: x\r\n\r\n", "HTTP/1.1 400" },
+    { "negative length", post + "Content-Length: -1\r\n\r\n", "HTTP/1.1 400" },
+    { "endless length",
+      post + "Content-Length: 99999999999999999999999\r\n\r\n",
+      "HTTP/1.1 400" },
+    { "chunked",
+      post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+      "HTTP/1.1 400" },
+    { "folded header", post + " folded: x\r\n\r\n", "HTTP/1.1 400" },
+    { "endless head",
+      "GET /" + std::string(200000, 'x') + " HTTP/1.1\r\n\r\n",
+      "HTTP/1.1 431" },
+    { "endless header",
+      post + "X-Long: " + std::string(200000, 'x') + "\r\n\r\n",
+      "HTTP/1.1 431" },
+    { "body of 3 GB",
+      post + "Content-Length: 3221225472\r\n\r\n" + std::string(4U << 20U, 'x'),
+      "HTTP/1.1 413" },
+    { "key of nobody",
+      "GET /s/once/work HTTP/1.1\r\nAuthorization: Bearer x\r\n\r\n",
+      "HTTP/1.1 401" },
+    { "no service",
+      std::string("GET /s/none HTTP/1.1\r\n") + kKeyHeader + "\r\n",
+      "HTTP/1.1 404" },
+  };
+  Bench bench;
+  bench.StartUsual(1, 1);
+  const std::size_t before = bench["entry1"].ResidentKilobytes();
+  for (const char* address : { "http", "operators" }) {
+    for (const Case& bad : cases) {
+      RawCaller caller(bench["entry1"].Value(address));
+      caller.Send(bad.bytes_);
+      const bool ofEntry = std::string(address) == "http";
+      caller.WaitFor(ofEntry ? bad.status_ : "HTTP/1.1 4");
+      cr_assert(!ofEntry ||
+                  caller.Received().find("did not run") != std::string::npos,
+                "%s: %s",
+                bad.name_,
+                caller.Received().c_str());
+      cr_assert(bench.SendAndWait("entry1").status_ == 200,
+                "A caller was harmed by: %s",
+                bad.name_);
+    }
+  }
+  const std::size_t after = bench["entry1"].ResidentKilobytes();
+  cr_assert(after < before + kGrowthKilobytes,
+            "grew from %zu to %zu kB",
+            before,
+            after);
+  bench.Settle("malformed-http", "entry1");
+}
+
+// Slow clients hold connections open with half a request each, or one byte now
+// and then. They must be ended with 408 after the time that a request may take,
+// however lively they drip; others are served meanwhile.
+Test(BadInput, SlowAndHalfSentRequestsTimeOut)
+{
+  Bench bench;
+  bench.StartPlatform();
+  bench.StartEntry("entry1", "receive-timeout-ms = 400\n");
+  bench.StartRunner("side1");
+  bench.Configure("entry1");
+  bench.WaitForSide("entry1", "side1");
+  const std::string address = bench["entry1"].Value("http");
+  RawCaller halfHead(address);
+  halfHead.Send("POST /s/once/work HTTP/1.1\r\nHos");
+  RawCaller halfBody(address);
+  halfBody.Send("POST /s/once/work HTTP/1.1\r\nContent-Length: 100\r\n\r\nabc");
+  RawCaller dripped(address);
+  WaitUntil(
+    [&dripped] {
+      if (!dripped.Closed()) {
+        dripped.Send("G");
+      }
+      return dripped.Received().find("408") != std::string::npos;
+    },
+    "408 to a dripped request");
+  cr_assert(bench.SendAndWait("entry1").status_ == 200);
+  for (RawCaller* slow : { &halfHead, &halfBody }) {
+    slow->WaitFor("408");
+    slow->WaitForClose();
+  }
+  bench.Settle("slow-requests", "entry1");
+}
+
+// A balancer pipelines two requests of two clerks on one connection; the first
+// is slow. The library would send the second one's answer first, and each clerk
+// would read the other's price.
+Test(BadInput, PipelinedAnswersKeepTheirOrder)
+{
+  Bench bench;
+  bench.StartUsual(1, 1);
+  RawCaller caller(bench["entry1"].Value("http"));
+  caller.Send(GoodRequest("first", "work=300") + GoodRequest("second", "") +
+              GoodRequest("third", ""));
+  caller.WaitFor("served third ");
+  const std::size_t first = caller.Received().find("served first ");
+  const std::size_t second = caller.Received().find("served second ");
+  const std::size_t third = caller.Received().find("served third ");
+  cr_assert(first < second && second < third, "Answers crossed.");
+}
+
+// An impatient client hangs up while its request is at the upstream, or right
+// after sending it, again and again. Writing such an answer once killed the
+// process, and with it every other caller's connection.
+Test(BadInput, EntryOutlivesCallersThatHangUp)
+{
+  Bench bench;
+  bench.StartUsual(1, 1);
+  const std::string address = bench["entry1"].Value("http");
+  for (int round = 0; round < 8; ++round) {
+    const std::string mark = "gone" + std::to_string(round);
+    RawCaller atWork(address);
+    atWork.Send(GoodRequest(mark, "work=200"));
+    WaitUntil([&bench, &mark] { return bench.RunsOf(mark) == 1; },
+              "the upstream to begin");
+    atWork.HangUp();
+    RawCaller atOnce(address);
+    atOnce.Send(GoodRequest("atonce", "work=1"));
+    atOnce.HangUp();
+    cr_assert(bench.SendAndWait("entry1").status_ == 200);
+  }
+  cr_assert(bench["entry1"].Running());
+  cr_assert(bench["side1"].Running());
+  bench.Settle("hang-ups", "entry1");
+}
+
+// Another version of ours, a stray client, or a broken switch reaches a side's
+// port. The connection ends and is counted; nothing is guessed, no memory is
+// taken for lengths that only a header claims, and entries are served on.
+Test(BadInput, BadFramesEndTheirConnectionOnly)
+{
+  Bench bench;
+  bench.StartUsual(1, 1);
+  const std::size_t before = bench["side1"].ResidentKilobytes();
+  const std::string link = bench["side1"].Value("link");
+  std::size_t broken = 0;
+  for (const auto& [name, bytes] : BadFrames()) {
+    RawCaller peer(link);
+    peer.Send(bytes);
+    peer.WaitForClose();
+    ++broken;
+    cr_assert(bench.SendAndWait("entry1").status_ == 200,
+              "Work was harmed by a frame with: %s",
+              name.c_str());
+  }
+  RawCaller halfFrame(link);
+  halfFrame.Send(EncodeFrame(CancelMessage{ "attempt" }).substr(0, 11));
+  halfFrame.HangUp();
+  const std::string counters =
+    "http://" + bench["side1"].Value("announce") + "/v1/counters";
+  const std::string expected = "\"badLinks\":" + std::to_string(broken);
+  WaitUntil(
+    [&] {
+      return Body(bench.Ask("GET", counters)).find(expected) !=
+             std::string::npos;
+    },
+    "the side to count " + expected);
+  cr_assert(bench["side1"].ResidentKilobytes() < before + kGrowthKilobytes);
+  bench.Settle("bad-frames", "entry1");
+}
+
+// The same on the datagram sockets: of an entry, and of a side, whose port this
+// test learns by posing as one of its entries.
+Test(BadInput, BadDatagramsAreDroppedAndCounted)
+{
+  Bench bench;
+  bench.StartPlatform();
+  bench.StartEntry("entry1");
+  QUdpSocket posing;
+  cr_assert(posing.bind(QHostAddress::LocalHost, 0));
+  bench.StartSide(
+    "side1", "", "127.0.0.1:" + std::to_string(posing.localPort()));
+  bench.StartUpstream("side1");
+  bench.Configure("entry1");
+  bench.WaitForSide("entry1", "side1");
+  WaitUntil([&posing] { return posing.hasPendingDatagrams(); },
+            "a heartbeat of the side");
+  QHostAddress sideAddress;
+  quint16 sidePort = 0;
+  char byte = 0;
+  posing.readDatagram(&byte, 1, &sideAddress, &sidePort);
+  const std::string membership = bench["entry1"].Value("membership");
+  const auto entryPort = static_cast<quint16>(
+    std::stoi(membership.substr(membership.rfind(':') + 1)));
+  std::size_t sent = 0;
+  std::vector<std::pair<std::string, std::string>> bad = BadFrames();
+  bad.emplace_back("truncated",
+                   EncodeFrame(CancelMessage{ "attempt" }).substr(0, 11));
+  bad.emplace_back("oversized", std::string(1600, 'x'));
+  bad.emplace_back("of a kind that is not sent by datagram",
+                   EncodeFrame(RecallMessage{ "q", "r" }));
+  for (const auto& [name, bytes] : bad) {
+    const auto size = static_cast<qint64>(bytes.size());
+    posing.writeDatagram(
+      bytes.data(), size, QHostAddress::LocalHost, entryPort);
+    posing.writeDatagram(bytes.data(), size, sideAddress, sidePort);
+    ++sent;
+  }
+  const std::string expected = "\"badDatagrams\":" + std::to_string(sent);
+  WaitUntil(
+    [&] {
+      return Body(bench.AskOperators("entry1", "/v1/counters"))
+               .find(expected) != std::string::npos;
+    },
+    "the entry to count " + expected);
+  const std::string counters =
+    "http://" + bench["side1"].Value("announce") + "/v1/counters";
+  WaitUntil(
+    [&] {
+      return Body(bench.Ask("GET", counters)).find(expected) !=
+             std::string::npos;
+    },
+    "the side to count " + expected);
+  cr_assert(bench.SendAndWait("entry1").status_ == 200);
+  bench.Settle("bad-datagrams", "entry1");
+}
--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -94,9 +94,11 @@
 }
 
 Child&
-Bench::StartSide(const std::string& aName, const std::string& aExtra)
+Bench::StartSide(const std::string& aName,
+                 const std::string& aExtra,
+                 const std::string& aEntries)
 {
-  std::string entries;
+  std::string entries = aEntries;
   for (const auto& [name, child] : children_) {
     if (name.starts_with("entry")) {
       entries += (entries.empty() ? "" : ",") + child->Value("membership");
--- a/Tests/Process/Bench.h
+++ b/Tests/Process/Bench.h
@@ -38,7 +38,10 @@
 
   Child& StartPlatform();
   Child& StartEntry(const std::string& aName, const std::string& aExtra = {});
-  Child& StartSide(const std::string& aName, const std::string& aExtra = {});
+  /** aEntries: further membership addresses to send heartbeats to. */
+  Child& StartSide(const std::string& aName,
+                   const std::string& aExtra = {},
+                   const std::string& aEntries = {});
   /** A side of that name must run. */
   Child& StartUpstream(const std::string& aSide,
                        const std::string& aService = "once",
