Configuration: Decide acceptance in a pure module and spread it through peers

The highest version seen wins; a table that answers from the past or was restored raises one alarm line and gets the higher version back by a write on condition of the row's revision; a lost answer is resolved by sending the same conditional write again and comparing its nonce; entries that start while the table is down ask sides and entries; sides hold the configuration, get it over the link and name its version in heartbeats. Entries know each other by their rows entry/NAME and name all in acknowledgements.

--- a/Source/Process/ConfigurationKeeper.cxx
+++ b/Source/Process/ConfigurationKeeper.cxx
@@ -1,18 +1,20 @@
 #include "Process/ConfigurationKeeper.h"
 
 #include "Connection/TableClient.h"
+#include "Process/ConfigurationPeers.h"
 #include "Process/Log.h"
 
 #include <QTimer>
 
-#include <string>
+#include <map>
+#include <utility>
 #include <vector>
 
 namespace cactusrail {
 
 namespace {
 
-constexpr Millis kPoll{ 1000 };
+constexpr Millis kTick{ 100 };
 constexpr Millis kTableTimeout{ 2000 };
 constexpr const char* kConfigKey = "config/current";
 
@@ -21,99 +23,135 @@
 class ConfigurationKeeper::Private : public QObject
 {
 public:
-  Private(TableClient& aTable, ConfigurationHolder& aHolder)
+  Private(TableClient& aTable,
+          ConfigurationHolder& aHolder,
+          const EntryDirectory& aDirectory,
+          std::string aNonceStart)
     : table_(aTable)
     , holder_(aHolder)
+    , directory_(aDirectory)
+    , nonceStart_(std::move(aNonceStart))
+    , peers_(aHolder, [this](const std::string& aText) {
+      Run(decision_.OnPeerConfiguration(aText, ReadMonotonicClock()));
+    })
   {
   }
 
-  void Poll();
-  void Take(const std::string& aText);
+  void Run(const ConfigurationVersion::Actions& aActions);
+  void Do(const ReadConfigurationRow& aAction);
+  void Do(const AskPeersForConfiguration& aAction);
+  void Do(const WriteConfigurationRow& aAction);
+  void Do(const TakeConfiguration& aAction);
+  void Do(const AnswerConfigurationChange& aAction);
+  static void Do(const RaiseConfigurationAlarm& aAction);
   void Put(const HttpExchange& aExchange);
 
   TableClient& table_;
   ConfigurationHolder& holder_;
-  QTimer poll_;
-  std::uint64_t revision_ = 0;
+  const EntryDirectory& directory_;
+  std::string nonceStart_;
+  std::uint64_t nextNonce_ = 1;
+  ConfigurationVersion decision_;
+  ConfigurationPeers peers_;
+  QTimer tick_;
+  /** Operators that wait for the outcome of their change, by nonce. */
+  std::map<std::string, HttpExchange> waiting_;
 };
 
 void
-ConfigurationKeeper::Private::Take(const std::string& aText)
+ConfigurationKeeper::Private::Run(const ConfigurationVersion::Actions& aActions)
 {
-  const Result<Configuration> parsed = ParseConfiguration(aText);
-  const auto* configuration = std::get_if<Configuration>(&parsed);
-  if (configuration == nullptr) {
-    return;
-  }
-  if (holder_.Offer(std::make_shared<Configuration>(*configuration))) {
-    LogChange("configuration",
-              { { "version", std::to_string(configuration->version_) } });
+  for (const ConfigurationAction& action : aActions) {
+    std::visit([this](const auto& aAction) { Do(aAction); }, action);
   }
 }
 
 void
-ConfigurationKeeper::Private::Poll()
+ConfigurationKeeper::Private::Do(const ReadConfigurationRow&)
 {
-  table_.Read(kConfigKey,
-              ReadMonotonicClock() + kTableTimeout,
-              [this](const Result<std::vector<TableRow>>& aRows) {
-                const auto* rows = std::get_if<std::vector<TableRow>>(&aRows);
-                if (rows == nullptr || rows->empty()) {
-                  return;
-                }
-                revision_ = rows->front().revision_;
-                Take(rows->front().value_);
-              });
+  table_.Read(
+    kConfigKey,
+    ReadMonotonicClock() + kTableTimeout,
+    [this](const Result<std::vector<TableRow>>& aRows) {
+      const Instant now = ReadMonotonicClock();
+      const auto* rows = std::get_if<std::vector<TableRow>>(&aRows);
+      if (rows == nullptr) {
+        Run(decision_.OnReadFailed(now));
+        return;
+      }
+      Run(decision_.OnRow(rows->empty() ? TableRow{} : rows->front(), now));
+    });
 }
 
 void
-ConfigurationKeeper::Private::Put(const HttpExchange& aExchange)
+ConfigurationKeeper::Private::Do(const AskPeersForConfiguration&)
 {
-  const Result<Configuration> parsed = ParseConfiguration(aExchange.Body());
-  if (const auto* failure = std::get_if<Failure>(&parsed)) {
-    aExchange.Answer(OperatorError(400, failure->message_));
-    return;
+  peers_.Ask(directory_.Others());
+}
+
+void
+ConfigurationKeeper::Private::Do(const WriteConfigurationRow& aAction)
+{
+  TableTransaction transaction;
+  transaction.conditions_.push_back({ kConfigKey, aAction.revision_ });
+  transaction.puts_.push_back({ kConfigKey, aAction.value_ });
+  table_.Transact(
+    transaction,
+    ReadMonotonicClock() + kTableTimeout,
+    [this, aAction](const Result<TableOutcome>& aResult) {
+      Run(decision_.OnWritten(aAction, aResult, ReadMonotonicClock()));
+    });
+}
+
+void
+ConfigurationKeeper::Private::Do(const TakeConfiguration& aAction)
+{
+  if (holder_.Offer(aAction.configuration_)) {
+    LogChange("configuration",
+              { { "version", std::to_string(aAction.configuration_->version_) },
+                { "source", aAction.source_ } });
   }
-  const auto& configuration = std::get<Configuration>(parsed);
-  const std::uint64_t held = holder_.Current()->version_;
-  if (configuration.version_ != held + 1) {
-    aExchange.Answer(OperatorError(
-      409,
-      "The version must be " + std::to_string(held + 1) +
-        "; another operator may have changed the configuration."));
+}
+
+void
+ConfigurationKeeper::Private::Do(const AnswerConfigurationChange& aAction)
+{
+  const auto found = waiting_.find(aAction.nonce_);
+  if (found == waiting_.end()) {
     return;
   }
-  const std::string text = ConfigurationText(configuration);
-  TableTransaction transaction;
-  transaction.conditions_.push_back({ kConfigKey, revision_ });
-  transaction.puts_.push_back({ kConfigKey, text });
-  table_.Transact(transaction,
-                  ReadMonotonicClock() + kTableTimeout,
-                  [this, aExchange, text](const Result<TableOutcome>& aResult) {
-                    const auto* outcome = std::get_if<TableOutcome>(&aResult);
-                    Poll();
-                    if (outcome == nullptr) {
-                      aExchange.Answer(OperatorError(
-                        503,
-                        "The table service gave no answer; look at the "
-                        "configuration before you try again."));
-                      return;
-                    }
-                    if (!outcome->applied_) {
-                      aExchange.Answer(OperatorError(
-                        409, "Another operator changed the configuration."));
-                      return;
-                    }
-                    Take(text);
-                    HttpAnswer answer;
-                    answer.body_ = text + "\n";
-                    aExchange.Answer(answer);
-                  });
+  HttpAnswer answer;
+  if (aAction.message_.empty()) {
+    answer.body_ = ConfigurationText(decision_.InForce()) + "\n";
+  } else {
+    answer = OperatorError(aAction.status_, aAction.message_);
+  }
+  found->second.Answer(answer);
+  waiting_.erase(found);
+}
+
+void
+ConfigurationKeeper::Private::Do(const RaiseConfigurationAlarm& aAction)
+{
+  LogChange(aAction.event_, { { "detail", aAction.detail_ } });
+}
+
+void
+ConfigurationKeeper::Private::Put(const HttpExchange& aExchange)
+{
+  const std::string nonce = nonceStart_ + std::to_string(nextNonce_++);
+  waiting_.emplace(nonce, aExchange);
+  Run(decision_.OnChange(nonce, aExchange.Body(), ReadMonotonicClock()));
 }
 
 ConfigurationKeeper::ConfigurationKeeper(TableClient& aTable,
-                                         ConfigurationHolder& aHolder)
-  : private_(std::make_unique<Private>(aTable, aHolder))
+                                         ConfigurationHolder& aHolder,
+                                         const EntryDirectory& aDirectory,
+                                         std::string aNonceStart)
+  : private_(std::make_unique<Private>(aTable,
+                                       aHolder,
+                                       aDirectory,
+                                       std::move(aNonceStart)))
 {
 }
 
@@ -137,10 +175,27 @@
 ConfigurationKeeper::Start()
 {
   Private* self = private_.get();
-  QObject::connect(
-    &self->poll_, &QTimer::timeout, self, [self] { self->Poll(); });
-  self->poll_.start(kPoll);
-  self->Poll();
+  const auto tick = [self] {
+    self->Run(self->decision_.OnTick(ReadMonotonicClock()));
+  };
+  QObject::connect(&self->tick_, &QTimer::timeout, self, tick);
+  self->tick_.start(kTick);
+  tick();
+}
+
+void
+ConfigurationKeeper::OnHeartbeat(const HeartbeatMessage& aHeartbeat)
+{
+  Private& self = *private_;
+  const Instant now = ReadMonotonicClock();
+  self.peers_.OnHeartbeat(aHeartbeat);
+  self.Run(self.decision_.OnPeerVersion(aHeartbeat.configVersion_, now));
+}
+
+const ConfigurationCounts&
+ConfigurationKeeper::Counts() const
+{
+  return private_->decision_.Counts();
 }
 
 }
--- a/Source/Process/ConfigurationKeeper.h
+++ b/Source/Process/ConfigurationKeeper.h
@@ -1,22 +1,31 @@
 #pragma once
 
+#include "Connection/WireMessages.h"
+#include "Process/EntryDirectory.h"
 #include "Process/OperatorRoutes.h"
 #include "Version/ConfigurationHolder.h"
+#include "Version/ConfigurationVersion.h"
 
 #include <memory>
+#include <string>
 
 namespace cactusrail {
 
 class TableClient;
 
 /**
- * Keeps an entry's configuration up to date with the table service and takes
- * operators' changes to it (GET and PUT /v1/config). Owned by EntryProcess.
+ * Keeps an entry's configuration up to date and takes operators' changes to it
+ * (GET and PUT /v1/config): the input and output of ConfigurationVersion,
+ * which decides. Owned by EntryProcess.
  */
 class ConfigurationKeeper
 {
 public:
-  ConfigurationKeeper(TableClient& aTable, ConfigurationHolder& aHolder);
+  /** aNonceStart is unique to this process's start. */
+  ConfigurationKeeper(TableClient& aTable,
+                      ConfigurationHolder& aHolder,
+                      const EntryDirectory& aDirectory,
+                      std::string aNonceStart);
   ~ConfigurationKeeper();
 
   void AddRoutes(OperatorRoutes& aRoutes);
@@ -24,6 +33,11 @@
   /** Reads the table now and then every second. */
   void Start();
 
+  /** Heartbeats name the version that their side holds. */
+  void OnHeartbeat(const HeartbeatMessage& aHeartbeat);
+
+  const ConfigurationCounts& Counts() const;
+
 private:
   class Private;
   std::unique_ptr<Private> private_;
--- /dev/null
+++ b/Source/Process/ConfigurationPeers.cxx
@@ -0,0 +1,148 @@
+#include "Process/ConfigurationPeers.h"
+
+#include "Connection/HttpCaller.h"
+#include "Connection/SideLink.h"
+#include "Process/Instant.h"
+
+#include <QTimer>
+
+#include <map>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+constexpr Millis kPeerTimeout{ 2000 };
+constexpr Millis kPushEvery{ 1000 };
+/** One good answer is enough; a few hide a peer that just ended. */
+constexpr std::size_t kSidesAsked = 3;
+/** Sides that are remembered as holding more; any of them will do. */
+constexpr std::size_t kSidesKept = 64;
+
+}
+
+class ConfigurationPeers::Private : public QObject
+{
+public:
+  Private(const ConfigurationHolder& aHolder, OnText aOnText)
+    : holder_(aHolder)
+    , onText_(std::move(aOnText))
+  {
+  }
+
+  SideLink* Open(const std::string& aAddress, std::uint16_t aPort);
+  void Push(const HeartbeatMessage& aSide);
+  void AskSide(const HeartbeatMessage& aSide);
+  void AskEntry(const EntryRecord& aEntry);
+
+  const ConfigurationHolder& holder_;
+  OnText onText_;
+  HttpCaller caller_;
+  /** When a side may be sent the configuration again. */
+  std::map<std::string, Instant> nextPush_;
+  /** Sides whose last heartbeat named a higher version than is held here. */
+  std::map<std::string, HeartbeatMessage> ahead_;
+};
+
+SideLink*
+ConfigurationPeers::Private::Open(const std::string& aAddress,
+                                  std::uint16_t aPort)
+{
+  auto* link = new SideLink(aAddress, aPort, this);
+  connect(
+    link, &SideLink::Lost, link, &QObject::deleteLater, Qt::QueuedConnection);
+  QTimer::singleShot(kPeerTimeout, link, &QObject::deleteLater);
+  return link;
+}
+
+void
+ConfigurationPeers::Private::Push(const HeartbeatMessage& aSide)
+{
+  const Instant now = ReadMonotonicClock();
+  Instant& next = nextPush_[aSide.sideId_];
+  if (next > now) {
+    return;
+  }
+  next = now + kPushEvery;
+  const std::shared_ptr<const Configuration> held = holder_.Current();
+  ConfigMessage message;
+  message.version_ = held->version_;
+  message.text_ = ConfigurationText(*held);
+  Open(aSide.address_, aSide.port_)->Send(message);
+}
+
+void
+ConfigurationPeers::Private::AskSide(const HeartbeatMessage& aSide)
+{
+  SideLink* link = Open(aSide.address_, aSide.port_);
+  connect(
+    link, &SideLink::Received, this, [this, link](const WireMessage& aMessage) {
+      const auto* answer = std::get_if<ConfigMessage>(&aMessage);
+      if (answer != nullptr) {
+        link->deleteLater();
+        onText_(answer->text_);
+      }
+    });
+  link->Send(ConfigRequestMessage{ holder_.Current()->version_ });
+}
+
+void
+ConfigurationPeers::Private::AskEntry(const EntryRecord& aEntry)
+{
+  HttpCall call;
+  call.method_ = "GET";
+  call.url_ = "http://" + aEntry.operators_ + "/v1/config";
+  call.deadline_ = ReadMonotonicClock() + kPeerTimeout;
+  caller_.Start(std::move(call), [this](const Result<HttpReply>& aReply) {
+    const auto* reply = std::get_if<HttpReply>(&aReply);
+    if (reply != nullptr && reply->status_ == 200) {
+      onText_(reply->body_);
+    }
+  });
+}
+
+ConfigurationPeers::ConfigurationPeers(const ConfigurationHolder& aHolder,
+                                       OnText aOnText)
+  : private_(std::make_unique<Private>(aHolder, std::move(aOnText)))
+{
+}
+
+ConfigurationPeers::~ConfigurationPeers() = default;
+
+void
+ConfigurationPeers::OnHeartbeat(const HeartbeatMessage& aHeartbeat)
+{
+  Private& self = *private_;
+  const std::uint64_t held = self.holder_.Current()->version_;
+  if (aHeartbeat.configVersion_ < held) {
+    self.Push(aHeartbeat);
+  } else {
+    self.nextPush_.erase(aHeartbeat.sideId_);
+  }
+  if (aHeartbeat.configVersion_ <= held) {
+    self.ahead_.erase(aHeartbeat.sideId_);
+  } else if (self.ahead_.size() < kSidesKept) {
+    self.ahead_[aHeartbeat.sideId_] = aHeartbeat;
+  }
+}
+
+void
+ConfigurationPeers::Ask(const std::vector<EntryRecord>& aEntries)
+{
+  Private& self = *private_;
+  for (const EntryRecord& entry : aEntries) {
+    self.AskEntry(entry);
+  }
+  std::size_t asked = 0;
+  for (const auto& [id, side] : self.ahead_) {
+    if (asked++ == kSidesAsked) {
+      break;
+    }
+    self.AskSide(side);
+  }
+  // Who is still there and still ahead will say so again.
+  self.ahead_.clear();
+}
+
+}
--- a/Source/Process/EntryProcess.cxx
+++ b/Source/Process/EntryProcess.cxx
@@ -3,6 +3,7 @@
 #include "Connection/HttpFront.h"
 #include "Connection/TableClient.h"
 #include "Process/ConfigurationKeeper.h"
+#include "Process/EntryPresence.h"
 #include "Process/Explainer.h"
 #include "Process/Journal.h"
 #include "Process/Lane.h"
@@ -35,7 +36,11 @@
     , journal_("entry/" + aSettings.name_,
                static_cast<std::size_t>(aSettings.journalRequests_))
     , table_("http://" + aSettings.table_.Text())
-    , keeper_(table_, configuration_)
+    , presence_(table_, aSettings.name_)
+    , keeper_(table_,
+              configuration_,
+              presence_.Directory(),
+              aSettings.name_ + "-" + std::to_string(incarnation_) + "-")
   {
   }
 
@@ -51,6 +56,7 @@
   ConfigurationHolder configuration_;
   Journal journal_;
   TableClient table_;
+  EntryPresence presence_;
   ConfigurationKeeper keeper_;
   OperatorRoutes routes_;
   std::vector<std::unique_ptr<Lane>> lanes_;
@@ -77,6 +83,14 @@
     }
   }
   keeper_.Start();
+  EntryRecord own;
+  own.name_ = settings_.name_;
+  own.incarnation_ = incarnation_;
+  own.operators_ =
+    settings_.operators_.ip_ + ":" + std::to_string(operators_->Port());
+  own.membership_ =
+    settings_.membership_.ip_ + ":" + std::to_string(membership_->Port());
+  presence_.Start(own);
   return true;
 }
 
@@ -103,7 +117,15 @@
     settings_.name_,
     settings_.membership_,
     [this] { return configuration_.Current()->version_; },
+    [this] {
+      std::vector<std::string> known;
+      for (const EntryRecord& entry : presence_.Directory().Others()) {
+        known.push_back(entry.membership_);
+      }
+      return known;
+    },
     [this](const HeartbeatMessage& aHeartbeat) {
+      keeper_.OnHeartbeat(aHeartbeat);
       for (const std::unique_ptr<Lane>& lane : lanes_) {
         lane->Observe(aHeartbeat);
       }
--- a/Source/Process/MembershipListener.cxx
+++ b/Source/Process/MembershipListener.cxx
@@ -7,6 +7,13 @@
 
 namespace cactusrail {
 
+namespace {
+
+/** Keeps an acknowledgement well within one datagram. */
+constexpr std::size_t kMaxAckEntries = 32;
+
+}
+
 class MembershipListener::Private : public QObject
 {
 public:
@@ -19,6 +26,7 @@
   std::string entryName_;
   SocketAddress address_;
   ConfigVersion configVersion_;
+  KnownEntries knownEntries_;
   OnHeartbeat onHeartbeat_;
   QUdpSocket socket_;
   MembershipView view_;
@@ -75,6 +83,11 @@
   ack.configVersion_ = configVersion_();
   ack.entries_.push_back(address_.ip_ + ":" +
                          std::to_string(socket_.localPort()));
+  for (std::string& entry : knownEntries_()) {
+    if (ack.entries_.size() < kMaxAckEntries) {
+      ack.entries_.push_back(std::move(entry));
+    }
+  }
   const std::string frame = EncodeFrame(ack);
   socket_.writeDatagram(
     frame.data(), static_cast<qint64>(frame.size()), aFrom, aFromPort);
@@ -92,7 +105,7 @@
     text += facts.sideId_ + " " + facts.dataCentre_ + " " + facts.service_ +
             " " + (usable ? "usable" : "unusable") + " " +
             std::to_string(facts.busy_) + "/" + std::to_string(facts.slots_) +
-            "\n";
+            " config=" + std::to_string(facts.configVersion_) + "\n";
   }
   return text;
 }
@@ -108,12 +121,14 @@
 MembershipListener::Open(const std::string& aEntryName,
                          const SocketAddress& aAddress,
                          ConfigVersion aConfigVersion,
+                         KnownEntries aKnownEntries,
                          OnHeartbeat aOnHeartbeat)
 {
   auto self = std::make_unique<Private>();
   self->entryName_ = aEntryName;
   self->address_ = aAddress;
   self->configVersion_ = std::move(aConfigVersion);
+  self->knownEntries_ = std::move(aKnownEntries);
   self->onHeartbeat_ = std::move(aOnHeartbeat);
   const QHostAddress address(QString::fromStdString(aAddress.ip_));
   if (!self->socket_.bind(address, aAddress.port_)) {
--- a/Source/Process/MembershipListener.h
+++ b/Source/Process/MembershipListener.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cactusrail {
 
@@ -20,11 +21,14 @@
 public:
   using OnHeartbeat = std::function<void(const HeartbeatMessage&)>;
   using ConfigVersion = std::function<std::uint64_t()>;
+  /** "IP:port" of the other entries' membership sockets. */
+  using KnownEntries = std::function<std::vector<std::string>()>;
 
   static Result<std::unique_ptr<MembershipListener>> Open(
     const std::string& aEntryName,
     const SocketAddress& aAddress,
     ConfigVersion aConfigVersion,
+    KnownEntries aKnownEntries,
     OnHeartbeat aOnHeartbeat);
   ~MembershipListener();
 
--- a/Source/Process/SideProcess.cxx
+++ b/Source/Process/SideProcess.cxx
@@ -7,6 +7,7 @@
 #include "Process/Journal.h"
 #include "Process/Log.h"
 #include "Request/SideCore.h"
+#include "Version/ConfigurationHolder.h"
 #include "Version/JsonText.h"
 
 #include <QTcpServer>
@@ -79,6 +80,20 @@
   return kept;
 }
 
+/** An entry that heartbeats go to. */
+struct KnownEntry
+{
+  SocketAddress address_;
+  /** Named by the settings: never forgotten. */
+  bool fromSettings_ = false;
+  /** When it was last heard or named by another. */
+  Instant heardAt_;
+};
+
+/** Entries come and go with their hosts; one that is silent is forgotten. */
+constexpr Millis kForgetEntryAfter{ 60000 };
+constexpr std::size_t kMaxEntries = 256;
+
 }
 
 class SideProcess::Private : public QObject
@@ -92,14 +107,18 @@
         static_cast<std::size_t>(aSettings.maxQueued_),
         Millis(200),
       })
-    , entries_(aSettings.entries_)
   {
+    for (const SocketAddress& entry : aSettings.entries_) {
+      entries_[entry.Text()] = { entry, true, Instant() };
+    }
   }
 
   Result<bool> Open();
   void OnAnnounceRequest(const HttpExchange& aExchange);
   void OnConnection();
   void OnMessage(LinkId aLink, const WireMessage& aMessage);
+  void TakeConfiguration(const std::string& aText);
+  void Hear(const std::string& aEntry, Instant aNow);
   void OnDatagram();
   void OnTick();
   void SendHeartbeat();
@@ -119,7 +138,8 @@
   QUdpSocket datagrams_;
   QTimer tick_;
   QTimer heartbeat_;
-  std::vector<SocketAddress> entries_;
+  std::map<std::string, KnownEntry> entries_;
+  ConfigurationHolder configuration_;
   std::map<LinkId, SideLink*> links_;
   LinkId nextLink_ = 1;
   std::uint64_t sequence_ = 0;
@@ -248,6 +268,40 @@
       recollection.steps_.push_back(ToJson(step));
     }
     links_.at(aLink)->Send(recollection);
+  } else if (const auto* offered = std::get_if<ConfigMessage>(&aMessage)) {
+    TakeConfiguration(offered->text_);
+  } else if (std::holds_alternative<ConfigRequestMessage>(aMessage)) {
+    const std::shared_ptr<const Configuration> held = configuration_.Current();
+    links_.at(aLink)->Send(
+      ConfigMessage{ held->version_, ConfigurationText(*held) });
+  }
+}
+
+/** Takes a higher and valid version; a side has no other way to learn one. */
+void
+SideProcess::Private::TakeConfiguration(const std::string& aText)
+{
+  const Result<Configuration> parsed = ParseConfiguration(aText);
+  const auto* offered = std::get_if<Configuration>(&parsed);
+  if (offered != nullptr &&
+      configuration_.Offer(std::make_shared<Configuration>(*offered))) {
+    LogChange("configuration",
+              { { "version", std::to_string(offered->version_) },
+                { "source", "entry" } });
+    SendHeartbeat();
+  }
+}
+
+void
+SideProcess::Private::Hear(const std::string& aEntry, Instant aNow)
+{
+  const Result<SocketAddress> parsed = ParseSocketAddress(aEntry);
+  const auto* address = std::get_if<SocketAddress>(&parsed);
+  const auto found = entries_.find(aEntry);
+  if (found != entries_.end()) {
+    found->second.heardAt_ = aNow;
+  } else if (address != nullptr && entries_.size() < kMaxEntries) {
+    entries_[aEntry] = { *address, false, aNow };
   }
 }
 
@@ -270,14 +324,8 @@
       ++badDatagrams_;
       continue;
     }
-    for (const std::string& text : ack->entries_) {
-      const Result<SocketAddress> parsed = ParseSocketAddress(text);
-      const auto* entry = std::get_if<SocketAddress>(&parsed);
-      if (entry != nullptr &&
-          std::find(entries_.begin(), entries_.end(), *entry) ==
-            entries_.end()) {
-        entries_.push_back(*entry);
-      }
+    for (const std::string& entry : ack->entries_) {
+      Hear(entry, ReadMonotonicClock());
     }
   }
 }
@@ -298,8 +346,15 @@
   heartbeat.dataCentre_ = settings_.dataCentre_;
   heartbeat.address_ = settings_.listen_.ip_;
   heartbeat.port_ = server_.serverPort();
+  heartbeat.configVersion_ = configuration_.Current()->version_;
   const std::string frame = EncodeFrame(heartbeat);
-  for (const SocketAddress& entry : entries_) {
+  const Instant now = ReadMonotonicClock();
+  std::erase_if(entries_, [now](const auto& aEntry) {
+    return !aEntry.second.fromSettings_ &&
+           aEntry.second.heardAt_ + kForgetEntryAfter < now;
+  });
+  for (const auto& [text, known] : entries_) {
+    const SocketAddress& entry = known.address_;
     datagrams_.writeDatagram(frame.data(),
                              static_cast<qint64>(frame.size()),
                              QHostAddress(QString::fromStdString(entry.ip_)),
--- /dev/null
+++ b/Source/Version/ConfigurationVersion.cxx
@@ -0,0 +1,420 @@
+#include "Version/ConfigurationVersion.h"
+
+#include "Version/JsonText.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+constexpr Millis kReadEvery{ 1000 };
+/** An operator waits no longer than this for the table's word. */
+constexpr Millis kChangeBound{ 8000 };
+/** A change whose write failed is written again after this. */
+constexpr Millis kRewriteAfter{ 500 };
+/** A stale table is not written to more often than this. */
+constexpr Millis kWriteBackEvery{ 5000 };
+/** A version that nobody has named for this long is no longer waited for. */
+constexpr Millis kBelievePeers{ 10000 };
+
+constexpr int kBadRequest = 400;
+constexpr int kConflict = 409;
+constexpr int kUnavailable = 503;
+constexpr int kOk = 200;
+
+/** A record whose configuration is valid, or nothing. */
+std::optional<ConfigurationRecord>
+ReadRecord(const std::string& aValue)
+{
+  Result<ConfigurationRecord> read = FromJson<ConfigurationRecord>(aValue);
+  auto* record = std::get_if<ConfigurationRecord>(&read);
+  if (record == nullptr || !Succeeded(ParseConfiguration(
+                             ConfigurationText(record->configuration_)))) {
+    return std::nullopt;
+  }
+  return std::move(*record);
+}
+
+bool
+SameText(const Configuration& aLeft, const Configuration& aRight)
+{
+  return ConfigurationText(aLeft) == ConfigurationText(aRight);
+}
+
+/** An operator's change that has no answer yet. */
+struct Change
+{
+  ConfigurationRecord record_;
+  std::uint64_t revision_ = 0;
+  Instant deadline_;
+  /** A write is on its way to the table. */
+  bool writing_ = false;
+  Instant nextWrite_;
+};
+
+}
+
+class ConfigurationVersion::Private
+{
+public:
+  std::uint64_t Held() const { return held_.configuration_.version_; }
+  std::uint64_t KnownElsewhere(Instant aNow) const;
+  void Take(Actions& aActions,
+            ConfigurationRecord aRecord,
+            const std::string& aSource);
+  void Answer(Actions& aActions, int aStatus, std::string aMessage);
+  void WriteChange(Actions& aActions);
+  void WriteBack(Actions& aActions, std::uint64_t aRevision, Instant aNow);
+  void CompareRow(Actions& aActions, const TableRow& aRow, Instant aNow);
+  void OnChangeWritten(Actions& aActions,
+                       const TableOutcome& aOutcome,
+                       Instant aNow);
+  std::optional<std::pair<int, std::string>> ReasonToRefuse(
+    const Result<Configuration>& aParsed,
+    Instant aNow) const;
+
+  ConfigurationRecord held_;
+  bool reading_ = false;
+  bool rowKnown_ = false;
+  std::uint64_t revision_ = 0;
+  Instant nextRead_;
+  Instant nextAsk_;
+  Instant nextWriteBack_;
+  std::uint64_t peerVersion_ = 0;
+  Instant peerVersionUntil_;
+  std::optional<Change> change_;
+  /** The revision that the last alarm was about, so that it comes once. */
+  std::optional<std::uint64_t> alarmed_;
+  ConfigurationCounts counts_;
+};
+
+std::uint64_t
+ConfigurationVersion::Private::KnownElsewhere(Instant aNow) const
+{
+  return peerVersionUntil_ > aNow ? peerVersion_ : 0;
+}
+
+void
+ConfigurationVersion::Private::Take(Actions& aActions,
+                                    ConfigurationRecord aRecord,
+                                    const std::string& aSource)
+{
+  held_ = std::move(aRecord);
+  aActions.emplace_back(TakeConfiguration{
+    std::make_shared<const Configuration>(held_.configuration_), aSource });
+}
+
+void
+ConfigurationVersion::Private::Answer(Actions& aActions,
+                                      int aStatus,
+                                      std::string aMessage)
+{
+  aActions.emplace_back(AnswerConfigurationChange{
+    change_->record_.nonce_, aStatus, std::move(aMessage) });
+  change_.reset();
+}
+
+void
+ConfigurationVersion::Private::WriteChange(Actions& aActions)
+{
+  change_->writing_ = true;
+  aActions.emplace_back(WriteConfigurationRow{
+    change_->revision_, ToJson(change_->record_), true });
+}
+
+void
+ConfigurationVersion::Private::WriteBack(Actions& aActions,
+                                         std::uint64_t aRevision,
+                                         Instant aNow)
+{
+  if (nextWriteBack_ > aNow || change_.has_value()) {
+    return;
+  }
+  nextWriteBack_ = aNow + kWriteBackEvery;
+  ++counts_.writeBacks_;
+  aActions.emplace_back(
+    WriteConfigurationRow{ aRevision, ToJson(held_), false });
+}
+
+void
+ConfigurationVersion::Private::CompareRow(Actions& aActions,
+                                          const TableRow& aRow,
+                                          Instant aNow)
+{
+  const bool absent = aRow.revision_ == 0;
+  const std::optional<ConfigurationRecord> record =
+    absent ? ConfigurationRecord{} : ReadRecord(aRow.value_);
+  const bool firstSight = alarmed_ != aRow.revision_;
+  if (!record.has_value()) {
+    if (firstSight) {
+      alarmed_ = aRow.revision_;
+      ++counts_.invalidRows_;
+      aActions.emplace_back(RaiseConfigurationAlarm{
+        "configuration-invalid",
+        "the table's row at revision " + std::to_string(aRow.revision_) +
+          " is not a valid configuration; version " + std::to_string(Held()) +
+          " stays in force" });
+    }
+    return;
+  }
+  const std::uint64_t version = record->configuration_.version_;
+  if (version > Held()) {
+    Take(aActions, *record, "table");
+    return;
+  }
+  if (version == Held()) {
+    if (firstSight && !SameText(record->configuration_, held_.configuration_)) {
+      alarmed_ = aRow.revision_;
+      ++counts_.forks_;
+      aActions.emplace_back(RaiseConfigurationAlarm{
+        "configuration-fork",
+        "the table holds another configuration of version " +
+          std::to_string(version) + "; accept a higher version to settle it" });
+    }
+    return;
+  }
+  // Failure guarded against: the table was restored from an old copy, or
+  // answers from the past. Following it would silently undo a change that an
+  // operator was told is in force.
+  if (firstSight) {
+    alarmed_ = aRow.revision_;
+    ++counts_.regressions_;
+    aActions.emplace_back(RaiseConfigurationAlarm{
+      "configuration-regression",
+      "the table answers with version " + std::to_string(version) +
+        "; version " + std::to_string(Held()) + " stays in force" });
+  }
+  WriteBack(aActions, aRow.revision_, aNow);
+}
+
+std::optional<std::pair<int, std::string>>
+ConfigurationVersion::Private::ReasonToRefuse(
+  const Result<Configuration>& aParsed,
+  Instant aNow) const
+{
+  if (const auto* failure = std::get_if<Failure>(&aParsed)) {
+    return std::pair(kBadRequest, failure->message_);
+  }
+  if (change_.has_value()) {
+    return std::pair(kConflict,
+                     "Another change is being written through this entry; "
+                     "look at its outcome first.");
+  }
+  if (!rowKnown_) {
+    return std::pair(kUnavailable,
+                     "The table service has not answered yet, so the "
+                     "configuration in force isn't known for certain; the "
+                     "change was not made.");
+  }
+  const std::uint64_t elsewhere = KnownElsewhere(aNow);
+  if (elsewhere > Held()) {
+    return std::pair(kUnavailable,
+                     "Version " + std::to_string(elsewhere) +
+                       " is in force elsewhere and is being fetched; the "
+                       "change was not made.");
+  }
+  const std::uint64_t version = std::get<Configuration>(aParsed).version_;
+  if (version != Held() + 1) {
+    return std::pair(kConflict,
+                     "The version must be " + std::to_string(Held() + 1) +
+                       "; another operator may have changed the "
+                       "configuration. The change was not made.");
+  }
+  return std::nullopt;
+}
+
+void
+ConfigurationVersion::Private::OnChangeWritten(Actions& aActions,
+                                               const TableOutcome& aOutcome,
+                                               Instant aNow)
+{
+  const TableRow row =
+    aOutcome.rows_.empty() ? TableRow{} : aOutcome.rows_.front();
+  rowKnown_ = true;
+  revision_ = row.revision_;
+  if (aOutcome.applied_) {
+    Take(aActions, change_->record_, "operator");
+    Answer(aActions, kOk, {});
+    return;
+  }
+  const std::optional<ConfigurationRecord> found =
+    row.revision_ == 0 ? std::nullopt : ReadRecord(row.value_);
+  const std::uint64_t mine = change_->record_.configuration_.version_;
+  // An earlier copy of this write took effect and its answer was lost. A row
+  // without a nonce was written back by an entry that had it from a peer.
+  const bool own =
+    found.has_value() &&
+    (found->nonce_ == change_->record_.nonce_ ||
+     (found->nonce_.empty() &&
+      SameText(found->configuration_, change_->record_.configuration_)));
+  if (own) {
+    if (mine > Held()) {
+      Take(aActions, *found, "operator");
+    }
+    Answer(aActions, kOk, {});
+    return;
+  }
+  if (found.has_value() && found->configuration_.version_ >= mine) {
+    Answer(aActions,
+           kConflict,
+           "Another operator changed the configuration to version " +
+             std::to_string(found->configuration_.version_) +
+             " first. The change was not made.");
+    CompareRow(aActions, row, aNow);
+    return;
+  }
+  // The revision came from a stale answer; the row itself is still older. The
+  // next tick writes again, so that a table that keeps lying isn't flooded.
+  change_->revision_ = row.revision_;
+}
+
+ConfigurationVersion::ConfigurationVersion()
+  : private_(std::make_unique<Private>())
+{
+}
+
+ConfigurationVersion::~ConfigurationVersion() = default;
+
+ConfigurationVersion::Actions
+ConfigurationVersion::OnTick(Instant aNow)
+{
+  Actions actions;
+  Private& self = *private_;
+  if (self.change_.has_value() && !self.change_->writing_) {
+    if (self.change_->deadline_ <= aNow) {
+      self.Answer(actions,
+                  kUnavailable,
+                  "The table service gave no answer, so the change may or may "
+                  "not have been made; look at the configuration before you "
+                  "try again.");
+    } else if (self.change_->nextWrite_ <= aNow) {
+      self.WriteChange(actions);
+    }
+  }
+  if (!self.reading_ && self.nextRead_ <= aNow) {
+    self.reading_ = true;
+    self.nextRead_ = aNow + kReadEvery;
+    actions.emplace_back(ReadConfigurationRow{});
+  }
+  const bool lacking = self.KnownElsewhere(aNow) > self.Held() ||
+                       (self.Held() == 0 && !self.rowKnown_);
+  if (lacking && self.nextAsk_ <= aNow) {
+    self.nextAsk_ = aNow + kReadEvery;
+    actions.emplace_back(AskPeersForConfiguration{});
+  }
+  return actions;
+}
+
+ConfigurationVersion::Actions
+ConfigurationVersion::OnRow(const TableRow& aRow, Instant aNow)
+{
+  Actions actions;
+  Private& self = *private_;
+  self.reading_ = false;
+  self.rowKnown_ = true;
+  self.revision_ = aRow.revision_;
+  self.CompareRow(actions, aRow, aNow);
+  return actions;
+}
+
+ConfigurationVersion::Actions
+ConfigurationVersion::OnReadFailed(Instant)
+{
+  private_->reading_ = false;
+  return {};
+}
+
+ConfigurationVersion::Actions
+ConfigurationVersion::OnPeerVersion(std::uint64_t aVersion, Instant aNow)
+{
+  Private& self = *private_;
+  if (aVersion > self.Held()) {
+    self.peerVersion_ = std::max(aVersion, self.KnownElsewhere(aNow));
+    self.peerVersionUntil_ = aNow + kBelievePeers;
+  }
+  return {};
+}
+
+ConfigurationVersion::Actions
+ConfigurationVersion::OnPeerConfiguration(std::string_view aText, Instant)
+{
+  Actions actions;
+  Result<Configuration> parsed = ParseConfiguration(aText);
+  auto* configuration = std::get_if<Configuration>(&parsed);
+  if (configuration == nullptr || configuration->version_ <= private_->Held()) {
+    return actions;
+  }
+  ConfigurationRecord record;
+  record.configuration_ = std::move(*configuration);
+  private_->Take(actions, std::move(record), "peer");
+  return actions;
+}
+
+ConfigurationVersion::Actions
+ConfigurationVersion::OnChange(const std::string& aNonce,
+                               std::string_view aText,
+                               Instant aNow)
+{
+  Actions actions;
+  Private& self = *private_;
+  Result<Configuration> parsed = ParseConfiguration(aText);
+  auto refusal = self.ReasonToRefuse(parsed, aNow);
+  if (refusal.has_value()) {
+    actions.emplace_back(AnswerConfigurationChange{
+      aNonce, refusal->first, std::move(refusal->second) });
+    return actions;
+  }
+  Change change;
+  change.record_.nonce_ = aNonce;
+  change.record_.configuration_ = std::move(std::get<Configuration>(parsed));
+  change.revision_ = self.revision_;
+  change.deadline_ = aNow + kChangeBound;
+  self.change_ = std::move(change);
+  self.WriteChange(actions);
+  return actions;
+}
+
+ConfigurationVersion::Actions
+ConfigurationVersion::OnWritten(const WriteConfigurationRow& aWrite,
+                                const Result<TableOutcome>& aResult,
+                                Instant aNow)
+{
+  Actions actions;
+  Private& self = *private_;
+  const auto* outcome = std::get_if<TableOutcome>(&aResult);
+  if (!aWrite.isChange_) {
+    if (outcome != nullptr && !outcome->applied_ && !outcome->rows_.empty()) {
+      self.revision_ = outcome->rows_.front().revision_;
+      self.CompareRow(actions, outcome->rows_.front(), aNow);
+    }
+    return actions;
+  }
+  if (!self.change_.has_value()) {
+    return actions;
+  }
+  self.change_->writing_ = false;
+  self.change_->nextWrite_ = aNow + kRewriteAfter;
+  if (outcome == nullptr) {
+    // The next tick sends the same write again: its condition holds once.
+    return actions;
+  }
+  self.OnChangeWritten(actions, *outcome, aNow);
+  return actions;
+}
+
+const Configuration&
+ConfigurationVersion::InForce() const
+{
+  return private_->held_.configuration_;
+}
+
+const ConfigurationCounts&
+ConfigurationVersion::Counts() const
+{
+  return private_->counts_;
+}
+
+}
--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -80,15 +80,17 @@
 }
 
 Child&
-Bench::StartEntry(const std::string& aName, const std::string& aExtra)
+Bench::StartEntry(const std::string& aName,
+                  const std::string& aExtra,
+                  const std::string& aMembership)
 {
   const std::string path = WriteSettings(
     aName,
     "[platform]\ntable = " + (*this)["platform"].Value("http") +
       "\n[entry]\nname = " + aName +
       "\ndata-centre = dc1\nlisten = 127.0.0.1:0\noperators = 127.0.0.1:0\n"
-      "membership = 127.0.0.1:0\n" +
-      aExtra);
+      "membership = " +
+      aMembership + "\n" + aExtra);
   return Add(
     aName, CACTUSRAIL_PROGRAM, { "entry", QString::fromStdString(path) });
 }
--- a/Tests/Process/Bench.h
+++ b/Tests/Process/Bench.h
@@ -37,7 +37,10 @@
   ~Bench();
 
   Child& StartPlatform();
-  Child& StartEntry(const std::string& aName, const std::string& aExtra = {});
+  /** aMembership: the address of the host that it replaces. */
+  Child& StartEntry(const std::string& aName,
+                    const std::string& aExtra = {},
+                    const std::string& aMembership = "127.0.0.1:0");
   /** aEntries: further membership addresses to send heartbeats to. */
   Child& StartSide(const std::string& aName,
                    const std::string& aExtra = {},
--- a/Tests/StandIns/PlatformStandIn.cxx
+++ b/Tests/StandIns/PlatformStandIn.cxx
@@ -3,7 +3,9 @@
 //   down        answer 503 without doing anything
 //   lose-answer apply the write, then close without an answer
 //   stall       never answer
-//   past        reads answer as of the fault's beginning
+//   past        reads answer as of the last "remember", or else as of now
+//   remember    keeps a copy of all rows; ends every fault
+//   restore     puts that copy back; ends every fault
 // mode=none ends every fault. GET /count tells writes and reads so far.
 
 #include "Connection/HttpFront.h"
@@ -34,6 +36,7 @@
 
   std::map<std::string, cactusrail::TableRow> rows_;
   std::map<std::string, cactusrail::TableRow> pastRows_;
+  bool remembered_ = false;
   std::map<std::string, std::string> objects_;
   std::uint64_t nextRevision_ = 1;
   std::uint64_t writes_ = 0;
@@ -60,10 +63,14 @@
   faultMode_ = aExchange.Query("mode");
   const std::string count = aExchange.Query("count");
   faultCount_ = count.empty() ? ~0ULL : std::stoull(count);
-  if (faultMode_ == "past") {
+  if (faultMode_ == "remember" || (faultMode_ == "past" && !remembered_)) {
     pastRows_ = rows_;
+    remembered_ = true;
   }
-  if (faultMode_ == "none") {
+  if (faultMode_ == "restore") {
+    rows_ = pastRows_;
+  }
+  if (faultMode_ != "stall" && faultMode_ != "lose-answer") {
     stalled_.clear();
   }
   aExchange.Answer(HttpAnswer{});
