Fuzz: Run every decoder of outside bytes on mutated inputs; mend two deaths

Found on their first runs: - an empty datagram or frame passed as whole and was read beyond its end (allocation of 0x76d61657401 bytes under the sanitizer): refused in DecodeFrame, CodecTest RefusesAnEmptyDatagram; - a JSON number of hundreds of digits makes the JSON library read beyond its table (SEGV), and deep nesting overflows the stack: FindJsonHazard refuses both before the library, JsonGuardTest.

--- a/Source/Connection/Codec.cxx
+++ b/Source/Connection/Codec.cxx
@@ -107,7 +107,9 @@
   if (const auto* failure = std::get_if<Failure>(&length)) {
     return *failure;
   }
-  if (std::get<std::size_t>(length) != aFrame.size()) {
+  // An empty datagram has no header either: its length reads as 0.
+  if (aFrame.size() < kFrameHeaderBytes ||
+      std::get<std::size_t>(length) != aFrame.size()) {
     return BadFrame("The frame is truncated.");
   }
   const auto type =
--- a/Source/Version/JsonText.h
+++ b/Source/Version/JsonText.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Request/Failure.h"
+#include "Version/JsonGuard.h"
 
 #include <cereal/archives/json.hpp>
 #include <cereal/types/map.hpp>
@@ -35,6 +36,11 @@
 Result<Record>
 FromJson(std::string_view aText)
 {
+  const std::string hazard = FindJsonHazard(aText);
+  if (!hazard.empty()) {
+    return NotRun(FailureKind::BadInput,
+                  "The JSON text can't be taken: " + hazard);
+  }
   try {
     std::istringstream stream{ std::string(aText) };
     cereal::JSONInputArchive archive(stream);
--- /dev/null
+++ b/Tests/Fuzz/FuzzTargets.cxx
@@ -0,0 +1,169 @@
+#include "FuzzTargets.h"
+
+#include "Connection/Codec.h"
+#include "Connection/FrameReader.h"
+#include "Connection/HttpFraming.h"
+#include "Process/SettingsFile.h"
+#include "Process/SideSettings.h"
+#include "Version/Configuration.h"
+#include "Version/JsonText.h"
+#include "Version/TableRows.h"
+
+#include <cstdlib>
+
+namespace cactusrail::fuzz {
+
+namespace {
+
+/** Ends the program at a broken invariant, so that any driver notices. */
+void
+Require(bool aHolds)
+{
+  if (!aHolds) {
+    std::abort();
+  }
+}
+
+void
+RunFrame(std::string_view aInput)
+{
+  const Result<WireMessage> decoded = DecodeFrame(aInput);
+  const auto* message = std::get_if<WireMessage>(&decoded);
+  if (message == nullptr) {
+    return;
+  }
+  // What was taken must be the same message when it is sent on.
+  const std::string again = EncodeFrame(*message);
+  Require(Succeeded(DecodeFrame(again)));
+  Require(again == aInput);
+}
+
+void
+RunReader(std::string_view aInput)
+{
+  FrameReader whole;
+  const auto atOnce = whole.Take(aInput);
+  FrameReader halves;
+  const std::size_t half = aInput.size() / 2;
+  const auto first = halves.Take(aInput.substr(0, half));
+  const bool firstFailed = !Succeeded(first);
+  const bool failed =
+    firstFailed || !Succeeded(halves.Take(aInput.substr(half)));
+  // However the bytes are cut, the stream is good or bad.
+  Require(failed == !Succeeded(atOnce));
+}
+
+void
+RunHttpHead(std::string_view aInput)
+{
+  const Result<HttpRequestBounds> bounds = ReadHttpBounds(aInput);
+  if (const auto* read = std::get_if<HttpRequestBounds>(&bounds)) {
+    Require(read->headBytes_ == aInput.size());
+  }
+}
+
+void
+RunConfiguration(std::string_view aInput)
+{
+  const Result<Configuration> parsed = ParseConfiguration(aInput);
+  const auto* configuration = std::get_if<Configuration>(&parsed);
+  if (configuration != nullptr) {
+    Require(Succeeded(ParseConfiguration(ConfigurationText(*configuration))));
+  }
+}
+
+void
+RunSettings(std::string_view aInput)
+{
+  const auto parsed =
+    SettingsFile::Parse("fuzz.ini", std::string(aInput), SideSettings::Specs());
+  if (const auto* failure = std::get_if<Failure>(&parsed)) {
+    Require(failure->message_.starts_with("fuzz.ini"));
+  }
+}
+
+void
+RunTableOutcome(std::string_view aInput)
+{
+  static_cast<void>(FromJson<TableOutcome>(aInput));
+}
+
+std::vector<std::string>
+FrameSeeds()
+{
+  DispatchMessage dispatch;
+  dispatch.requestId_ = "entry1-1-0-1";
+  dispatch.attemptId_ = "entry1-1-0-1.1";
+  dispatch.headers_ = { { "Accept", "text/plain" } };
+  dispatch.body_ = "lot 7";
+  AnswerMessage answer;
+  answer.attemptId_ = "entry1-1-0-1.1";
+  answer.verdict_ = Verdict::Ran;
+  answer.status_ = 200;
+  HeartbeatMessage heartbeat;
+  heartbeat.sideId_ = "side1";
+  heartbeat.labels_ = { { "team", "pricing" } };
+  HeartbeatAckMessage ack;
+  ack.entries_ = { "127.0.0.1:7000", "127.0.0.1:7001" };
+  return { EncodeFrame(dispatch),
+           EncodeFrame(answer),
+           EncodeFrame(heartbeat),
+           EncodeFrame(ack) };
+}
+
+std::vector<std::string>
+HttpSeeds()
+{
+  return { "GET /s/pricing/x HTTP/1.1\r\nHost: a\r\n\r\n",
+           "POST /s/pricing/x HTTP/1.1\r\nContent-Length: 5\r\n"
+           "Connection: close\r\n\r\n" };
+}
+
+std::vector<std::string>
+ConfigurationSeeds()
+{
+  Configuration configuration;
+  configuration.version_ = 3;
+  TenantConfig tenant;
+  tenant.name_ = "clerk";
+  tenant.keySha256_ = std::string(64, 'a');
+  configuration.tenants_.push_back(tenant);
+  ServiceConfig service;
+  service.name_ = "pricing";
+  configuration.services_.push_back(service);
+  return { ConfigurationText(configuration) };
+}
+
+std::vector<std::string>
+SettingsSeeds()
+{
+  return { "[side]\nname = side1\ndata-centre = dc1\nlisten = 127.0.0.1:0\n"
+           "announce = 127.0.0.1:0\nentries = 127.0.0.1:7000\n"
+           "heartbeat-ms = 500\n" };
+}
+
+std::vector<std::string>
+TableSeeds()
+{
+  TableOutcome outcome;
+  outcome.rows_.push_back({ "claim/a/b", 7, "{\"x\":1}" });
+  return { ToJson(outcome) };
+}
+
+}
+
+std::span<const FuzzTarget>
+Targets()
+{
+  static const std::array<FuzzTarget, 6> kTargets{ {
+    { "frame", RunFrame, FrameSeeds },
+    { "reader", RunReader, FrameSeeds },
+    { "http-head", RunHttpHead, HttpSeeds },
+    { "configuration", RunConfiguration, ConfigurationSeeds },
+    { "settings", RunSettings, SettingsSeeds },
+    { "table-outcome", RunTableOutcome, TableSeeds },
+  } };
+  return kTargets;
+}
+
+}
