--- a/Source/Process/Lane.cxx
+++ b/Source/Process/Lane.cxx
@@ -21,8 +21,6 @@
 namespace {
 
 constexpr Millis kTick{ 10 };
-constexpr Millis kClaimTimeout{ 2000 };
-constexpr Millis kOutcomeTimeout{ 5000 };
 constexpr std::string_view kServicePrefix = "/s/";
 constexpr std::string_view kBearer = "Bearer ";
 
@@ -121,7 +119,6 @@
   void Do(const SendCancel& aAction);
   void Do(const AnswerCaller& aAction);
   void Do(const WriteClaim& aAction);
-  void Do(const WriteOutcome& aAction);
   void Do(const RecordEntryStep& aAction);
   void OnClaimResult(const WriteClaim& aClaim,
                      const Result<TableOutcome>& aResult);
@@ -335,15 +332,12 @@
 void
 Lane::Private::Do(const WriteClaim& aAction)
 {
-  ClaimRecord record;
-  record.requestId_ = aAction.requestId_;
   const std::string key = ClaimKey(aAction.tenant_, aAction.key_);
   TableTransaction transaction;
-  transaction.conditions_.push_back({ key, 0 });
-  transaction.puts_.push_back({ key, ToJson(record) });
-  const Instant bound = ReadMonotonicClock() + kClaimTimeout;
+  transaction.conditions_.push_back({ key, aAction.expectedRevision_ });
+  transaction.puts_.push_back({ key, ToJson(aAction.record_) });
   table_->Transact(transaction,
-                   std::min(aAction.deadline_, bound),
+                   aAction.deadline_,
                    [this, aAction](const Result<TableOutcome>& aResult) {
                      OnClaimResult(aAction, aResult);
                    });
@@ -353,30 +347,30 @@
 Lane::Private::OnClaimResult(const WriteClaim& aClaim,
                              const Result<TableOutcome>& aResult)
 {
-  ClaimOutcome outcome = ClaimOutcome::Unknown;
-  ClaimRecord record;
+  ClaimWriteResult result;
+  if (const auto* failure = std::get_if<Failure>(&aResult)) {
+    result.outcome_ = failure->verdict_ == Verdict::DidNotRun
+                        ? ClaimWrite::NotWritten
+                        : ClaimWrite::Unknown;
+  }
   if (const auto* answer = std::get_if<TableOutcome>(&aResult)) {
-    outcome = answer->applied_ ? ClaimOutcome::Ours : ClaimOutcome::Taken;
-    if (!answer->applied_ && !answer->rows_.empty()) {
+    result.outcome_ =
+      answer->applied_ ? ClaimWrite::Applied : ClaimWrite::Refused;
+    if (!answer->rows_.empty()) {
+      result.revision_ = answer->rows_.front().revision_;
+    }
+    if (!answer->applied_ && result.revision_ != 0) {
       const Result<ClaimRecord> parsed =
         FromJson<ClaimRecord>(answer->rows_.front().value_);
       if (const auto* found = std::get_if<ClaimRecord>(&parsed)) {
-        record = *found;
+        result.record_ = *found;
+      } else {
+        result.outcome_ = ClaimWrite::Unknown;
       }
     }
   }
-  Run(core_->OnClaim(aClaim.requestId_, outcome, record, ReadMonotonicClock()));
-}
-
-void
-Lane::Private::Do(const WriteOutcome& aAction)
-{
-  TableTransaction transaction;
-  transaction.puts_.push_back(
-    { ClaimKey(aAction.tenant_, aAction.key_), ToJson(aAction.record_) });
-  table_->Transact(transaction,
-                   ReadMonotonicClock() + kOutcomeTimeout,
-                   [](const Result<TableOutcome>&) {});
+  Run(core_->OnClaimWritten(
+    aClaim.requestId_, aClaim.writeId_, result, ReadMonotonicClock()));
 }
 
 void
--- a/Source/Process/SideProcess.cxx
+++ b/Source/Process/SideProcess.cxx
@@ -272,7 +272,7 @@
 void
 SideProcess::Private::SendHeartbeat()
 {
-  HeartbeatMessage heartbeat = core_.Heartbeat();
+  HeartbeatMessage heartbeat = core_.Heartbeat(ReadMonotonicClock());
   if (heartbeat.state_ != loggedState_) {
     loggedState_ = heartbeat.state_;
     LogChange("upstream-state",
--- /dev/null
+++ b/Source/Request/ClaimRecord.cxx
@@ -0,0 +1,59 @@
+#include "Request/ClaimRecord.h"
+
+#include <QCryptographicHash>
+
+#include <array>
+
+namespace cactusrail {
+
+ClaimMeaning
+ReadClaim(const ClaimWriteResult& aRow,
+          std::string_view aRequestId,
+          std::string_view aFingerprint)
+{
+  const ClaimRecord& record = aRow.record_;
+  if (aRow.revision_ == 0) {
+    return ClaimMeaning::Free;
+  }
+  // The answer to our write was lost after it took effect. Taken for another's
+  // claim, the key would be blocked by a request that never ran.
+  if (record.requestId_ == aRequestId && !record.finished_) {
+    return ClaimMeaning::Ours;
+  }
+  if (record.fingerprint_ != aFingerprint) {
+    return ClaimMeaning::OtherRequest;
+  }
+  if (!record.finished_) {
+    return ClaimMeaning::InProgress;
+  }
+  if (record.verdict_ == Verdict::DidNotRun) {
+    return ClaimMeaning::Free;
+  }
+  if (record.verdict_ == Verdict::MayHaveRun) {
+    return ClaimMeaning::InDoubt;
+  }
+  return record.HasWholeAnswer() ? ClaimMeaning::Replay
+                                 : ClaimMeaning::AnswerNotKept;
+}
+
+std::string
+RequestFingerprint(std::string_view aService,
+                   std::string_view aMethod,
+                   std::string_view aTarget,
+                   std::string_view aBody)
+{
+  QCryptographicHash hash(QCryptographicHash::Sha256);
+  const std::array<std::string_view, 4> parts{
+    aService, aMethod, aTarget, aBody
+  };
+  for (const std::string_view part : parts) {
+    // With its length before it, no part can pass for the end of another.
+    hash.addData(QByteArray::number(static_cast<qulonglong>(part.size())));
+    hash.addData(QByteArrayView(":"));
+    hash.addData(
+      QByteArrayView(part.data(), static_cast<qsizetype>(part.size())));
+  }
+  return hash.result().toHex().toStdString();
+}
+
+}
--- a/Source/Request/EntryCore.cxx
+++ b/Source/Request/EntryCore.cxx
@@ -1,6 +1,7 @@
 #include "Request/EntryCore.h"
 
 #include <algorithm>
+#include <deque>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -20,15 +21,48 @@
 {
   RequestFacts facts_;
   RequestState state_ = RequestState::WaitsForClaim;
-  bool claimed_ = false;
+  std::string fingerprint_;
+  /** The write under way; 0 if none. */
+  std::uint64_t claimWrite_ = 0;
+  std::size_t claimWrites_ = 0;
+  /** Of the claim's row, once it is ours; before, what we expect it to be. */
+  std::uint64_t claimRevision_ = 0;
   std::size_t attempts_ = 0;
   std::string attemptId_;
   std::string sideId_;
-  std::set<std::string> tried_;
+  /** Sides with their upstream's incarnation that refused or failed. */
+  std::set<std::pair<std::string, std::uint64_t>> tried_;
   /** What the attempts that ended say together. */
   Verdict verdict_ = Verdict::DidNotRun;
 };
 
+/** A claimed request that was given up while an attempt was in doubt. */
+struct GivenUp
+{
+  std::string attemptId_;
+  std::string sideId_;
+  ClaimRecord record_;
+  Verdict earlier_ = Verdict::DidNotRun;
+};
+
+ClaimRecord
+AnswerRecord(ClaimRecord aRecord, const AnswerMessage& aAnswer)
+{
+  aRecord.finished_ = true;
+  aRecord.verdict_ = aAnswer.verdict_;
+  aRecord.status_ = aAnswer.status_;
+  aRecord.bodyBytes_ = aAnswer.body_.size();
+  if (aAnswer.body_.size() <= kMaxKeptBodyBytes) {
+    aRecord.body_ = aAnswer.body_;
+  }
+  for (const auto& [name, value] : aAnswer.headers_) {
+    if (name == "Content-Type" || name == "content-type") {
+      aRecord.contentType_ = value;
+    }
+  }
+  return aRecord;
+}
+
 }
 
 class EntryCore::Private
@@ -38,16 +72,46 @@
 
   explicit Private(const Limits& aLimits)
     : limits_(aLimits)
+    , outcomes_(OutcomeWriter::Limits{}, nextWriteId_)
   {
   }
 
-  void Record(Actions& aActions,
-              const std::string& aRequestId,
-              std::string aStep,
-              Verdict aVerdict,
-              bool aConclusive,
-              std::string aDetail) const;
+  static void Record(Actions& aActions,
+                     const std::string& aRequestId,
+                     std::string aStep,
+                     Verdict aVerdict,
+                     bool aConclusive,
+                     std::string aDetail,
+                     std::string aAttemptId = {});
   std::optional<SideView> Choose(const Request& aRequest, Instant aNow) const;
+  void Claim(Actions& aActions, Request& aRequest, Instant aNow);
+  void ReadRow(Actions& aActions,
+               Request& aRequest,
+               const ClaimWriteResult& aRow,
+               Instant aNow);
+  void OwnClaim(Actions& aActions,
+                Request& aRequest,
+                std::uint64_t aRevision,
+                Instant aNow);
+  void ClaimInDoubt(Actions& aActions,
+                    Request& aRequest,
+                    ClaimWrite aOutcome,
+                    Instant aNow);
+  void AnswerRepeat(Actions& aActions,
+                    const Request& aRequest,
+                    ClaimMeaning aMeaning,
+                    const ClaimRecord& aRecord);
+  void WriteOutcome(Actions& aActions,
+                    const Request& aRequest,
+                    const ClaimRecord& aRecord,
+                    Instant aNow);
+  void TakeLateAnswer(Actions& aActions,
+                      const std::string& aSideId,
+                      const AnswerMessage& aAnswer,
+                      Instant aNow);
+  void KeepInDoubt(const Request& aRequest,
+                   const ClaimRecord& aRecord,
+                   Instant aNow);
   void Dispatch(Actions& aActions, Request& aRequest, Instant aNow);
   void RetryOrGiveUp(Actions& aActions,
                      Request& aRequest,
@@ -56,17 +120,22 @@
   void GiveUp(Actions& aActions,
               const std::string& aRequestId,
               int aStatus,
-              std::string aReason);
+              std::string aReason,
+              Instant aNow);
   void EndAttempt(Request& aRequest);
   void Forget(const std::string& aRequestId);
 
   Limits limits_;
   MembershipView membership_;
+  std::uint64_t nextWriteId_ = 0;
+  OutcomeWriter outcomes_;
   std::unordered_map<std::string, Request> requests_;
   /** Requests by deadline, so that a tick costs only what expired. */
   std::set<std::pair<Instant, std::string>> deadlines_;
-  /** Attempts of this lane in progress, by side. */
-  std::unordered_map<std::string, std::size_t> sent_;
+  /** Requests with an attempt in progress, by side. */
+  std::unordered_map<std::string, std::set<std::string>> sent_;
+  std::unordered_map<std::string, GivenUp> givenUp_;
+  std::deque<std::pair<Instant, std::string>> givenUpOrder_;
 };
 
 void
@@ -75,7 +144,8 @@
                            std::string aStep,
                            Verdict aVerdict,
                            bool aConclusive,
-                           std::string aDetail) const
+                           std::string aDetail,
+                           std::string aAttemptId)
 {
   RequestStep step;
   step.requestId_ = aRequestId;
@@ -83,6 +153,7 @@
   step.verdict_ = aVerdict;
   step.conclusive_ = aConclusive;
   step.detail_ = std::move(aDetail);
+  step.attemptId_ = std::move(aAttemptId);
   aActions.emplace_back(RecordEntryStep{ std::move(step) });
 }
 
@@ -94,12 +165,13 @@
   const std::string& service = aRequest.facts_.service_;
   for (const SideView& side : membership_.Usable(service, aNow)) {
     const HeartbeatMessage& facts = side.heartbeat_;
-    if (aRequest.tried_.contains(facts.sideId_)) {
+    if (aRequest.tried_.contains(
+          { facts.sideId_, facts.upstreamIncarnation_ })) {
       continue;
     }
     const auto own = sent_.find(facts.sideId_);
     const std::int64_t mine =
-      own == sent_.end() ? 0 : static_cast<std::int64_t>(own->second);
+      own == sent_.end() ? 0 : static_cast<std::int64_t>(own->second.size());
     const std::int64_t load =
       std::max<std::int64_t>(facts.busy_ + facts.queued_, mine);
     std::int64_t room = facts.slots_ - load;
@@ -114,32 +186,222 @@
   return best;
 }
 
+void
+EntryCore::Private::Claim(Actions& aActions, Request& aRequest, Instant aNow)
+{
+  const RequestFacts& facts = aRequest.facts_;
+  ++aRequest.claimWrites_;
+  WriteClaim write;
+  write.requestId_ = facts.requestId_;
+  write.writeId_ = ++nextWriteId_;
+  write.tenant_ = facts.tenant_;
+  write.key_ = facts.key_;
+  write.expectedRevision_ = aRequest.claimRevision_;
+  write.record_.requestId_ = facts.requestId_;
+  write.record_.fingerprint_ = aRequest.fingerprint_;
+  write.deadline_ = std::min(facts.deadline_, aNow + limits_.claimTimeout_);
+  aRequest.claimWrite_ = write.writeId_;
+  aActions.emplace_back(std::move(write));
+}
+
+void
+EntryCore::Private::OwnClaim(Actions& aActions,
+                             Request& aRequest,
+                             std::uint64_t aRevision,
+                             Instant aNow)
+{
+  aRequest.claimRevision_ = aRevision;
+  const std::string id = aRequest.facts_.requestId_;
+  Record(aActions,
+         id,
+         "claimed",
+         Verdict::DidNotRun,
+         false,
+         "key " + aRequest.facts_.key_ + " in the table service");
+  Dispatch(aActions, aRequest, aNow);
+}
+
+void
+EntryCore::Private::ClaimInDoubt(Actions& aActions,
+                                 Request& aRequest,
+                                 ClaimWrite aOutcome,
+                                 Instant aNow)
+{
+  // The same write once more: if the first took effect, the row shows it.
+  const bool again = aOutcome == ClaimWrite::Unknown &&
+                     aRequest.claimWrites_ < limits_.maxClaimWrites_ / 2 &&
+                     aRequest.facts_.deadline_ > aNow;
+  if (again) {
+    Claim(aActions, aRequest, aNow);
+    return;
+  }
+  GiveUp(aActions,
+         std::string(aRequest.facts_.requestId_),
+         503,
+         "The table service can't be asked, so the request can't be kept from "
+         "running twice; it was not started.",
+         aNow);
+}
+
+void
+EntryCore::Private::ReadRow(Actions& aActions,
+                            Request& aRequest,
+                            const ClaimWriteResult& aRow,
+                            Instant aNow)
+{
+  const std::string id = aRequest.facts_.requestId_;
+  const ClaimMeaning meaning = ReadClaim(aRow, id, aRequest.fingerprint_);
+  if (meaning == ClaimMeaning::Ours) {
+    OwnClaim(aActions, aRequest, aRow.revision_, aNow);
+    return;
+  }
+  if (meaning != ClaimMeaning::Free) {
+    AnswerRepeat(aActions, aRequest, meaning, aRow.record_);
+    Forget(id);
+    return;
+  }
+  aRequest.claimRevision_ = aRow.revision_;
+  if (aRequest.claimWrites_ < limits_.maxClaimWrites_) {
+    Claim(aActions, aRequest, aNow);
+    return;
+  }
+  GiveUp(aActions, id, 503, "The key is contended; ask again.", aNow);
+}
+
+void
+EntryCore::Private::AnswerRepeat(Actions& aActions,
+                                 const Request& aRequest,
+                                 ClaimMeaning aMeaning,
+                                 const ClaimRecord& aRecord)
+{
+  const std::string& first = aRecord.requestId_;
+  AnswerCaller answer;
+  answer.requestId_ = aRequest.facts_.requestId_;
+  answer.status_ = 409;
+  switch (aMeaning) {
+    case ClaimMeaning::Replay:
+      answer.verdict_ = Verdict::Ran;
+      answer.status_ = aRecord.status_;
+      answer.body_ = aRecord.body_;
+      answer.headers_.emplace_back("Content-Type", aRecord.contentType_);
+      break;
+    case ClaimMeaning::AnswerNotKept:
+      answer.verdict_ = Verdict::Ran;
+      answer.reason_ = "The key was used by request " + first +
+                       ", which ran; its answer was not kept.";
+      break;
+    case ClaimMeaning::OtherRequest:
+      answer.verdict_ = Verdict::DidNotRun;
+      answer.status_ = 422;
+      answer.reason_ = "The key was used by request " + first +
+                       ", which was a different one; use a new key.";
+      break;
+    default:
+      answer.verdict_ = Verdict::MayHaveRun;
+      answer.retryAfter_ = limits_.retryAfter_;
+      answer.reason_ =
+        "The key is used by request " + first +
+        (aMeaning == ClaimMeaning::InDoubt ? ", which may have run."
+                                           : ", which is in progress.");
+      break;
+  }
+  Record(aActions,
+         aRequest.facts_.requestId_,
+         "repeated",
+         Verdict::DidNotRun,
+         true,
+         "the key belongs to request " + first);
+  aActions.emplace_back(std::move(answer));
+}
+
+void
+EntryCore::Private::WriteOutcome(Actions& aActions,
+                                 const Request& aRequest,
+                                 const ClaimRecord& aRecord,
+                                 Instant aNow)
+{
+  const RequestFacts& facts = aRequest.facts_;
+  aActions.emplace_back(outcomes_.Add(
+    { facts.tenant_, facts.key_, aRequest.claimRevision_ }, aRecord, aNow));
+}
+
+void
+EntryCore::Private::KeepInDoubt(const Request& aRequest,
+                                const ClaimRecord& aRecord,
+                                Instant aNow)
+{
+  if (aRequest.attemptId_.empty()) {
+    return;
+  }
+  const std::string& id = aRequest.facts_.requestId_;
+  givenUp_[id] = GivenUp{
+    aRequest.attemptId_, aRequest.sideId_, aRecord, aRequest.verdict_
+  };
+  givenUpOrder_.emplace_back(aNow + limits_.lateAnswers_, id);
+  if (givenUpOrder_.size() > limits_.maxRequests_) {
+    givenUp_.erase(givenUpOrder_.front().second);
+    givenUpOrder_.pop_front();
+  }
+}
+
+void
+EntryCore::Private::TakeLateAnswer(Actions& aActions,
+                                   const std::string& aSideId,
+                                   const AnswerMessage& aAnswer,
+                                   Instant aNow)
+{
+  const auto found = givenUp_.find(aAnswer.requestId_);
+  if (found == givenUp_.end() ||
+      found->second.attemptId_ != aAnswer.attemptId_ ||
+      found->second.sideId_ != aSideId) {
+    return;
+  }
+  const GivenUp& request = found->second;
+  ClaimRecord record = AnswerRecord(request.record_, aAnswer);
+  record.verdict_ = CombineVerdicts(request.earlier_, aAnswer.verdict_);
+  if (record.verdict_ == Verdict::MayHaveRun) {
+    return;
+  }
+  std::optional<WriteClaim> write = outcomes_.Amend(record, aNow);
+  if (write.has_value()) {
+    aActions.emplace_back(std::move(*write));
+  }
+}
+
 void
 EntryCore::Private::Dispatch(Actions& aActions, Request& aRequest, Instant aNow)
 {
-  const std::optional<SideView> side = Choose(aRequest, aNow);
   const std::string requestId = aRequest.facts_.requestId_;
+  // A frozen entry thaws with the table's answer in hand and its caller gone.
+  if (aRequest.facts_.deadline_ <= aNow) {
+    GiveUp(aActions, requestId, 504, "The deadline passed.", aNow);
+    return;
+  }
+  const std::optional<SideView> side = Choose(aRequest, aNow);
   if (!side.has_value()) {
     GiveUp(aActions,
            requestId,
            503,
            aRequest.attempts_ == 0
              ? "No upstream of the service is there just now."
-             : "No further upstream of the service is there to try.");
+             : "No further upstream of the service is there to try.",
+           aNow);
     return;
   }
   ++aRequest.attempts_;
   aRequest.state_ = RequestState::WaitsForAnswer;
   aRequest.sideId_ = side->heartbeat_.sideId_;
   aRequest.attemptId_ = requestId + "." + std::to_string(aRequest.attempts_);
-  aRequest.tried_.insert(aRequest.sideId_);
-  ++sent_[aRequest.sideId_];
+  aRequest.tried_.emplace(aRequest.sideId_,
+                          side->heartbeat_.upstreamIncarnation_);
+  sent_[aRequest.sideId_].insert(requestId);
   Record(aActions,
          requestId,
-         "dispatched",
+         std::string(kStepDispatched),
          Verdict::MayHaveRun,
          false,
-         "attempt " + aRequest.attemptId_ + " to side/" + aRequest.sideId_);
+         "to side/" + aRequest.sideId_,
+         aRequest.attemptId_);
   SendDispatch send;
   send.sideId_ = aRequest.sideId_;
   DispatchMessage& message = send.dispatch_;
@@ -163,8 +425,11 @@
     return;
   }
   const auto sent = sent_.find(aRequest.sideId_);
-  if (sent != sent_.end() && --sent->second == 0) {
-    sent_.erase(sent);
+  if (sent != sent_.end()) {
+    sent->second.erase(aRequest.facts_.requestId_);
+    if (sent->second.empty()) {
+      sent_.erase(sent);
+    }
   }
   aRequest.attemptId_.clear();
   aRequest.sideId_.clear();
@@ -183,7 +448,8 @@
 EntryCore::Private::GiveUp(Actions& aActions,
                            const std::string& aRequestId,
                            int aStatus,
-                           std::string aReason)
+                           std::string aReason,
+                           Instant aNow)
 {
   const Request& request = requests_.at(aRequestId);
   Verdict verdict = request.verdict_;
@@ -192,17 +458,20 @@
     aActions.emplace_back(
       SendCancel{ request.sideId_, CancelMessage{ request.attemptId_ } });
   }
-  if (request.claimed_) {
+  // Also if the claim's own answer is still out: should that write take effect
+  // later, the key would stay taken by a request that was told "did not run".
+  if (request.claimWrites_ > 0) {
     ClaimRecord record;
     record.requestId_ = aRequestId;
+    record.fingerprint_ = request.fingerprint_;
     record.finished_ = true;
     record.verdict_ = verdict;
-    aActions.emplace_back(
-      WriteOutcome{ request.facts_.tenant_, request.facts_.key_, record });
+    WriteOutcome(aActions, request, record, aNow);
+    KeepInDoubt(request, record, aNow);
   }
   Record(aActions,
          aRequestId,
-         "given up",
+         std::string(kStepGivenUp),
          verdict,
          verdict == Verdict::DidNotRun,
          aReason);
@@ -231,7 +500,8 @@
     return;
   }
   const int status = aRequest.verdict_ == Verdict::DidNotRun ? 503 : 502;
-  GiveUp(aActions, aRequest.facts_.requestId_, status, aReason);
+  GiveUp(
+    aActions, std::string(aRequest.facts_.requestId_), status, aReason, aNow);
 }
 
 EntryCore::EntryCore(const Limits& aLimits)
@@ -272,77 +542,58 @@
   request.facts_ = aRequest;
   self.deadlines_.emplace(aRequest.deadline_, id);
   if (full) {
-    self.GiveUp(actions, id, 503, "This entry has too many requests open.");
+    self.GiveUp(
+      actions, id, 503, "This entry has too many requests open.", aNow);
     return actions;
   }
   if (self.membership_.Usable(aRequest.service_, aNow).empty()) {
     self.GiveUp(
-      actions, id, 503, "No upstream of the service is there just now.");
+      actions, id, 503, "No upstream of the service is there just now.", aNow);
     return actions;
   }
   if (aRequest.idempotent_) {
     self.Dispatch(actions, request, aNow);
     return actions;
   }
-  actions.emplace_back(
-    WriteClaim{ id, aRequest.tenant_, aRequest.key_, aRequest.deadline_ });
+  request.fingerprint_ = RequestFingerprint(
+    aRequest.service_, aRequest.method_, aRequest.target_, aRequest.body_);
+  self.Claim(actions, request, aNow);
   return actions;
 }
 
 std::vector<EntryAction>
-EntryCore::OnClaim(const std::string& aRequestId,
-                   ClaimOutcome aOutcome,
-                   const ClaimRecord& aRecord,
-                   Instant aNow)
+EntryCore::OnClaimWritten(const std::string& aRequestId,
+                          std::uint64_t aWriteId,
+                          const ClaimWriteResult& aResult,
+                          Instant aNow)
 {
   std::vector<EntryAction> actions;
   Private& self = *private_;
   const auto found = self.requests_.find(aRequestId);
-  if (found == self.requests_.end() ||
-      found->second.state_ != RequestState::WaitsForClaim) {
+  if (found == self.requests_.end()) {
+    std::optional<WriteClaim> next =
+      self.outcomes_.OnWritten(aRequestId, aWriteId, aResult, aNow);
+    if (next.has_value()) {
+      actions.emplace_back(std::move(*next));
+    }
     return actions;
   }
   Request& request = found->second;
-  if (aOutcome == ClaimOutcome::Unknown) {
-    self.GiveUp(actions,
-                aRequestId,
-                503,
-                "The table service can't be asked, so the request can't be "
-                "kept from running twice; it was not started.");
+  if (request.claimWrite_ != aWriteId) {
     return actions;
   }
-  if (aOutcome == ClaimOutcome::Taken) {
-    self.Record(actions,
-                aRequestId,
-                "repeated",
-                aRecord.verdict_,
-                false,
-                "the key was claimed by request " + aRecord.requestId_);
-    AnswerCaller answer;
-    answer.requestId_ = aRequestId;
-    answer.verdict_ =
-      aRecord.finished_ ? aRecord.verdict_ : Verdict::MayHaveRun;
-    const bool replay = aRecord.finished_ && aRecord.verdict_ == Verdict::Ran;
-    answer.status_ = replay ? aRecord.status_ : 409;
-    answer.body_ = aRecord.body_;
-    answer.headers_.emplace_back("Content-Type", aRecord.contentType_);
-    answer.reason_ = replay ? std::string()
-                            : "The key was used by request " +
-                                aRecord.requestId_ + "; ask for that one.";
-    answer.retryAfter_ =
-      aRecord.finished_ ? Millis(0) : self.limits_.retryAfter_;
-    actions.emplace_back(std::move(answer));
-    self.Forget(aRequestId);
-    return actions;
+  request.claimWrite_ = 0;
+  switch (aResult.outcome_) {
+    case ClaimWrite::Applied:
+      self.OwnClaim(actions, request, aResult.revision_, aNow);
+      break;
+    case ClaimWrite::Refused:
+      self.ReadRow(actions, request, aResult, aNow);
+      break;
+    default:
+      self.ClaimInDoubt(actions, request, aResult.outcome_, aNow);
+      break;
   }
-  request.claimed_ = true;
-  self.Record(actions,
-              aRequestId,
-              "claimed",
-              Verdict::DidNotRun,
-              false,
-              "key " + request.facts_.key_ + " in the table service");
-  self.Dispatch(actions, request, aNow);
   return actions;
 }
 
@@ -364,7 +615,9 @@
                 "late answer dropped",
                 aAnswer.verdict_,
                 aAnswer.verdict_ == Verdict::Ran,
-                "attempt " + aAnswer.attemptId_ + " from side/" + aSideId);
+                "from side/" + aSideId,
+                aAnswer.attemptId_);
+    self.TakeLateAnswer(actions, aSideId, aAnswer, aNow);
     return actions;
   }
   Request& request = found->second;
@@ -375,7 +628,8 @@
                 "attempt failed",
                 aAnswer.verdict_,
                 false,
-                "attempt " + aAnswer.attemptId_ + ": " + aAnswer.reason_);
+                aAnswer.reason_,
+                aAnswer.attemptId_);
     self.EndAttempt(request);
     self.RetryOrGiveUp(actions, request, aAnswer.reason_, aNow);
     return actions;
@@ -386,16 +640,13 @@
               Verdict::Ran,
               true,
               "status " + std::to_string(aAnswer.status_) + " from side/" +
-                aSideId);
-  if (request.claimed_) {
+                aSideId,
+              aAnswer.attemptId_);
+  if (request.claimWrites_ > 0) {
     ClaimRecord record;
     record.requestId_ = aAnswer.requestId_;
-    record.finished_ = true;
-    record.verdict_ = Verdict::Ran;
-    record.status_ = aAnswer.status_;
-    record.body_ = aAnswer.body_;
-    actions.emplace_back(
-      WriteOutcome{ request.facts_.tenant_, request.facts_.key_, record });
+    record.fingerprint_ = request.fingerprint_;
+    self.WriteOutcome(actions, request, AnswerRecord(record, aAnswer), aNow);
   }
   AnswerCaller answer;
   answer.requestId_ = aAnswer.requestId_;
@@ -415,13 +666,11 @@
 {
   std::vector<EntryAction> actions;
   Private& self = *private_;
-  std::vector<std::string> hit;
-  for (const auto& [id, request] : self.requests_) {
-    if (request.sideId_ == aSideId) {
-      hit.push_back(id);
-    }
+  const auto sent = self.sent_.find(aSideId);
+  if (sent == self.sent_.end()) {
+    return actions;
   }
-  std::sort(hit.begin(), hit.end());
+  const std::set<std::string> hit = std::exchange(sent->second, {});
   for (const std::string& id : hit) {
     Request& request = self.requests_.at(id);
     const Verdict verdict =
@@ -432,7 +681,8 @@
                 "side lost",
                 verdict,
                 false,
-                "attempt " + request.attemptId_ + " on side/" + aSideId);
+                "on side/" + aSideId,
+                request.attemptId_);
     self.EndAttempt(request);
     self.RetryOrGiveUp(actions,
                        request,
@@ -443,11 +693,11 @@
 }
 
 std::vector<EntryAction>
-EntryCore::OnCallerGone(const std::string& aRequestId, Instant)
+EntryCore::OnCallerGone(const std::string& aRequestId, Instant aNow)
 {
   std::vector<EntryAction> actions;
   if (private_->requests_.contains(aRequestId)) {
-    private_->GiveUp(actions, aRequestId, 499, "The caller hung up.");
+    private_->GiveUp(actions, aRequestId, 499, "The caller hung up.", aNow);
   }
   return actions;
 }
@@ -459,11 +709,37 @@
   Private& self = *private_;
   while (!self.deadlines_.empty() && self.deadlines_.begin()->first <= aNow) {
     const std::string id = self.deadlines_.begin()->second;
-    self.GiveUp(actions, id, 504, "The deadline passed.");
+    self.GiveUp(actions, id, 504, "The deadline passed.", aNow);
+  }
+  while (!self.givenUpOrder_.empty() &&
+         self.givenUpOrder_.front().first <= aNow) {
+    self.givenUp_.erase(self.givenUpOrder_.front().second);
+    self.givenUpOrder_.pop_front();
+  }
+  for (WriteClaim& write : self.outcomes_.OnTick(aNow)) {
+    actions.emplace_back(std::move(write));
+  }
+  return actions;
+}
+
+std::vector<EntryAction>
+EntryCore::OnStopBound(Instant aNow)
+{
+  std::vector<EntryAction> actions;
+  Private& self = *private_;
+  while (!self.deadlines_.empty()) {
+    const std::string id = self.deadlines_.begin()->second;
+    self.GiveUp(actions, id, 503, "The entry's planned stop ended.", aNow);
   }
   return actions;
 }
 
+std::size_t
+EntryCore::UnwrittenOutcomes() const
+{
+  return private_->outcomes_.Unwritten();
+}
+
 std::size_t
 EntryCore::InProgress() const
 {
--- a/Source/Request/EntryCore.h
+++ b/Source/Request/EntryCore.h
@@ -3,7 +3,9 @@
 #include "Connection/WireMessages.h"
 #include "Process/Instant.h"
 #include "Process/MembershipView.h"
+#include "Request/ClaimRecord.h"
 #include "Request/Failure.h"
+#include "Request/OutcomeWriter.h"
 #include "Request/RequestStep.h"
 
 #include <cstdint>
@@ -31,41 +33,6 @@
   Instant deadline_;
 };
 
-/** How writing a claim ended. */
-enum class ClaimOutcome : std::uint8_t
-{
-  /** The claim is ours: nobody else dispatches this key, ever. */
-  Ours,
-  /** Somebody else claimed the key before. */
-  Taken,
-  /** The table service did not take it, or its answer can't be had. */
-  Unknown,
-};
-
-/** What the table holds about a key that somebody claimed before. */
-struct ClaimRecord
-{
-  std::string requestId_;
-  bool finished_ = false;
-  Verdict verdict_ = Verdict::MayHaveRun;
-  std::uint16_t status_ = 0;
-  std::string contentType_;
-  std::string body_;
-
-  template<class Archive>
-  void serialize(Archive& ar)
-  {
-    auto verdict = static_cast<std::uint8_t>(verdict_);
-    ar(cereal::make_nvp("requestId", requestId_),
-       cereal::make_nvp("finished", finished_),
-       cereal::make_nvp("verdict", verdict),
-       cereal::make_nvp("status", status_),
-       cereal::make_nvp("contentType", contentType_),
-       cereal::make_nvp("body", body_));
-    verdict_ = static_cast<Verdict>(verdict);
-  }
-};
-
 /** Tell the I/O layer: send one attempt to a side. */
 struct SendDispatch
 {
@@ -94,35 +61,14 @@
   Millis retryAfter_{ 0 };
 };
 
-/** Tell the I/O layer: write the claim for a key unless there is one. */
-struct WriteClaim
-{
-  std::string requestId_;
-  std::string tenant_;
-  std::string key_;
-  Instant deadline_;
-};
-
-/** Tell the I/O layer: write down how a claimed request ended. */
-struct WriteOutcome
-{
-  std::string tenant_;
-  std::string key_;
-  ClaimRecord record_;
-};
-
 /** Tell the I/O layer: remember a step for explain. */
 struct RecordEntryStep
 {
   RequestStep step_;
 };
 
-using EntryAction = std::variant<SendDispatch,
-                                 SendCancel,
-                                 AnswerCaller,
-                                 WriteClaim,
-                                 WriteOutcome,
-                                 RecordEntryStep>;
+using EntryAction = std::
+  variant<SendDispatch, SendCancel, AnswerCaller, WriteClaim, RecordEntryStep>;
 
 /**
  * What an entry decides about callers' requests: where an attempt goes, when
@@ -140,6 +86,12 @@
     std::size_t maxRequests_ = 4096;
     /** What a refused caller is told to wait. */
     Millis retryAfter_{ 500 };
+    /** One write of a claim may take so long. */
+    Millis claimTimeout_{ 500 };
+    /** Writes of a claim that one request may try. */
+    std::size_t maxClaimWrites_ = 4;
+    /** How long the answer to a given-up attempt is still of use. */
+    Millis lateAnswers_{ 60000 };
     /** Sides in this data centre are preferred. */
     std::string dataCentre_;
   };
@@ -154,11 +106,11 @@
   std::vector<EntryAction> OnRequest(const RequestFacts& aRequest,
                                      Instant aNow);
 
-  /** The claim of a request that waited for it; the record if it was taken. */
-  std::vector<EntryAction> OnClaim(const std::string& aRequestId,
-                                   ClaimOutcome aOutcome,
-                                   const ClaimRecord& aRecord,
-                                   Instant aNow);
+  /** A write of a claim or an outcome ended. */
+  std::vector<EntryAction> OnClaimWritten(const std::string& aRequestId,
+                                          std::uint64_t aWriteId,
+                                          const ClaimWriteResult& aResult,
+                                          Instant aNow);
 
   /** A side ended an attempt. The side must be the one it was sent to. */
   std::vector<EntryAction> OnAnswer(const std::string& aSideId,
@@ -179,9 +131,15 @@
   /** Time passed: requests beyond their deadline get their final answer. */
   std::vector<EntryAction> OnTick(Instant aNow);
 
+  /** A planned stop reached its bound: all get their final answer now. */
+  std::vector<EntryAction> OnStopBound(Instant aNow);
+
   /** Requests that have no final answer yet. */
   std::size_t InProgress() const;
 
+  /** Outcomes that the table service does not have yet. */
+  std::size_t UnwrittenOutcomes() const;
+
   /** The sides that this core has heard of. */
   const MembershipView& Membership() const;
 
--- /dev/null
+++ b/Source/Request/OutcomeWriter.cxx
@@ -0,0 +1,151 @@
+#include "Request/OutcomeWriter.h"
+
+namespace cactusrail {
+
+OutcomeWriter::OutcomeWriter(const Limits& aLimits, std::uint64_t& aNextWriteId)
+  : limits_(aLimits)
+  , nextWriteId_(aNextWriteId)
+{
+}
+
+WriteClaim
+OutcomeWriter::Try(Outcome& aOutcome, Instant aNow)
+{
+  WriteClaim write;
+  write.requestId_ = aOutcome.record_.requestId_;
+  write.writeId_ = ++nextWriteId_;
+  write.tenant_ = aOutcome.claim_.tenant_;
+  write.key_ = aOutcome.claim_.key_;
+  // Never unconditional: an entry that was frozen meanwhile would overwrite the
+  // claim of the request that took the key after this one was given up.
+  write.expectedRevision_ = aOutcome.claim_.revision_;
+  write.record_ = aOutcome.record_;
+  write.deadline_ = aNow + limits_.writeTimeout_;
+  aOutcome.writeId_ = write.writeId_;
+  aOutcome.inFlight_ = aOutcome.record_;
+  tries_.erase({ aOutcome.nextTry_, write.requestId_ });
+  return write;
+}
+
+void
+OutcomeWriter::Pause(const std::string& aRequestId,
+                     Outcome& aOutcome,
+                     Instant aNow)
+{
+  aOutcome.writeId_ = 0;
+  aOutcome.nextTry_ = aNow + limits_.pause_;
+  tries_.emplace(aOutcome.nextTry_, aRequestId);
+}
+
+void
+OutcomeWriter::MarkWritten(const std::string& aRequestId, Outcome& aOutcome)
+{
+  aOutcome.writeId_ = 0;
+  aOutcome.written_ = true;
+  --unwritten_;
+  if (aOutcome.record_.verdict_ != Verdict::MayHaveRun) {
+    Forget(aRequestId);
+  }
+}
+
+void
+OutcomeWriter::Forget(const std::string& aRequestId)
+{
+  const auto found = outcomes_.find(aRequestId);
+  if (found == outcomes_.end()) {
+    return;
+  }
+  unwritten_ -= found->second.written_ ? 0 : 1;
+  tries_.erase({ found->second.nextTry_, aRequestId });
+  ages_.erase({ found->second.forgetAt_, aRequestId });
+  outcomes_.erase(found);
+}
+
+WriteClaim
+OutcomeWriter::Add(const Claim& aClaim,
+                   const ClaimRecord& aRecord,
+                   Instant aNow)
+{
+  if (outcomes_.size() >= limits_.maxOutcomes_) {
+    Forget(std::string(ages_.begin()->second));
+  }
+  Outcome& outcome = outcomes_[aRecord.requestId_];
+  outcome.claim_ = aClaim;
+  outcome.record_ = aRecord;
+  outcome.forgetAt_ = aNow + limits_.life_;
+  ages_.emplace(outcome.forgetAt_, aRecord.requestId_);
+  ++unwritten_;
+  return Try(outcome, aNow);
+}
+
+std::optional<WriteClaim>
+OutcomeWriter::Amend(const ClaimRecord& aRecord, Instant aNow)
+{
+  const auto found = outcomes_.find(aRecord.requestId_);
+  if (found == outcomes_.end() ||
+      found->second.record_.verdict_ != Verdict::MayHaveRun) {
+    return std::nullopt;
+  }
+  Outcome& outcome = found->second;
+  outcome.record_ = aRecord;
+  unwritten_ += outcome.written_ ? 1 : 0;
+  outcome.written_ = false;
+  if (outcome.writeId_ != 0) {
+    return std::nullopt;
+  }
+  return Try(outcome, aNow);
+}
+
+std::optional<WriteClaim>
+OutcomeWriter::OnWritten(const std::string& aRequestId,
+                         std::uint64_t aWriteId,
+                         const ClaimWriteResult& aResult,
+                         Instant aNow)
+{
+  const auto found = outcomes_.find(aRequestId);
+  if (found == outcomes_.end() || found->second.writeId_ != aWriteId) {
+    return std::nullopt;
+  }
+  Outcome& outcome = found->second;
+  if (aResult.outcome_ == ClaimWrite::NotWritten ||
+      aResult.outcome_ == ClaimWrite::Unknown) {
+    Pause(aRequestId, outcome, aNow);
+    return std::nullopt;
+  }
+  const bool applied = aResult.outcome_ == ClaimWrite::Applied;
+  const bool ours = applied || aResult.record_.requestId_ == aRequestId;
+  if (!ours) {
+    // Our write never took effect and another request holds the key now.
+    Forget(aRequestId);
+    return std::nullopt;
+  }
+  outcome.claim_.revision_ = aResult.revision_;
+  const ClaimRecord& stored = applied ? outcome.inFlight_ : aResult.record_;
+  if (stored == outcome.record_) {
+    MarkWritten(aRequestId, outcome);
+    return std::nullopt;
+  }
+  return Try(outcome, aNow);
+}
+
+std::vector<WriteClaim>
+OutcomeWriter::OnTick(Instant aNow)
+{
+  while (!ages_.empty() && ages_.begin()->first <= aNow) {
+    Forget(std::string(ages_.begin()->second));
+  }
+  std::vector<WriteClaim> writes;
+  while (!tries_.empty() && tries_.begin()->first <= aNow) {
+    const std::string id = tries_.begin()->second;
+    writes.push_back(Try(outcomes_.at(id), aNow));
+  }
+  return writes;
+}
+
+std::size_t
+OutcomeWriter::Unwritten() const
+{
+  return unwritten_;
+}
+
+}
--- a/Source/Request/RequestStep.h
+++ b/Source/Request/RequestStep.h
@@ -6,9 +6,14 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace cactusrail {
 
+/** Steps that ExplainVerdict looks for. */
+constexpr std::string_view kStepDispatched = "dispatched";
+constexpr std::string_view kStepGivenUp = "given up";
+
 /**
  * One step in the life of a request or a task, as a process saw it. Explain
  * puts the steps of all processes in order.
@@ -27,6 +32,8 @@
   /** The step decides the verdict, whatever came before it. */
   bool conclusive_ = false;
   std::string detail_;
+  /** The attempt that the step is about; empty if about the whole request. */
+  std::string attemptId_;
 
   template<class Archive>
   void serialize(Archive& ar)
@@ -38,7 +45,8 @@
        cereal::make_nvp("step", step_),
        cereal::make_nvp("verdict", verdict),
        cereal::make_nvp("conclusive", conclusive_),
-       cereal::make_nvp("detail", detail_));
+       cereal::make_nvp("detail", detail_),
+       cereal::make_nvp("attemptId", attemptId_));
     verdict_ = static_cast<Verdict>(verdict);
   }
 };
--- a/Source/Request/SideCore.cxx
+++ b/Source/Request/SideCore.cxx
@@ -1,8 +1,11 @@
 #include "Request/SideCore.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace cactusrail {
@@ -12,6 +15,9 @@
 /** How long attempt ids are remembered after their deadline. */
 constexpr Millis kRememberAttempts{ 60000 };
 
+/** More than a day left to a deadline is taken for a day. */
+constexpr std::uint64_t kMaxRemainingMicros = 86400000000;
+
 enum class AttemptState : std::uint8_t
 {
   Queued,
@@ -27,6 +33,8 @@
   Instant deadline_;
   Instant arrivedAt_;
   Instant startedAt_;
+  /** Its place in the queue; 0 once it runs. */
+  std::uint64_t turn_ = 0;
 };
 
 }
@@ -41,17 +49,20 @@
 
   using Actions = std::vector<SideAction>;
 
-  void Record(Actions& aActions,
-              const std::string& aRequestId,
-              std::string aStep,
-              Verdict aVerdict,
-              bool aConclusive,
-              std::string aDetail) const;
+  static void Record(Actions& aActions,
+                     const std::string& aRequestId,
+                     std::string aStep,
+                     Verdict aVerdict,
+                     bool aConclusive,
+                     std::string aDetail,
+                     std::string aAttemptId);
   void Refuse(Actions& aActions,
               LinkId aLink,
               const DispatchMessage& aDispatch,
-              std::string aReason,
-              Millis aRetryAfter) const;
+              std::string aReason) const;
+  void Remember(const std::string& aAttemptId, Instant aForgetAt);
+  bool IsPast(std::uint64_t aIncarnation) const;
+  void EndIncarnation(std::uint64_t aIncarnation);
   std::string ReasonToRefuse(const DispatchMessage& aDispatch,
                              Instant aNow) const;
   void Start(Actions& aActions, const std::string& aAttemptId, Instant aNow);
@@ -66,11 +77,15 @@
   bool upstreamLeaving_ = false;
   bool stopping_ = false;
   std::unordered_map<std::string, Attempt> attempts_;
-  std::deque<std::string> queue_;
+  /** Attempts that wait, by their turn. */
+  std::map<std::uint64_t, std::string> queue_;
+  std::uint64_t nextTurn_ = 1;
   std::size_t running_ = 0;
-  /** Attempt ids that were taken, with the time to forget them. */
-  std::unordered_map<std::string, Instant> taken_;
-  std::deque<std::pair<Instant, std::string>> takenOrder_;
+  /** Attempt ids that were taken or refused, and when to forget them. */
+  std::unordered_set<std::string> taken_;
+  std::set<std::pair<Instant, std::string>> takenOrder_;
+  /** Incarnations of the upstream that left or were replaced. */
+  std::deque<std::uint64_t> past_;
 };
 
 void
@@ -79,7 +94,8 @@
                           std::string aStep,
                           Verdict aVerdict,
                           bool aConclusive,
-                          std::string aDetail) const
+                          std::string aDetail,
+                          std::string aAttemptId)
 {
   RequestStep step;
   step.requestId_ = aRequestId;
@@ -87,6 +103,7 @@
   step.verdict_ = aVerdict;
   step.conclusive_ = aConclusive;
   step.detail_ = std::move(aDetail);
+  step.attemptId_ = std::move(aAttemptId);
   aActions.emplace_back(RecordStep{ std::move(step) });
 }
 
@@ -94,24 +111,50 @@
 SideCore::Private::Refuse(Actions& aActions,
                           LinkId aLink,
                           const DispatchMessage& aDispatch,
-                          std::string aReason,
-                          Millis aRetryAfter) const
+                          std::string aReason) const
 {
   Record(aActions,
          aDispatch.requestId_,
          "refused",
          Verdict::DidNotRun,
          false,
-         "attempt " + aDispatch.attemptId_ + ": " + aReason);
+         aReason,
+         aDispatch.attemptId_);
   AnswerMessage answer;
   answer.requestId_ = aDispatch.requestId_;
   answer.attemptId_ = aDispatch.attemptId_;
   answer.verdict_ = Verdict::DidNotRun;
   answer.reason_ = std::move(aReason);
-  answer.retryAfterMs_ = static_cast<std::uint32_t>(aRetryAfter.count());
+  answer.retryAfterMs_ =
+    static_cast<std::uint32_t>(limits_.retryAfter_.count());
   aActions.emplace_back(SendAnswer{ aLink, std::move(answer) });
 }
 
+void
+SideCore::Private::Remember(const std::string& aAttemptId, Instant aForgetAt)
+{
+  taken_.insert(aAttemptId);
+  takenOrder_.emplace(aForgetAt, aAttemptId);
+}
+
+bool
+SideCore::Private::IsPast(std::uint64_t aIncarnation) const
+{
+  return std::find(past_.begin(), past_.end(), aIncarnation) != past_.end();
+}
+
+void
+SideCore::Private::EndIncarnation(std::uint64_t aIncarnation)
+{
+  if (IsPast(aIncarnation)) {
+    return;
+  }
+  past_.push_back(aIncarnation);
+  if (past_.size() > limits_.maxPastIncarnations_) {
+    past_.pop_front();
+  }
+}
+
 std::string
 SideCore::Private::ReasonToRefuse(const DispatchMessage& aDispatch,
                                   Instant aNow) const
@@ -145,19 +188,25 @@
   Attempt& attempt = attempts_.at(aAttemptId);
   attempt.state_ = AttemptState::Running;
   attempt.startedAt_ = aNow;
+  queue_.erase(attempt.turn_);
   ++running_;
   Record(aActions,
          attempt.dispatch_.requestId_,
          "started",
          Verdict::MayHaveRun,
          false,
-         "attempt " + aAttemptId + " sent to the upstream");
+         "sent to the upstream",
+         aAttemptId);
   CallUpstream call;
   call.attemptId_ = aAttemptId;
   call.url_ = "http://" + upstream_->address_ + ":" +
               std::to_string(upstream_->port_) + attempt.dispatch_.target_;
   call.dispatch_ = attempt.dispatch_;
-  call.deadline_ = attempt.deadline_;
+  // Hanging up at the deadline would leave it unknown for ever whether a payout
+  // ran. The caller has its answer by then; the outcome is for its repeat.
+  const bool atMostOnce = !attempt.dispatch_.idempotent_;
+  call.deadline_ =
+    attempt.deadline_ + (atMostOnce ? limits_.outcomeGrace_ : Millis(0));
   aActions.emplace_back(std::move(call));
 }
 
@@ -166,18 +215,16 @@
 {
   const bool open = upstream_.has_value() && upstream_->deadline_ > aNow;
   while (open && !queue_.empty() && running_ < upstream_->slots_) {
-    const std::string attemptId = queue_.front();
-    queue_.pop_front();
-    Start(aActions, attemptId, aNow);
+    Start(aActions, std::string(queue_.begin()->second), aNow);
   }
 }
 
 void
 SideCore::Private::RefuseQueued(Actions& aActions, const std::string& aReason)
 {
-  for (const std::string& attemptId : queue_) {
+  for (const auto& [turn, attemptId] : queue_) {
     const Attempt& attempt = attempts_.at(attemptId);
-    Refuse(aActions, attempt.link_, attempt.dispatch_, aReason, Millis(0));
+    Refuse(aActions, attempt.link_, attempt.dispatch_, aReason);
     attempts_.erase(attemptId);
   }
   queue_.clear();
@@ -186,8 +233,9 @@
 void
 SideCore::Private::DropQueued(const std::string& aAttemptId)
 {
-  std::erase(queue_, aAttemptId);
-  attempts_.erase(aAttemptId);
+  const auto found = attempts_.find(aAttemptId);
+  queue_.erase(found->second.turn_);
+  attempts_.erase(found);
 }
 
 void
@@ -205,16 +253,16 @@
     (attempt.startedAt_ - attempt.arrivedAt_).count());
   aAnswer.servedMicros_ =
     static_cast<std::uint64_t>((aNow - attempt.startedAt_).count());
-  const std::string detail =
-    "attempt " + aAnswer.attemptId_ +
-    (aAnswer.status_ != 0 ? ": status " + std::to_string(aAnswer.status_)
-                          : ": " + aAnswer.reason_);
+  const std::string detail = aAnswer.status_ != 0
+                               ? "status " + std::to_string(aAnswer.status_)
+                               : aAnswer.reason_;
   Record(aActions,
          aAnswer.requestId_,
          aAnswer.verdict_ == Verdict::Ran ? "ran" : "failed",
          aAnswer.verdict_,
          aAnswer.verdict_ == Verdict::Ran,
-         detail);
+         detail,
+         aAnswer.attemptId_);
   if (!attempt.linkLost_) {
     aActions.emplace_back(SendAnswer{ attempt.link_, std::move(aAnswer) });
   }
@@ -226,9 +274,9 @@
 void
 SideCore::Private::ForgetOld(Instant aNow)
 {
-  while (!takenOrder_.empty() && takenOrder_.front().first <= aNow) {
-    taken_.erase(takenOrder_.front().second);
-    takenOrder_.pop_front();
+  while (!takenOrder_.empty() && takenOrder_.begin()->first <= aNow) {
+    taken_.erase(takenOrder_.begin()->second);
+    takenOrder_.erase(takenOrder_.begin());
   }
 }
 
@@ -244,15 +292,19 @@
 {
   std::vector<SideAction> actions;
   Private& self = *private_;
+  // A repeat that was under way when the upstream said goodbye, or one of an
+  // old upstream that was frozen, would open a leaving upstream again.
+  if (self.IsPast(aAnnouncement.incarnation_)) {
+    return actions;
+  }
   const bool restarted =
     self.upstream_.has_value() &&
     self.upstream_->incarnation_ != aAnnouncement.incarnation_;
   if (restarted) {
+    self.EndIncarnation(self.upstream_->incarnation_);
     self.RefuseQueued(actions, "The upstream was started anew.");
   }
-  if (restarted || !self.upstream_.has_value()) {
-    self.upstreamLeaving_ = false;
-  }
+  self.upstreamLeaving_ = false;
   self.upstream_ = aAnnouncement;
   self.StartQueued(actions, aNow);
   return actions;
@@ -262,7 +314,11 @@
 SideCore::OnGoodbye(Instant)
 {
   std::vector<SideAction> actions;
+  if (!private_->upstream_.has_value()) {
+    return actions;
+  }
   private_->upstreamLeaving_ = true;
+  private_->EndIncarnation(private_->upstream_->incarnation_);
   private_->RefuseQueued(actions, "The upstream is leaving.");
   return actions;
 }
@@ -280,23 +336,22 @@
     return actions;
   }
   std::string reason = self.ReasonToRefuse(aDispatch, aNow);
+  const Instant deadline =
+    aNow + Micros(std::min(aDispatch.remainingMicros_, kMaxRemainingMicros));
+  // A refused one too: its second copy must not run after all.
+  self.Remember(aDispatch.attemptId_, deadline + kRememberAttempts);
   if (!reason.empty()) {
-    self.Refuse(
-      actions, aLink, aDispatch, std::move(reason), self.limits_.retryAfter_);
+    self.Refuse(actions, aLink, aDispatch, std::move(reason));
     return actions;
   }
-  const Instant deadline =
-    aNow + Micros(static_cast<std::int64_t>(aDispatch.remainingMicros_));
-  const Instant forgetAt = deadline + kRememberAttempts;
-  self.taken_.emplace(aDispatch.attemptId_, forgetAt);
-  self.takenOrder_.emplace_back(forgetAt, aDispatch.attemptId_);
   Attempt attempt;
   attempt.link_ = aLink;
   attempt.dispatch_ = aDispatch;
   attempt.deadline_ = deadline;
   attempt.arrivedAt_ = aNow;
+  attempt.turn_ = self.nextTurn_++;
+  self.queue_.emplace(attempt.turn_, aDispatch.attemptId_);
   self.attempts_.emplace(aDispatch.attemptId_, std::move(attempt));
-  self.queue_.push_back(aDispatch.attemptId_);
   self.StartQueued(actions, aNow);
   return actions;
 }
@@ -315,8 +370,7 @@
   private_->Refuse(actions,
                    aLink,
                    found->second.dispatch_,
-                   "The caller gave up while the request was queued.",
-                   Millis(0));
+                   "The caller gave up while the request was queued.");
   private_->DropQueued(aCancel.attemptId_);
   return actions;
 }
@@ -374,8 +428,8 @@
                      "dropped",
                      Verdict::DidNotRun,
                      false,
-                     "attempt " + attemptId +
-                       ": its entry was lost while it was queued");
+                     "its entry was lost while it was queued",
+                     attemptId);
     private_->DropQueued(attemptId);
   }
   return actions;
@@ -388,6 +442,28 @@
   return {};
 }
 
+std::vector<SideAction>
+SideCore::OnStopBound(Instant aNow)
+{
+  std::vector<SideAction> actions;
+  Private& self = *private_;
+  self.stopping_ = true;
+  self.RefuseQueued(actions, "The side's planned stop ended.");
+  std::vector<std::string> left;
+  for (const auto& [attemptId, attempt] : self.attempts_) {
+    left.push_back(attemptId);
+  }
+  std::sort(left.begin(), left.end());
+  for (const std::string& attemptId : left) {
+    AnswerMessage answer;
+    answer.attemptId_ = attemptId;
+    answer.verdict_ = Verdict::MayHaveRun;
+    answer.reason_ = "The side's planned stop ended before the answer came.";
+    self.Finish(actions, std::move(answer), aNow);
+  }
+  return actions;
+}
+
 std::vector<SideAction>
 SideCore::OnTick(Instant aNow)
 {
@@ -398,7 +474,7 @@
     self.RefuseQueued(actions, "The upstream is no longer announced.");
   }
   std::vector<std::string> expired;
-  for (const std::string& attemptId : self.queue_) {
+  for (const auto& [turn, attemptId] : self.queue_) {
     if (self.attempts_.at(attemptId).deadline_ <= aNow) {
       expired.push_back(attemptId);
     }
@@ -408,8 +484,7 @@
     self.Refuse(actions,
                 attempt.link_,
                 attempt.dispatch_,
-                "The deadline passed while the request was queued.",
-                Millis(0));
+                "The deadline passed while the request was queued.");
     self.DropQueued(attemptId);
   }
   self.ForgetOld(aNow);
@@ -417,10 +492,11 @@
 }
 
 HeartbeatMessage
-SideCore::Heartbeat() const
+SideCore::Heartbeat(Instant aNow) const
 {
   HeartbeatMessage heartbeat;
-  if (!private_->upstream_.has_value()) {
+  if (!private_->upstream_.has_value() ||
+      private_->upstream_->deadline_ <= aNow) {
     return heartbeat;
   }
   const Announcement& upstream = *private_->upstream_;
--- a/Source/Request/SideCore.h
+++ b/Source/Request/SideCore.h
@@ -71,6 +71,10 @@
     std::size_t maxQueued_ = 16;
     /** How long the entry should wait after a refusal. */
     Millis retryAfter_{ 200 };
+    /** Upstream incarnations that are known to be over. */
+    std::size_t maxPastIncarnations_ = 64;
+    /** How long past its deadline an at-most-once request is listened for. */
+    Millis outcomeGrace_{ 10000 };
   };
 
   explicit SideCore(const Limits& aLimits);
@@ -108,11 +112,14 @@
   /** A planned stop began: nothing new is taken, what is here finishes. */
   std::vector<SideAction> OnStop(Instant aNow);
 
+  /** The stop reached its bound: all that is left is answered now. */
+  std::vector<SideAction> OnStopBound(Instant aNow);
+
   /** Time passed: expired attempts and announcements go. */
   std::vector<SideAction> OnTick(Instant aNow);
 
   /** The facts of the next heartbeat; identity and address are the caller's. */
-  HeartbeatMessage Heartbeat() const;
+  HeartbeatMessage Heartbeat(Instant aNow) const;
 
   /** Nothing is queued or running: a planned stop may end. */
   bool Idle() const;
