--- a/Source/Process/EntryProcess.cxx
+++ b/Source/Process/EntryProcess.cxx
@@ -9,6 +9,8 @@
 #include "Process/Log.h"
 #include "Process/MembershipListener.h"
 #include "Process/OperatorRoutes.h"
+#include "Process/Scheduler.h"
+#include "Process/WorkPages.h"
 #include "Version/ConfigurationHolder.h"
 
 #include <QTimer>
@@ -36,6 +38,12 @@
                static_cast<std::size_t>(aSettings.journalRequests_))
     , table_("http://" + aSettings.table_.Text())
     , keeper_(table_, configuration_)
+    , scheduler_({ aSettings.name_, incarnation_ },
+                 table_,
+                 configuration_,
+                 journal_,
+                 MakeChooser(FirstFitPlacement()))
+    , workPages_(table_, configuration_, scheduler_)
   {
   }
 
@@ -52,6 +60,8 @@
   Journal journal_;
   TableClient table_;
   ConfigurationKeeper keeper_;
+  Scheduler scheduler_;
+  WorkPages workPages_;
   OperatorRoutes routes_;
   std::vector<std::unique_ptr<Lane>> lanes_;
   std::unique_ptr<MembershipListener> membership_;
@@ -77,6 +87,7 @@
     }
   }
   keeper_.Start();
+  scheduler_.Start();
   return true;
 }
 
@@ -122,6 +133,7 @@
 {
   AddHealthRoutes();
   keeper_.AddRoutes(routes_);
+  workPages_.AddRoutes(routes_);
   membership_->AddRoutes(routes_);
   explainer_->AddRoutes(routes_);
   auto front = HttpFront::Listen(
@@ -168,7 +180,7 @@
   for (const std::unique_ptr<Lane>& lane : lanes_) {
     open += lane->InProgress();
   }
-  const bool finished = !listening_ && open == 0;
+  const bool finished = !listening_ && open == 0 && scheduler_.IsHandedOver();
   if (!finished && now < stopDeadline_) {
     return;
   }
@@ -204,6 +216,7 @@
   self->listenUntil_ = now + kBalancerNotice;
   self->stopDeadline_ = now + Millis(self->settings_.stopBoundMs_);
   self->stopped_ = std::move(aDone);
+  self->scheduler_.HandOver();
   LogChange("stopping", {});
   QObject::connect(&self->stopCheck_, &QTimer::timeout, self, [self] {
     self->CheckStopped();
--- a/Source/Process/OperatorCommands.cxx
+++ b/Source/Process/OperatorCommands.cxx
@@ -1,6 +1,7 @@
 #include "Process/OperatorCommands.h"
 
 #include "Connection/HttpCaller.h"
+#include "Process/WorkCommands.h"
 #include "Request/RequestStep.h"
 #include "Version/Configuration.h"
 #include "Version/JsonText.h"
@@ -175,7 +176,10 @@
   if (verb == "explain" && words.size() == 3) {
     return Explain(words[1], words[2]);
   }
-  std::cerr << kUsage;
+  if (const std::optional<int> exit = RunWorkCommand(words)) {
+    return *exit;
+  }
+  std::cerr << kUsage << kWorkCommandsUsage;
   return kExitUsage;
 }
 
--- /dev/null
+++ b/Source/Process/Scheduler.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Process/SchedulerCore.h"
+#include "Version/ConfigurationHolder.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cactusrail {
+
+class Journal;
+class TableClient;
+
+/**
+ * Runs the scheduler's core in an entry: timers, table and worker calls. Owned
+ * by EntryProcess, used in its thread.
+ */
+class Scheduler
+{
+public:
+  Scheduler(EntryIdentity aSelf,
+            TableClient& aTable,
+            ConfigurationHolder& aConfiguration,
+            Journal& aJournal,
+            std::unique_ptr<PlacementChooser> aChooser);
+  ~Scheduler();
+
+  void Start();
+
+  /** Hands the cells over, then calls back; running tasks go on. */
+  void HandOver();
+  bool IsHandedOver() const;
+
+  SchedulerCore& Core();
+
+private:
+  class Private;
+  std::unique_ptr<Private> private_;
+};
+
+}
--- /dev/null
+++ b/Source/Process/SchedulerCore.cxx
@@ -0,0 +1,1296 @@
+#include "Process/SchedulerCore.h"
+
+#include "Process/SchedulerWorkers.h"
+#include "Version/CellLedger.h"
+#include "Version/JobLedger.h"
+#include "Version/JsonText.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+constexpr std::size_t kMaxPlacementsPerWrite = 64;
+constexpr std::array<const char*, 4> kPolled{ kWorkerPrefix,
+                                              kCellPrefix,
+                                              kJobPrefix,
+                                              kEntryPrefix };
+
+/** FNV-1a: the same in every process, whatever library it was built with. */
+std::uint64_t
+StableHash(std::string_view aText)
+{
+  std::uint64_t hash = 14695981039346656037ULL;
+  for (const char letter : aText) {
+    hash = (hash ^ static_cast<unsigned char>(letter)) * 1099511628211ULL;
+  }
+  hash ^= hash >> 29U;
+  hash *= 0xbf58476d1ce4e5b9ULL;
+  return hash ^ (hash >> 32U);
+}
+
+TaskRef
+RefOf(const Reservation& aReservation)
+{
+  return { TaskId(aReservation.jobId_, aReservation.index_),
+           aReservation.epoch_ };
+}
+
+Resources
+Larger(const Resources& aLeft, const Resources& aRight)
+{
+  return { std::max(aLeft.milliCpus_, aRight.milliCpus_),
+           std::max(aLeft.memoryMb_, aRight.memoryMb_),
+           std::max(aLeft.accelerators_, aRight.accelerators_) };
+}
+
+/** What an owner knows of a start beyond its reservation. */
+struct HeldTask
+{
+  /** The worker has said that it runs. */
+  bool acknowledged_ = false;
+  /** Some owner may have sent a start. */
+  bool granted_ = false;
+  /** By then the worker has certainly passed every deadline we gave. */
+  Instant ownGrantOver_;
+  /** The same for what earlier owners may have given. */
+  Instant foreignGrantOver_;
+  std::optional<EndedTask> ended_;
+  std::string checkpoint_;
+  bool evict_ = false;
+};
+
+struct JobView
+{
+  JobRow row_;
+  std::uint64_t revision_ = 0;
+  Instant learnedAt_;
+  /** A write of ours that changes it is under way. */
+  bool busy_ = false;
+};
+
+struct EntryView
+{
+  std::uint64_t revision_ = 0;
+  Instant changedAt_;
+};
+
+struct CellView
+{
+  CellView(const EntryIdentity& aSelf, const WorkTimings& aTimings)
+    : lease_(aSelf, aTimings)
+  {
+  }
+
+  CellLease lease_;
+  std::map<TaskRef, HeldTask> held_;
+  /** Taken off by a write that has not been refused for certain: they get no
+   * further grant, for the task may be elsewhere already. */
+  std::set<TaskRef> releasing_;
+  std::uint64_t heldEpoch_ = 0;
+  Instant preferredElsewhereSince_;
+  bool preferredHere_ = true;
+};
+
+struct PendingRead
+{
+  std::string prefix_;
+  Instant sentAt_;
+};
+
+/** A write of a cell's row with the jobs that it changes. */
+struct PendingWrite
+{
+  std::string cell_;
+  CellRow next_;
+  std::map<std::string, JobRow> jobs_;
+  std::vector<TaskRef> placed_;
+  std::vector<RequestStep> notes_;
+  std::uint64_t releases_ = 0;
+  std::uint64_t losses_ = 0;
+  Instant sentAt_;
+};
+
+struct PendingCall
+{
+  std::string worker_;
+  std::string cell_;
+  std::uint64_t cellEpoch_ = 0;
+};
+
+RequestStep
+MakeNote(const TaskRef& aTask,
+         std::string aStep,
+         Verdict aVerdict,
+         std::string aDetail)
+{
+  RequestStep note;
+  note.requestId_ = aTask.taskId_;
+  note.step_ = std::move(aStep);
+  note.verdict_ = aVerdict;
+  note.conclusive_ = true;
+  note.detail_ =
+    "epoch " + std::to_string(aTask.epoch_) + ", " + std::move(aDetail);
+  return note;
+}
+
+}
+
+class SchedulerCore::Private
+{
+public:
+  Private(EntryIdentity aSelf,
+          const WorkTimings& aTimings,
+          std::unique_ptr<PlacementChooser> aChooser)
+    : self_(std::move(aSelf))
+    , timings_(aTimings)
+    , chooser_(std::move(aChooser))
+  {
+  }
+
+  // Reading.
+  void Poll(Instant aNow);
+  void TakeWorkers(const std::vector<TableRow>& aRows);
+  void TakeCells(const std::vector<TableRow>& aRows,
+                 bool aCertain,
+                 Instant aNow);
+  void TakeJobs(const std::vector<TableRow>& aRows,
+                Instant aSentAt,
+                Instant aNow);
+  void TakeJob(const TableRow& aRow, bool aCertain, Instant aNow);
+  void TakeEntries(const std::vector<TableRow>& aRows, Instant aNow);
+  CellView& CellOf(const std::string& aName);
+  void Sync(CellView& aCell, const std::vector<TaskRef>* aPlaced, Instant aNow);
+
+  // Owning.
+  void Announce(Instant aNow);
+  std::size_t RankFor(const std::string& aCell, Instant aNow) const;
+  void StepCell(const std::string& aName, CellView& aCell, Instant aNow);
+  void Take(const std::string& aName, CellView& aCell, Instant aNow);
+  bool WantsHandOver(const std::string& aName, CellView& aCell, Instant aNow);
+  void Write(const std::string& aName, CellView& aCell, Instant aNow);
+  void Send(PendingWrite aWrite, CellView& aCell, Instant aNow);
+  void FinishWrite(PendingWrite aWrite,
+                   const Result<TableOutcome>& aOutcome,
+                   Instant aNow);
+  void Apply(const PendingWrite& aWrite,
+             const TableOutcome& aOutcome,
+             Instant aNow);
+
+  // Ending and placing.
+  void CollectEnds(CellView& aCell,
+                   CellLedger& aLedger,
+                   PendingWrite& aWrite,
+                   Instant aNow);
+  std::optional<TaskEnd> EndOf(const CellView& aCell,
+                               const Reservation& aReservation,
+                               Instant aNow) const;
+  void CollectPlacements(const std::string& aName,
+                         CellView& aCell,
+                         CellLedger& aLedger,
+                         PendingWrite& aWrite,
+                         Instant aNow);
+  bool PlaceOne(const std::string& aName,
+                const CellView& aCell,
+                CellLedger& aLedger,
+                JobLedger& aJob,
+                PendingWrite& aWrite,
+                Instant aNow);
+  std::vector<WorkerFacts> FactsFor(const std::string& aCell,
+                                    const CellView& aView,
+                                    const CellLedger& aLedger,
+                                    Instant aNow) const;
+  bool WithinQuota(const JobSpec& aSpec,
+                   const std::string& aCell,
+                   const CellLedger& aLedger) const;
+  JobRow* JobFor(PendingWrite& aWrite, const std::string& aJobId);
+  std::vector<std::string> JobsInOrder(const std::string& aCell) const;
+
+  // Commanding workers.
+  void CommandWorkers(const std::string& aName, CellView& aCell, Instant aNow);
+  void CommandWorker(const std::string& aName,
+                     CellView& aCell,
+                     WorkerView& aWorker,
+                     Instant aNow);
+  std::optional<WorkerCommand> NextStop(CellView& aCell, WorkerView& aWorker);
+  std::optional<WorkerCommand> NextStart(CellView& aCell,
+                                         WorkerView& aWorker,
+                                         Instant aNow);
+  WorkerCommand Renewal(CellView& aCell, WorkerView& aWorker);
+  void Hear(const PendingCall& aCall,
+            const WorkerReport& aReport,
+            Instant aNow);
+  void HearTask(CellView& aCell,
+                const Reservation& aReservation,
+                const WorkerView& aWorker,
+                Instant aNow);
+  bool WantsStopped(const CellView& aCell,
+                    const Reservation& aReservation,
+                    const HeldTask& aHeld) const;
+  CommandOrigin OriginFor(const std::string& aCell,
+                          const CellView& aView,
+                          const WorkerView& aWorker) const;
+  Instant GrantLimit(const CellView& aCell) const;
+
+  EntryIdentity self_;
+  WorkTimings timings_;
+  std::unique_ptr<PlacementChooser> chooser_;
+  std::vector<SchedulerAction> actions_;
+  std::uint64_t nextToken_ = 1;
+  std::map<std::uint64_t, PendingRead> reads_;
+  std::map<std::uint64_t, PendingWrite> writes_;
+  std::map<std::uint64_t, PendingCall> calls_;
+  std::uint64_t announcement_ = 0;
+  std::uint64_t announcements_ = 0;
+  std::map<std::string, WorkerView> workers_;
+  std::map<std::string, std::unique_ptr<CellView>> cells_;
+  std::map<std::string, JobView> jobs_;
+  std::map<std::string, EntryView> entries_;
+  std::map<std::string, std::int64_t> quotas_;
+  bool handingOver_ = false;
+  Instant pollAt_;
+  Instant announceAt_;
+  SchedulerCounts counts_;
+};
+
+void
+SchedulerCore::Private::Poll(Instant aNow)
+{
+  if (aNow < pollAt_ || !reads_.empty()) {
+    return;
+  }
+  pollAt_ = aNow + timings_.pollEvery_;
+  for (const char* prefix : kPolled) {
+    const std::uint64_t token = nextToken_++;
+    reads_[token] = { prefix, aNow };
+    actions_.emplace_back(ReadRowsAction{ token, prefix });
+    ++counts_.tableReads_;
+  }
+}
+
+void
+SchedulerCore::Private::TakeWorkers(const std::vector<TableRow>& aRows)
+{
+  for (const TableRow& row : aRows) {
+    const Result<WorkerRow> parsed = FromJson<WorkerRow>(row.value_);
+    if (const auto* worker = std::get_if<WorkerRow>(&parsed)) {
+      workers_[worker->id_].row_ = *worker;
+      CellOf(CellName(*worker));
+    }
+  }
+}
+
+CellView&
+SchedulerCore::Private::CellOf(const std::string& aName)
+{
+  std::unique_ptr<CellView>& cell = cells_[aName];
+  if (cell == nullptr) {
+    cell = std::make_unique<CellView>(self_, timings_);
+  }
+  return *cell;
+}
+
+void
+SchedulerCore::Private::TakeCells(const std::vector<TableRow>& aRows,
+                                  bool aCertain,
+                                  Instant aNow)
+{
+  const std::size_t prefix = std::string_view(kCellPrefix).size();
+  for (const TableRow& row : aRows) {
+    const Result<CellRow> parsed = FromJson<CellRow>(row.value_);
+    if (const auto* value = std::get_if<CellRow>(&parsed)) {
+      CellView& cell = CellOf(row.key_.substr(prefix));
+      if (cell.lease_.Observe(*value, row.revision_, aCertain, aNow)) {
+        cell.releasing_.clear();
+        Sync(cell, nullptr, aNow);
+      }
+    }
+  }
+}
+
+void
+SchedulerCore::Private::Sync(CellView& aCell,
+                             const std::vector<TaskRef>* aPlaced,
+                             Instant aNow)
+{
+  if (!aCell.lease_.Owned()) {
+    aCell.held_.clear();
+    return;
+  }
+  std::map<TaskRef, HeldTask> held;
+  const CellRow& row = aCell.lease_.Row();
+  // What an earlier owner granted is over by then: it gave nothing beyond its
+  // own lease and the grace, and its lease began before this write.
+  const Instant foreign =
+    aNow + timings_.cellLease_ + timings_.ownerGrace_ + timings_.margin_;
+  for (const Reservation& reservation : row.reservations_) {
+    const TaskRef ref = RefOf(reservation);
+    const auto known = aCell.held_.find(ref);
+    if (known != aCell.held_.end()) {
+      held[ref] = known->second;
+      continue;
+    }
+    HeldTask task;
+    task.checkpoint_ = reservation.checkpoint_;
+    const bool fresh =
+      aPlaced != nullptr &&
+      std::find(aPlaced->begin(), aPlaced->end(), ref) != aPlaced->end();
+    if (!fresh) {
+      task.granted_ = true;
+      task.foreignGrantOver_ = foreign;
+    }
+    held[ref] = task;
+  }
+  aCell.held_ = std::move(held);
+}
+
+void
+SchedulerCore::Private::TakeJob(const TableRow& aRow,
+                                bool aCertain,
+                                Instant aNow)
+{
+  const std::string id = aRow.key_.substr(std::string_view(kJobPrefix).size());
+  if (aRow.revision_ == 0) {
+    jobs_.erase(id);
+    return;
+  }
+  const auto known = jobs_.find(id);
+  const bool newer =
+    known == jobs_.end() || aRow.revision_ > known->second.revision_;
+  if (!newer && !aCertain) {
+    return;
+  }
+  const Result<JobRow> parsed = FromJson<JobRow>(aRow.value_);
+  if (const auto* row = std::get_if<JobRow>(&parsed)) {
+    JobView& job = jobs_[id];
+    job.row_ = *row;
+    job.revision_ = aRow.revision_;
+    job.learnedAt_ = aNow;
+  }
+}
+
+void
+SchedulerCore::Private::TakeJobs(const std::vector<TableRow>& aRows,
+                                 Instant aSentAt,
+                                 Instant aNow)
+{
+  std::set<std::string> listed;
+  for (const TableRow& row : aRows) {
+    listed.insert(row.key_.substr(std::string_view(kJobPrefix).size()));
+    TakeJob(row, false, aNow);
+  }
+  std::erase_if(jobs_, [&](const auto& aJob) {
+    const JobView& view = aJob.second;
+    return !listed.contains(aJob.first) && !view.busy_ &&
+           view.learnedAt_ < aSentAt;
+  });
+}
+
+void
+SchedulerCore::Private::TakeEntries(const std::vector<TableRow>& aRows,
+                                    Instant aNow)
+{
+  for (const TableRow& row : aRows) {
+    const std::string name =
+      row.key_.substr(std::string_view(kEntryPrefix).size());
+    EntryView& entry = entries_[name];
+    if (row.revision_ > entry.revision_) {
+      entry = { row.revision_, aNow };
+    }
+  }
+}
+
+void
+SchedulerCore::Private::Announce(Instant aNow)
+{
+  if (aNow < announceAt_ || announcement_ != 0 || handingOver_) {
+    return;
+  }
+  announceAt_ = aNow + timings_.beatEvery_;
+  announcement_ = nextToken_++;
+  const EntryRow row{ self_.name_, self_.incarnation_, ++announcements_ };
+  TableTransaction transaction;
+  transaction.puts_.push_back({ kEntryPrefix + self_.name_, ToJson(row) });
+  actions_.emplace_back(TransactAction{ announcement_, transaction });
+  ++counts_.tableWrites_;
+}
+
+/** How many live entries come before this one for the cell, by rendezvous
+ * hashing: cells spread, and few move when an entry comes or goes. */
+std::size_t
+SchedulerCore::Private::RankFor(const std::string& aCell, Instant aNow) const
+{
+  const std::uint64_t mine = StableHash(self_.name_ + "|" + aCell);
+  std::size_t rank = 0;
+  for (const auto& [name, entry] : entries_) {
+    const bool live = aNow < entry.changedAt_ + timings_.entrySilence_;
+    if (live && name != self_.name_ && StableHash(name + "|" + aCell) > mine) {
+      ++rank;
+    }
+  }
+  return rank;
+}
+
+void
+SchedulerCore::Private::StepCell(const std::string& aName,
+                                 CellView& aCell,
+                                 Instant aNow)
+{
+  if (!aCell.lease_.Owned()) {
+    if (!handingOver_ && aCell.lease_.MayTake(RankFor(aName, aNow), aNow)) {
+      Take(aName, aCell, aNow);
+    }
+    return;
+  }
+  if (aCell.lease_.MayWrite(aNow)) {
+    Write(aName, aCell, aNow);
+  }
+  if (aCell.lease_.Owned()) {
+    CommandWorkers(aName, aCell, aNow);
+  }
+}
+
+void
+SchedulerCore::Private::Take(const std::string& aName,
+                             CellView& aCell,
+                             Instant aNow)
+{
+  PendingWrite write;
+  write.cell_ = aName;
+  write.next_ = aCell.lease_.Stamp(aCell.lease_.Row(), true);
+  Send(std::move(write), aCell, aNow);
+}
+
+bool
+SchedulerCore::Private::WantsHandOver(const std::string& aName,
+                                      CellView& aCell,
+                                      Instant aNow)
+{
+  if (handingOver_) {
+    return true;
+  }
+  const bool here = RankFor(aName, aNow) == 0;
+  if (here || aCell.preferredHere_) {
+    aCell.preferredElsewhereSince_ = aNow;
+  }
+  aCell.preferredHere_ = here;
+  return !here &&
+         aNow >= aCell.preferredElsewhereSince_ + timings_.entrySilence_;
+}
+
+void
+SchedulerCore::Private::Write(const std::string& aName,
+                              CellView& aCell,
+                              Instant aNow)
+{
+  PendingWrite write;
+  write.cell_ = aName;
+  CellLedger ledger(aCell.lease_.Row());
+  const bool handOver = WantsHandOver(aName, aCell, aNow);
+  CollectEnds(aCell, ledger, write, aNow);
+  if (!handOver) {
+    CollectPlacements(aName, aCell, ledger, write, aNow);
+  }
+  const bool changed = !write.jobs_.empty();
+  if (!changed && !handOver && !aCell.lease_.BeatDue(aNow)) {
+    return;
+  }
+  for (Reservation& reservation : ledger.Row().reservations_) {
+    const auto held = aCell.held_.find(RefOf(reservation));
+    if (held != aCell.held_.end()) {
+      reservation.checkpoint_ = held->second.checkpoint_;
+    }
+  }
+  write.next_ = aCell.lease_.Stamp(ledger.Row(), false);
+  if (handOver) {
+    write.next_.owner_.clear();
+  }
+  Send(std::move(write), aCell, aNow);
+}
+
+void
+SchedulerCore::Private::Send(PendingWrite aWrite, CellView& aCell, Instant aNow)
+{
+  const std::string key = kCellPrefix + aWrite.cell_;
+  TableTransaction transaction;
+  transaction.conditions_.push_back({ key, aCell.lease_.Revision() });
+  transaction.puts_.push_back({ key, ToJson(aWrite.next_) });
+  for (const auto& [id, row] : aWrite.jobs_) {
+    JobView& job = jobs_[id];
+    job.busy_ = true;
+    transaction.conditions_.push_back({ kJobPrefix + id, job.revision_ });
+    if (JobLedger(row).IsOver()) {
+      transaction.deletes_.push_back(kJobPrefix + id);
+      transaction.puts_.push_back({ kDonePrefix + id, ToJson(row) });
+    } else {
+      transaction.puts_.push_back({ kJobPrefix + id, ToJson(row) });
+    }
+  }
+  const std::uint64_t token = nextToken_++;
+  aWrite.sentAt_ = aNow;
+  aCell.lease_.WriteSent(aWrite.next_, aNow);
+  writes_[token] = std::move(aWrite);
+  actions_.emplace_back(TransactAction{ token, std::move(transaction) });
+  ++counts_.tableWrites_;
+}
+
+JobRow*
+SchedulerCore::Private::JobFor(PendingWrite& aWrite, const std::string& aJobId)
+{
+  const auto changed = aWrite.jobs_.find(aJobId);
+  if (changed != aWrite.jobs_.end()) {
+    return &changed->second;
+  }
+  const auto known = jobs_.find(aJobId);
+  if (known == jobs_.end() || known->second.busy_) {
+    return nullptr;
+  }
+  return &known->second.row_;
+}
+
+std::optional<TaskEnd>
+SchedulerCore::Private::EndOf(const CellView& aCell,
+                              const Reservation& aReservation,
+                              Instant aNow) const
+{
+  const HeldTask& held = aCell.held_.at(RefOf(aReservation));
+  if (held.ended_.has_value()) {
+    switch (held.ended_->result_) {
+      case EndResult::Completed:
+        return TaskEnd::Completed;
+      case EndResult::Failed:
+        return TaskEnd::Failed;
+      case EndResult::Stopped:
+        return TaskEnd::Stopped;
+      case EndResult::NeverStarted:
+        return TaskEnd::NeverStarted;
+      default:
+        return TaskEnd::Lost;
+    }
+  }
+  if (!held.granted_) {
+    const auto worker = workers_.find(aReservation.workerId_);
+    const bool there =
+      worker != workers_.end() && worker->second.IsUsable(timings_, aNow) &&
+      worker->second.Incarnation() == aReservation.workerIncarnation_;
+    const auto job = jobs_.find(aReservation.jobId_);
+    const bool wanted =
+      job == jobs_.end() || job->second.row_.wanted_ == Wanted::Run;
+    return there && wanted && !held.evict_
+             ? std::nullopt
+             : std::optional(TaskEnd::NeverStarted);
+  }
+  // A silent worker may be frozen or cut off with the task still going. It
+  // stops by its own clock at the last deadline that any owner gave it; only
+  // past all of them is the room free and the task's fate settled.
+  if (aNow > std::max(held.ownGrantOver_, held.foreignGrantOver_)) {
+    return TaskEnd::Lost;
+  }
+  return std::nullopt;
+}
+
+void
+SchedulerCore::Private::CollectEnds(CellView& aCell,
+                                    CellLedger& aLedger,
+                                    PendingWrite& aWrite,
+                                    Instant aNow)
+{
+  for (const Reservation& reservation : aCell.lease_.Row().reservations_) {
+    const std::optional<TaskEnd> end = EndOf(aCell, reservation, aNow);
+    JobRow* row =
+      end.has_value() ? JobFor(aWrite, reservation.jobId_) : nullptr;
+    if (row == nullptr) {
+      continue;
+    }
+    const TaskRef ref = RefOf(reservation);
+    const HeldTask& held = aCell.held_.at(ref);
+    const std::string checkpoint =
+      held.ended_.has_value() ? held.ended_->checkpoint_ : held.checkpoint_;
+    JobLedger job(*row);
+    const TaskRecord* before = job.Find(reservation.index_);
+    const Verdict earlier =
+      before == nullptr ? Verdict::DidNotRun : before->verdict_;
+    job.End(reservation.index_, reservation.epoch_, *end, checkpoint);
+    aLedger.Release(reservation.jobId_, reservation.index_, reservation.epoch_);
+    aWrite.jobs_[reservation.jobId_] = job.Row();
+    aCell.releasing_.insert(ref);
+    ++aWrite.releases_;
+    aWrite.losses_ += *end == TaskEnd::Lost ? 1 : 0;
+    const Verdict now = *end == TaskEnd::NeverStarted ? Verdict::DidNotRun
+                        : *end == TaskEnd::Lost       ? Verdict::MayHaveRun
+                                                      : Verdict::Ran;
+    std::string detail = "worker " + reservation.workerId_;
+    if (!checkpoint.empty()) {
+      detail += ", checkpoint " + checkpoint;
+    }
+    aWrite.notes_.push_back(MakeNote(ref,
+                                     std::string(TaskEndText(*end)),
+                                     CombineVerdicts(earlier, now),
+                                     detail));
+  }
+}
+
+std::vector<std::string>
+SchedulerCore::Private::JobsInOrder(const std::string& aCell) const
+{
+  std::vector<std::string> ids;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.busy_ && JobLedger(job.row_).NextPending().has_value()) {
+      ids.push_back(id);
+    }
+  }
+  // Services first. Beyond that each cell has an order of its own, so that
+  // owners seldom write the same job's row at once.
+  const auto key = [this, &aCell](const std::string& aId) {
+    const bool urgent = jobs_.at(aId).row_.spec_.kind_ == WorkKind::Service;
+    return std::pair(urgent ? 0 : 1, StableHash(aId + "|" + aCell));
+  };
+  std::sort(
+    ids.begin(), ids.end(), [&key](const auto& aLeft, const auto& aRight) {
+      return key(aLeft) < key(aRight);
+    });
+  return ids;
+}
+
+std::vector<WorkerFacts>
+SchedulerCore::Private::FactsFor(const std::string& aCell,
+                                 const CellView& aView,
+                                 const CellLedger& aLedger,
+                                 Instant aNow) const
+{
+  std::vector<WorkerFacts> facts;
+  for (const auto& [id, worker] : workers_) {
+    if (CellName(worker.row_) != aCell) {
+      continue;
+    }
+    WorkerFacts fact;
+    fact.workerId_ = id;
+    fact.dataCentre_ = worker.row_.dataCentre_;
+    fact.rack_ = worker.row_.rack_;
+    fact.capacity_ = worker.Capacity();
+    fact.reportedAt_ = worker.heardAt_;
+    fact.setAside_ = !worker.IsUsable(timings_, aNow) ||
+                     worker.fencedEpoch_ != aView.lease_.Row().epoch_;
+    Resources unreported;
+    for (const Reservation& reservation : aLedger.Row().reservations_) {
+      if (reservation.workerId_ != id) {
+        continue;
+      }
+      fact.reserved_ += reservation.resources_;
+      fact.programs_.push_back(reservation.program_);
+      fact.urgentTasks_ += reservation.kind_ == WorkKind::Service ? 1 : 0;
+      const auto held = aView.held_.find(RefOf(reservation));
+      if (held == aView.held_.end() || !held->second.acknowledged_) {
+        unreported += reservation.resources_;
+      }
+    }
+    if (worker.report_.has_value()) {
+      fact.used_ = worker.report_->used_;
+    }
+    // Use lags and declared sizes are off: what is truly used counts where it
+    // is more than what was reserved, with what can't show in it yet.
+    unreported += fact.used_;
+    fact.reserved_ = Larger(fact.reserved_, unreported);
+    facts.push_back(std::move(fact));
+  }
+  return facts;
+}
+
+bool
+SchedulerCore::Private::WithinQuota(const JobSpec& aSpec,
+                                    const std::string& aCell,
+                                    const CellLedger& aLedger) const
+{
+  const auto quota = quotas_.find(aSpec.tenant_);
+  if (quota == quotas_.end()) {
+    return true;
+  }
+  std::map<std::string, std::int64_t> held;
+  const auto count = [&](const std::string& aName, const CellRow& aRow) {
+    std::int64_t sum = 0;
+    for (const Reservation& reservation : aRow.reservations_) {
+      const bool same = reservation.tenant_ == aSpec.tenant_;
+      sum += same ? reservation.resources_.milliCpus_ : 0;
+    }
+    held[aName] = std::max(held[aName], sum);
+  };
+  count(aCell, aLedger.Row());
+  for (const auto& [name, cell] : cells_) {
+    if (name != aCell) {
+      count(name, cell->lease_.Row());
+    }
+  }
+  // A write under way may have applied already: the larger of both counts.
+  for (const auto& [token, write] : writes_) {
+    if (write.cell_ != aCell) {
+      count(write.cell_, write.next_);
+    }
+  }
+  std::int64_t total = aSpec.declared_.milliCpus_;
+  for (const auto& [name, sum] : held) {
+    total += sum;
+  }
+  return total <= quota->second;
+}
+
+bool
+SchedulerCore::Private::PlaceOne(const std::string& aName,
+                                 const CellView& aCell,
+                                 CellLedger& aLedger,
+                                 JobLedger& aJob,
+                                 PendingWrite& aWrite,
+                                 Instant aNow)
+{
+  const std::optional<PendingTask> pending = aJob.NextPending();
+  const JobSpec& spec = aJob.Row().spec_;
+  if (!pending.has_value() || !WithinQuota(spec, aName, aLedger)) {
+    return false;
+  }
+  const TaskFacts task{ TaskId(spec.id_, pending->index_),
+                        spec.tenant_,
+                        spec.program_,
+                        spec.kind_,
+                        spec.declared_ };
+  const std::vector<WorkerFacts> facts = FactsFor(aName, aCell, aLedger, aNow);
+  const std::optional<std::size_t> chosen = chooser_->Choose(task, facts, aNow);
+  if (!chosen.has_value()) {
+    return false;
+  }
+  const WorkerFacts& worker = facts[*chosen];
+  Reservation reservation;
+  reservation.jobId_ = spec.id_;
+  reservation.index_ = pending->index_;
+  reservation.tenant_ = spec.tenant_;
+  reservation.program_ = spec.program_;
+  reservation.kind_ = spec.kind_;
+  reservation.epoch_ = pending->epoch_;
+  reservation.workerId_ = worker.workerId_;
+  reservation.workerIncarnation_ = workers_.at(worker.workerId_).Incarnation();
+  reservation.resources_ = spec.declared_;
+  reservation.checkpoint_ = pending->checkpoint_;
+  if (!aLedger.Reserve(reservation, worker.capacity_)) {
+    return false;
+  }
+  aJob.Hold(pending->index_, aName);
+  const TaskRef ref = RefOf(reservation);
+  aWrite.placed_.push_back(ref);
+  aWrite.notes_.push_back(
+    MakeNote(ref, "placed", pending->verdict_, "worker " + worker.workerId_));
+  return true;
+}
+
+void
+SchedulerCore::Private::CollectPlacements(const std::string& aName,
+                                          CellView& aCell,
+                                          CellLedger& aLedger,
+                                          PendingWrite& aWrite,
+                                          Instant aNow)
+{
+  if (!aCell.lease_.MayAct(aNow)) {
+    return;
+  }
+  for (const std::string& id : JobsInOrder(aName)) {
+    JobLedger job(*JobFor(aWrite, id));
+    bool placed = false;
+    while (aWrite.placed_.size() < kMaxPlacementsPerWrite &&
+           PlaceOne(aName, aCell, aLedger, job, aWrite, aNow)) {
+      placed = true;
+    }
+    if (placed) {
+      aWrite.jobs_[id] = job.Row();
+    }
+  }
+}
+
+void
+SchedulerCore::Private::Apply(const PendingWrite& aWrite,
+                              const TableOutcome& aOutcome,
+                              Instant aNow)
+{
+  CellView& cell = CellOf(aWrite.cell_);
+  for (const TableRow& row : aOutcome.rows_) {
+    if (row.key_ == kCellPrefix + aWrite.cell_) {
+      cell.lease_.WriteApplied(
+        aWrite.next_, row.revision_, aWrite.sentAt_, aNow);
+    }
+    const std::size_t prefix = std::string_view(kJobPrefix).size();
+    if (row.key_.starts_with(kJobPrefix)) {
+      const std::string id = row.key_.substr(prefix);
+      JobView& job = jobs_[id];
+      if (row.revision_ > job.revision_) {
+        job.row_ = aWrite.jobs_.at(id);
+        job.revision_ = row.revision_;
+        job.learnedAt_ = aNow;
+      }
+    }
+    if (row.key_.starts_with(kDonePrefix)) {
+      jobs_.erase(row.key_.substr(std::string_view(kDonePrefix).size()));
+    }
+  }
+  cell.releasing_.clear();
+  Sync(cell, &aWrite.placed_, aNow);
+  counts_.placed_ += aWrite.placed_.size();
+  counts_.released_ += aWrite.releases_;
+  counts_.lost_ += aWrite.losses_;
+  for (const RequestStep& note : aWrite.notes_) {
+    actions_.emplace_back(NoteAction{ note });
+  }
+}
+
+void
+SchedulerCore::Private::FinishWrite(PendingWrite aWrite,
+                                    const Result<TableOutcome>& aOutcome,
+                                    Instant aNow)
+{
+  CellView& cell = CellOf(aWrite.cell_);
+  for (const auto& [id, row] : aWrite.jobs_) {
+    const auto job = jobs_.find(id);
+    if (job != jobs_.end()) {
+      job->second.busy_ = false;
+    }
+  }
+  if (const auto* failure = std::get_if<Failure>(&aOutcome)) {
+    if (failure->verdict_ == Verdict::DidNotRun) {
+      cell.lease_.WriteFailed(aNow);
+      if (!cell.lease_.InDoubt()) {
+        cell.releasing_.clear();
+      }
+    } else {
+      cell.lease_.WriteDoubtful(aWrite.next_, aWrite.sentAt_, aNow);
+      Sync(cell, nullptr, aNow);
+    }
+    pollAt_ = std::min(pollAt_, aNow);
+    return;
+  }
+  const auto& outcome = std::get<TableOutcome>(aOutcome);
+  if (outcome.applied_) {
+    Apply(aWrite, outcome, aNow);
+    return;
+  }
+  cell.lease_.WriteRefused(aNow);
+  if (!cell.lease_.InDoubt()) {
+    cell.releasing_.clear();
+  }
+  for (const TableRow& row : outcome.rows_) {
+    if (row.key_.starts_with(kJobPrefix)) {
+      TakeJob(row, true, aNow);
+    } else if (row.revision_ != 0) {
+      TakeCells({ row }, true, aNow);
+    }
+  }
+}
+
+Instant
+SchedulerCore::Private::GrantLimit(const CellView& aCell) const
+{
+  return aCell.lease_.Deadline() + timings_.ownerGrace_;
+}
+
+CommandOrigin
+SchedulerCore::Private::OriginFor(const std::string& aCell,
+                                  const CellView& aView,
+                                  const WorkerView& aWorker) const
+{
+  return { aCell, aView.lease_.Row().epoch_, aWorker.Incarnation() };
+}
+
+bool
+SchedulerCore::Private::WantsStopped(const CellView& aCell,
+                                     const Reservation& aReservation,
+                                     const HeldTask& aHeld) const
+{
+  if (!aHeld.granted_ || aHeld.ended_.has_value() ||
+      aCell.releasing_.contains(RefOf(aReservation))) {
+    return false;
+  }
+  const auto job = jobs_.find(aReservation.jobId_);
+  if (aHeld.evict_) {
+    return true;
+  }
+  if (job == jobs_.end()) {
+    return false;
+  }
+  switch (job->second.row_.wanted_) {
+    case Wanted::Run:
+      return false;
+    case Wanted::Drained:
+      return !aHeld.acknowledged_;
+    default:
+      return true;
+  }
+}
+
+std::optional<WorkerCommand>
+SchedulerCore::Private::NextStop(CellView& aCell, WorkerView& aWorker)
+{
+  for (const Reservation& reservation : aCell.lease_.Row().reservations_) {
+    const TaskRef ref = RefOf(reservation);
+    const HeldTask& held = aCell.held_.at(ref);
+    if (reservation.workerId_ != aWorker.row_.id_ ||
+        reservation.workerIncarnation_ != aWorker.Incarnation() ||
+        !WantsStopped(aCell, reservation, held)) {
+      continue;
+    }
+    const auto job = jobs_.find(reservation.jobId_);
+    const bool cancelled =
+      job != jobs_.end() && job->second.row_.wanted_ == Wanted::Cancelled;
+    StopCommand stop;
+    stop.task_ = ref;
+    stop.checkpointFirst_ = !cancelled;
+    return stop;
+  }
+  return std::nullopt;
+}
+
+std::optional<WorkerCommand>
+SchedulerCore::Private::NextStart(CellView& aCell,
+                                  WorkerView& aWorker,
+                                  Instant aNow)
+{
+  const std::optional<TaskGrant> grant =
+    aWorker.Grant(timings_, GrantLimit(aCell));
+  if (!grant.has_value() || !aCell.lease_.MayAct(aNow)) {
+    return std::nullopt;
+  }
+  for (const Reservation& reservation : aCell.lease_.Row().reservations_) {
+    const TaskRef ref = RefOf(reservation);
+    HeldTask& held = aCell.held_.at(ref);
+    const auto job = jobs_.find(reservation.jobId_);
+    if (reservation.workerId_ != aWorker.row_.id_ ||
+        reservation.workerIncarnation_ != aWorker.Incarnation() ||
+        held.acknowledged_ || held.ended_.has_value() || held.evict_ ||
+        aCell.releasing_.contains(ref) || job == jobs_.end() ||
+        job->second.row_.wanted_ != Wanted::Run) {
+      continue;
+    }
+    StartCommand start;
+    start.task_ = ref;
+    start.until_ = grant->until_;
+    start.program_ = reservation.program_;
+    start.resources_ = reservation.resources_;
+    start.declaredRunMs_ = job->second.row_.spec_.declaredRunMs_;
+    start.checkpoint_ = reservation.checkpoint_;
+    held.ownGrantOver_ = std::max(held.ownGrantOver_, grant->overBy_);
+    if (!std::exchange(held.granted_, true)) {
+      actions_.emplace_back(
+        NoteAction{ MakeNote(ref,
+                             "start sent",
+                             Verdict::MayHaveRun,
+                             "worker " + reservation.workerId_) });
+    }
+    return start;
+  }
+  return std::nullopt;
+}
+
+WorkerCommand
+SchedulerCore::Private::Renewal(CellView& aCell, WorkerView& aWorker)
+{
+  RenewCommand renew;
+  const std::optional<TaskGrant> grant =
+    aWorker.Grant(timings_, GrantLimit(aCell));
+  std::set<TaskRef> known;
+  for (const Reservation& reservation : aCell.lease_.Row().reservations_) {
+    const TaskRef ref = RefOf(reservation);
+    HeldTask& held = aCell.held_.at(ref);
+    if (reservation.workerId_ != aWorker.row_.id_) {
+      continue;
+    }
+    known.insert(ref);
+    if (grant.has_value() && aWorker.FindRunning(ref) != nullptr &&
+        reservation.workerIncarnation_ == aWorker.Incarnation() &&
+        !aCell.releasing_.contains(ref)) {
+      renew.tasks_.push_back(ref);
+      held.ownGrantOver_ = std::max(held.ownGrantOver_, grant->overBy_);
+    }
+  }
+  if (grant.has_value()) {
+    renew.until_ = grant->until_;
+  }
+  const bool certain = !aCell.lease_.InDoubt() && !aCell.lease_.IsWriting() &&
+                       aWorker.fencedEpoch_ == aCell.lease_.Row().epoch_;
+  if (certain && aWorker.report_.has_value()) {
+    for (const EndedTask& ended : aWorker.report_->ended_) {
+      if (!known.contains(ended.task_)) {
+        renew.forget_.push_back(ended.task_);
+      }
+    }
+  }
+  return renew;
+}
+
+void
+SchedulerCore::Private::CommandWorkers(const std::string& aName,
+                                       CellView& aCell,
+                                       Instant aNow)
+{
+  // Beyond its lease an owner still renews what runs, within the grace: no
+  // other owner moves a task before that is over or its worker has answered
+  // to the higher epoch.
+  if (aNow >= GrantLimit(aCell)) {
+    return;
+  }
+  for (auto& [id, worker] : workers_) {
+    if (CellName(worker.row_) == aName && worker.call_ == 0 &&
+        aNow >= worker.callAfter_) {
+      CommandWorker(aName, aCell, worker, aNow);
+    }
+  }
+}
+
+void
+SchedulerCore::Private::CommandWorker(const std::string& aName,
+                                      CellView& aCell,
+                                      WorkerView& aWorker,
+                                      Instant aNow)
+{
+  const bool fenced = aWorker.fencedEpoch_ == aCell.lease_.Row().epoch_;
+  std::optional<WorkerCommand> command;
+  if (fenced && aWorker.IsUsable(timings_, aNow) &&
+      aNow < aWorker.renewDueAt_ + timings_.renewEvery_) {
+    command = NextStop(aCell, aWorker);
+    if (!command.has_value()) {
+      command = NextStart(aCell, aWorker, aNow);
+    }
+  }
+  if (!command.has_value()) {
+    if (aNow < aWorker.renewDueAt_) {
+      return;
+    }
+    aWorker.renewDueAt_ = aNow + timings_.renewEvery_;
+    command = Renewal(aCell, aWorker);
+  }
+  const CommandOrigin origin = OriginFor(aName, aCell, aWorker);
+  std::visit([&origin](auto& aOne) { aOne.origin_ = origin; }, *command);
+  const std::uint64_t token = nextToken_++;
+  aWorker.call_ = token;
+  calls_[token] = { aWorker.row_.id_, aName, origin.cellEpoch_ };
+  actions_.emplace_back(CallWorkerAction{ token,
+                                          aWorker.row_.id_,
+                                          aWorker.row_.address_,
+                                          aWorker.row_.port_,
+                                          std::move(*command) });
+  ++counts_.workerCalls_;
+}
+
+void
+SchedulerCore::Private::HearTask(CellView& aCell,
+                                 const Reservation& aReservation,
+                                 const WorkerView& aWorker,
+                                 Instant aNow)
+{
+  const TaskRef ref = RefOf(aReservation);
+  HeldTask& held = aCell.held_.at(ref);
+  if (const RunningTask* running = aWorker.FindRunning(ref)) {
+    if (!held.acknowledged_) {
+      actions_.emplace_back(NoteAction{ MakeNote(
+        ref, "running", Verdict::Ran, "worker " + aReservation.workerId_) });
+    }
+    held.acknowledged_ = true;
+    held.granted_ = true;
+    if (!running->checkpoint_.empty()) {
+      held.checkpoint_ = running->checkpoint_;
+    }
+    // The worker has answered to this epoch, so it takes no more from earlier
+    // owners: what they gave ends where it says.
+    const Micros left(running->until_ - aWorker.report_->clock_);
+    held.foreignGrantOver_ =
+      std::min(held.foreignGrantOver_, aNow + left + timings_.margin_);
+    return;
+  }
+  if (const EndedTask* ended = aWorker.FindEnded(ref)) {
+    held.ended_ = *ended;
+  }
+  // Neither runs nor has ended: the start may be on its way, or the worker
+  // reports less than it has. It stays counted until it is known to be over.
+}
+
+void
+SchedulerCore::Private::Hear(const PendingCall& aCall,
+                             const WorkerReport& aReport,
+                             Instant aNow)
+{
+  const auto found = workers_.find(aCall.worker_);
+  if (found == workers_.end()) {
+    return;
+  }
+  WorkerView& worker = found->second;
+  CellView& cell = CellOf(aCall.cell_);
+  worker.Heard(aReport, aNow);
+  const CellRow& row = cell.lease_.Row();
+  if (!cell.lease_.Owned() || row.epoch_ != aCall.cellEpoch_) {
+    return;
+  }
+  if (aReport.cellEpoch_ > aCall.cellEpoch_) {
+    cell.lease_.Fenced(aNow);
+    Sync(cell, nullptr, aNow);
+    return;
+  }
+  if (aReport.cellEpoch_ != aCall.cellEpoch_) {
+    return;
+  }
+  worker.fencedEpoch_ = aReport.cellEpoch_;
+  for (const Reservation& reservation : row.reservations_) {
+    if (reservation.workerId_ == aCall.worker_ &&
+        reservation.workerIncarnation_ == aReport.incarnation_) {
+      HearTask(cell, reservation, worker, aNow);
+    }
+  }
+}
+
+SchedulerCore::SchedulerCore(EntryIdentity aSelf,
+                             const WorkTimings& aTimings,
+                             std::unique_ptr<PlacementChooser> aChooser)
+  : private_(std::make_unique<Private>(std::move(aSelf),
+                                       aTimings,
+                                       std::move(aChooser)))
+{
+}
+
+SchedulerCore::~SchedulerCore() = default;
+
+void
+SchedulerCore::Tick(Instant aNow)
+{
+  private_->Announce(aNow);
+  private_->Poll(aNow);
+  for (const auto& [name, cell] : private_->cells_) {
+    private_->StepCell(name, *cell, aNow);
+  }
+}
+
+void
+SchedulerCore::OnRows(std::uint64_t aToken,
+                      const Result<std::vector<TableRow>>& aRows,
+                      Instant aNow)
+{
+  const auto read = private_->reads_.find(aToken);
+  if (read == private_->reads_.end()) {
+    return;
+  }
+  const PendingRead pending = read->second;
+  private_->reads_.erase(read);
+  const auto* rows = std::get_if<std::vector<TableRow>>(&aRows);
+  if (rows == nullptr) {
+    return;
+  }
+  if (pending.prefix_ == kWorkerPrefix) {
+    private_->TakeWorkers(*rows);
+  } else if (pending.prefix_ == kCellPrefix) {
+    private_->TakeCells(*rows, false, aNow);
+    for (const auto& [name, cell] : private_->cells_) {
+      cell->lease_.ObserveAbsent(aNow);
+    }
+  } else if (pending.prefix_ == kJobPrefix) {
+    private_->TakeJobs(*rows, pending.sentAt_, aNow);
+  } else {
+    private_->TakeEntries(*rows, aNow);
+  }
+}
+
+void
+SchedulerCore::OnTransact(std::uint64_t aToken,
+                          const Result<TableOutcome>& aOutcome,
+                          Instant aNow)
+{
+  if (aToken == private_->announcement_) {
+    private_->announcement_ = 0;
+    return;
+  }
+  const auto write = private_->writes_.find(aToken);
+  if (write == private_->writes_.end()) {
+    return;
+  }
+  PendingWrite pending = std::move(write->second);
+  private_->writes_.erase(write);
+  private_->FinishWrite(std::move(pending), aOutcome, aNow);
+}
+
+void
+SchedulerCore::OnWorker(std::uint64_t aToken,
+                        const Result<WorkerReport>& aReport,
+                        Instant aNow)
+{
+  const auto call = private_->calls_.find(aToken);
+  if (call == private_->calls_.end()) {
+    return;
+  }
+  const PendingCall pending = call->second;
+  private_->calls_.erase(call);
+  const auto* report = std::get_if<WorkerReport>(&aReport);
+  const bool own = report != nullptr && report->workerId_ == pending.worker_;
+  if (!own) {
+    private_->workers_[pending.worker_].CallFailed(aNow);
+    return;
+  }
+  private_->Hear(pending, *report, aNow);
+}
+
+std::vector<SchedulerAction>
+SchedulerCore::TakeActions()
+{
+  return std::exchange(private_->actions_, {});
+}
+
+void
+SchedulerCore::SetQuotas(std::map<std::string, std::int64_t> aQuotas)
+{
+  private_->quotas_ = std::move(aQuotas);
+}
+
+bool
+SchedulerCore::Evict(const std::string& aTaskId)
+{
+  for (const auto& [name, cell] : private_->cells_) {
+    for (auto& [ref, held] : cell->held_) {
+      if (ref.taskId_ == aTaskId) {
+        held.evict_ = true;
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void
+SchedulerCore::Nudge()
+{
+  private_->pollAt_ = Instant();
+}
+
+void
+SchedulerCore::HandOver()
+{
+  private_->handingOver_ = true;
+}
+
+bool
+SchedulerCore::IsHandedOver() const
+{
+  return OwnedCells().empty() && private_->writes_.empty();
+}
+
+std::vector<std::string>
+SchedulerCore::OwnedCells() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, cell] : private_->cells_) {
+    if (cell->lease_.Owned()) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+const SchedulerCounts&
+SchedulerCore::Counts() const
+{
+  return private_->counts_;
+}
+
+}
--- /dev/null
+++ b/Source/Version/CellLease.cxx
@@ -0,0 +1,188 @@
+#include "Version/CellLease.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+constexpr Millis kFirstPause{ 250 };
+constexpr std::uint32_t kMaxPauseDoublings = 4;
+
+}
+
+CellLease::CellLease(EntryIdentity aSelf, const WorkTimings& aTimings)
+  : self_(std::move(aSelf))
+  , timings_(aTimings)
+{
+}
+
+bool
+CellLease::IsMine(const CellRow& aRow) const
+{
+  return aRow.owner_ == self_.name_ &&
+         aRow.ownerIncarnation_ == self_.incarnation_;
+}
+
+bool
+CellLease::MayAct(Instant aNow) const
+{
+  return owned_ && aNow < deadline_;
+}
+
+bool
+CellLease::MayTake(std::size_t aRank, Instant aNow) const
+{
+  if (!seen_ || owned_ || !MayWrite(aNow)) {
+    return false;
+  }
+  const Micros wait = timings_.rankDelay_ * static_cast<std::int64_t>(aRank);
+  if (row_.owner_.empty()) {
+    return aNow >= unchangedSince_ + wait;
+  }
+  // The owner counts its lease from when it sent the write that this entry saw
+  // later, so it has given up by then, whatever the two clocks show. Taking
+  // earlier would leave two entries acting for the cell.
+  return aNow >=
+         unchangedSince_ + timings_.cellLease_ + timings_.margin_ + wait;
+}
+
+bool
+CellLease::MayWrite(Instant aNow) const
+{
+  return !writing_ && aNow >= writeAfter_;
+}
+
+bool
+CellLease::BeatDue(Instant aNow) const
+{
+  return aNow >= beatDueAt_ || InDoubt();
+}
+
+CellRow
+CellLease::Stamp(CellRow aRow, bool aTake)
+{
+  aRow.owner_ = self_.name_;
+  aRow.ownerIncarnation_ = self_.incarnation_;
+  if (aTake) {
+    ++aRow.epoch_;
+  }
+  // Unique among this owner's writes, so that the row tells which one applied.
+  nextBeat_ = std::max(nextBeat_, aRow.beat_) + 1;
+  aRow.beat_ = nextBeat_;
+  return aRow;
+}
+
+void
+CellLease::WriteSent(const CellRow&, Instant aNow)
+{
+  writing_ = true;
+  beatDueAt_ = aNow + timings_.beatEvery_;
+}
+
+void
+CellLease::Adopt(const CellRow& aRow, std::uint64_t aRevision, Instant aNow)
+{
+  row_ = aRow;
+  revision_ = aRevision;
+  seen_ = true;
+  unchangedSince_ = aNow;
+  doubtful_.clear();
+}
+
+void
+CellLease::WriteApplied(const CellRow& aRow,
+                        std::uint64_t aRevision,
+                        Instant aSentAt,
+                        Instant aNow)
+{
+  writing_ = false;
+  failures_ = 0;
+  if (aRevision < revision_) {
+    return;
+  }
+  Adopt(aRow, aRevision, aNow);
+  owned_ = IsMine(aRow);
+  deadline_ = aSentAt + timings_.cellLease_;
+}
+
+void
+CellLease::PauseWrites(Instant aNow)
+{
+  writing_ = false;
+  const std::uint32_t doublings = std::min(failures_, kMaxPauseDoublings);
+  writeAfter_ = aNow + kFirstPause * (1U << doublings);
+  beatDueAt_ = aNow;
+  ++failures_;
+}
+
+void
+CellLease::WriteRefused(Instant aNow)
+{
+  writing_ = false;
+  beatDueAt_ = aNow;
+}
+
+void
+CellLease::WriteFailed(Instant aNow)
+{
+  PauseWrites(aNow);
+}
+
+void
+CellLease::WriteDoubtful(const CellRow& aRow, Instant aSentAt, Instant aNow)
+{
+  PauseWrites(aNow);
+  if (IsMine(row_) && row_.beat_ == aRow.beat_) {
+    // A read showed the write's effect before its answer was given up.
+    owned_ = true;
+    deadline_ = aSentAt + timings_.cellLease_;
+    return;
+  }
+  doubtful_.push_back({ aRow.beat_, aSentAt });
+}
+
+bool
+CellLease::Observe(const CellRow& aRow,
+                   std::uint64_t aRevision,
+                   bool aCertain,
+                   Instant aNow)
+{
+  // A read may answer from the past: only a refused write shows a lower
+  // revision truthfully. A read that shows the known revision proves nothing
+  // about a doubtful write, which may still be on its way.
+  if (seen_ && aRevision <= revision_ &&
+      !(aCertain && aRevision != revision_)) {
+    return false;
+  }
+  const bool mine = IsMine(aRow);
+  for (const DoubtfulWrite& write : doubtful_) {
+    if (mine && write.beat_ == aRow.beat_) {
+      deadline_ = write.sentAt_ + timings_.cellLease_;
+    }
+  }
+  // Another start of this entry by the same name, or a row that was restored,
+  // gives no right that this start did not earn by a write of its own.
+  owned_ = mine && (owned_ || InDoubt());
+  Adopt(aRow, aRevision, aNow);
+  return true;
+}
+
+void
+CellLease::ObserveAbsent(Instant aNow)
+{
+  if (!seen_) {
+    seen_ = true;
+    unchangedSince_ = aNow;
+  }
+}
+
+void
+CellLease::Fenced(Instant aNow)
+{
+  owned_ = false;
+  unchangedSince_ = aNow;
+}
+
+}
--- /dev/null
+++ b/Source/Version/JobLedger.cxx
@@ -0,0 +1,206 @@
+#include "Version/JobLedger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+/** A task that failed this often is counted as failed for good. */
+constexpr std::uint32_t kMaxFailures = 3;
+
+Verdict
+EndVerdict(TaskEnd aEnd)
+{
+  switch (aEnd) {
+    case TaskEnd::NeverStarted:
+      return Verdict::DidNotRun;
+    case TaskEnd::Lost:
+      return Verdict::MayHaveRun;
+    default:
+      return Verdict::Ran;
+  }
+}
+
+}
+
+std::string_view
+TaskEndText(TaskEnd aEnd)
+{
+  switch (aEnd) {
+    case TaskEnd::Completed:
+      return "completed";
+    case TaskEnd::Failed:
+      return "failed";
+    case TaskEnd::Stopped:
+      return "stopped";
+    case TaskEnd::Lost:
+      return "lost";
+    default:
+      return "never started";
+  }
+}
+
+std::string_view
+WantedText(Wanted aWanted)
+{
+  switch (aWanted) {
+    case Wanted::Run:
+      return "running";
+    case Wanted::Paused:
+      return "paused";
+    case Wanted::Drained:
+      return "drained";
+    case Wanted::Stopped:
+      return "stopped";
+    default:
+      return "cancelled";
+  }
+}
+
+JobLedger::JobLedger(JobRow aRow)
+  : row_(std::move(aRow))
+{
+}
+
+TaskRecord*
+JobLedger::FindOpen(std::uint32_t aIndex)
+{
+  const auto found = std::find_if(
+    row_.open_.begin(), row_.open_.end(), [aIndex](const TaskRecord& aTask) {
+      return aTask.index_ == aIndex;
+    });
+  return found == row_.open_.end() ? nullptr : &*found;
+}
+
+const TaskRecord*
+JobLedger::Find(std::uint32_t aIndex) const
+{
+  return const_cast<JobLedger*>(this)->FindOpen(aIndex);
+}
+
+std::optional<PendingTask>
+JobLedger::NextPending() const
+{
+  if (row_.wanted_ != Wanted::Run) {
+    return std::nullopt;
+  }
+  for (const TaskRecord& task : row_.open_) {
+    if (task.state_ == TaskState::Pending) {
+      return PendingTask{
+        task.index_, task.epoch_, task.checkpoint_, task.verdict_
+      };
+    }
+  }
+  if (row_.fresh_ < row_.spec_.tasks_) {
+    return PendingTask{ row_.fresh_, 1, {}, Verdict::DidNotRun };
+  }
+  return std::nullopt;
+}
+
+void
+JobLedger::Hold(std::uint32_t aIndex, const std::string& aCell)
+{
+  if (aIndex == row_.fresh_) {
+    ++row_.fresh_;
+    TaskRecord task;
+    task.index_ = aIndex;
+    row_.open_.push_back(task);
+  }
+  TaskRecord* task = FindOpen(aIndex);
+  task->state_ = TaskState::Held;
+  task->cell_ = aCell;
+}
+
+void
+JobLedger::Close(std::uint32_t aIndex)
+{
+  std::erase_if(row_.open_, [aIndex](const TaskRecord& aTask) {
+    return aTask.index_ == aIndex;
+  });
+}
+
+bool
+JobLedger::IsFinal() const
+{
+  return row_.wanted_ == Wanted::Stopped || row_.wanted_ == Wanted::Cancelled;
+}
+
+bool
+JobLedger::MayRunAgain(TaskEnd aEnd, const std::string& aCheckpoint) const
+{
+  // A payout batch whose worker vanished may have paid after its last
+  // checkpoint; starting it again would pay twice. Only a checkpoint that was
+  // taken by the stop itself says how far it came.
+  return row_.spec_.idempotent_ || aEnd == TaskEnd::NeverStarted ||
+         (aEnd == TaskEnd::Stopped && !aCheckpoint.empty());
+}
+
+bool
+JobLedger::End(std::uint32_t aIndex,
+               std::uint64_t aEpoch,
+               TaskEnd aEnd,
+               const std::string& aCheckpoint)
+{
+  TaskRecord* task = FindOpen(aIndex);
+  // A worker that was frozen past its lease reports an end long after its task
+  // went elsewhere: the epoch has risen, the late word changes nothing.
+  if (task == nullptr || task->state_ != TaskState::Held ||
+      task->epoch_ != aEpoch) {
+    return false;
+  }
+  if (aEnd == TaskEnd::Completed) {
+    ++row_.completed_;
+    Close(aIndex);
+    return true;
+  }
+  if (aEnd == TaskEnd::Failed) {
+    ++task->failures_;
+    if (!row_.spec_.idempotent_ || task->failures_ >= kMaxFailures) {
+      ++row_.failed_;
+      Close(aIndex);
+      return true;
+    }
+  }
+  if (IsFinal() && aEnd != TaskEnd::Lost) {
+    ++row_.ended_;
+    Close(aIndex);
+    return true;
+  }
+  task->state_ =
+    MayRunAgain(aEnd, aCheckpoint) ? TaskState::Pending : TaskState::Parked;
+  task->verdict_ = task->verdict_ == Verdict::Ran
+                     ? Verdict::Ran
+                     : CombineVerdicts(task->verdict_, EndVerdict(aEnd));
+  task->cell_.clear();
+  ++task->epoch_;
+  if (!aCheckpoint.empty()) {
+    task->checkpoint_ = aCheckpoint;
+  }
+  return true;
+}
+
+void
+JobLedger::Unpark()
+{
+  for (TaskRecord& task : row_.open_) {
+    if (task.state_ == TaskState::Parked) {
+      task.state_ = TaskState::Pending;
+    }
+  }
+}
+
+bool
+JobLedger::IsOver() const
+{
+  if (IsFinal()) {
+    return std::none_of(
+      row_.open_.begin(), row_.open_.end(), [](const TaskRecord& aTask) {
+        return aTask.state_ == TaskState::Held;
+      });
+  }
+  return row_.fresh_ == row_.spec_.tasks_ && row_.open_.empty();
+}
+
+}
--- /dev/null
+++ b/Source/Version/WorkVerbs.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "Request/Failure.h"
+#include "Version/TableRows.h"
+#include "Version/WorkRows.h"
+
+#include <cereal/cereal.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cactusrail {
+
+/** What an operator asks of work. */
+struct VerbRequest
+{
+  /** Chosen by the operator; a repeat returns the first outcome. */
+  std::string operationId_;
+  /** create, pause, resume, drain, stop or cancel. */
+  std::string verb_;
+  /** Which jobs; not used by create. */
+  std::string selector_;
+  /** Used by create alone. */
+  JobSpec spec_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(cereal::make_nvp("operation", operationId_),
+       cereal::make_nvp("verb", verb_),
+       cereal::make_nvp("selector", selector_),
+       cereal::make_nvp("spec", spec_));
+  }
+};
+
+/** What a verb came to for one job. */
+struct JobOutcome
+{
+  std::string jobId_;
+  /** Whether this operation changed the job. */
+  bool changed_ = false;
+  /** A whole sentence. */
+  std::string outcome_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(cereal::make_nvp("job", jobId_),
+       cereal::make_nvp("changed", changed_),
+       cereal::make_nvp("outcome", outcome_));
+  }
+};
+
+/** The row "operation/ID": written with the changes, in one transaction. */
+struct OperationRow
+{
+  VerbRequest request_;
+  std::vector<JobOutcome> jobs_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(cereal::make_nvp("request", request_), cereal::make_nvp("jobs", jobs_));
+  }
+};
+
+/** What create checks a job against. */
+struct CreationFacts
+{
+  /** Tenants and their quotas in thousandths of processors; 0: no bound. */
+  std::map<std::string, std::int64_t> quotas_;
+};
+
+/** What a verb session asks next of its I/O layer. */
+struct VerbRead
+{
+  std::string prefix_;
+};
+
+struct VerbWrite
+{
+  TableTransaction transaction_;
+};
+
+/** The end: an HTTP status, and a row or a message. */
+struct VerbAnswer
+{
+  int status_ = 200;
+  OperationRow operation_;
+  std::string message_;
+};
+
+using VerbStep = std::variant<VerbRead, VerbWrite, VerbAnswer>;
+
+/**
+ * One operator's verb from its arrival to its answer. Pure. Every verb has one
+ * outcome: its changes and the outcome's row are written together, on the
+ * condition that no operation of that id was written before. So a repeat, a
+ * retry after a lost answer and a race of both find the first outcome.
+ */
+class VerbSession
+{
+public:
+  VerbSession(VerbRequest aRequest, CreationFacts aFacts);
+
+  VerbStep Begin();
+  VerbStep OnRows(const Result<std::vector<TableRow>>& aRows);
+  VerbStep OnWritten(const Result<TableOutcome>& aOutcome);
+
+private:
+  enum class Stage : std::uint8_t
+  {
+    Operation,
+    Workers,
+    Jobs,
+    Done,
+    Writing,
+  };
+
+  VerbStep Again();
+  VerbStep Prepare();
+  VerbStep PrepareCreate();
+  VerbStep PrepareChange();
+  VerbStep Write(TableTransaction aTransaction, OperationRow aOutcome);
+  VerbStep Refuse(int aStatus, std::string aMessage) const;
+  std::optional<VerbStep> FindFirstOutcome(
+    const std::vector<TableRow>& aRows) const;
+  void Keep(const std::vector<TableRow>& aRows, bool aCertain);
+  const TableRow* RowOf(const std::string& aKey) const;
+
+  VerbRequest request_;
+  CreationFacts facts_;
+  Stage stage_ = Stage::Operation;
+  std::uint32_t attempts_ = 0;
+  bool mayHaveTakenEffect_ = false;
+  std::map<std::string, TableRow> rows_;
+  std::vector<WorkerRow> workers_;
+  OperationRow prepared_;
+};
+
+}
--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -118,6 +118,11 @@
     --announce "$(value announce)" --service pricing
 done
 
+for number in 1 2; do
+  start worker$number $standins/standin-worker --listen 127.0.0.1 \
+    --table "$table" --id worker$number --data-centre dc$number --rack r1
+done
+
 step="configuring"
 $program create-tenant "${operators[0]}" clerk demo-key >/dev/null
 $program create-service "${operators[0]}" pricing once 5000 >/dev/null
@@ -139,6 +144,20 @@
 echo "\$ cactusrail explain ${operators[1]} $id"
 $program explain "${operators[1]}" "$id"
 
+step="running a batch job"
+echo "\$ cactusrail create-job ${operators[0]} payouts tasks=6 ..."
+wait_for $program create-job "${operators[0]}" payouts tenant=clerk \
+  program=payout tasks=6 milli-cpus=4000 memory-mb=1000 run-ms=1000 \
+  label.team=vouchers operation=demo-create
+echo "\$ cactusrail jobs ${operators[1]} team=vouchers"
+job_is_finished() {
+  $program jobs "${operators[1]}" team=vouchers | grep -q '"finished"'
+}
+wait_for job_is_finished
+$program jobs "${operators[1]}" team=vouchers
+$program explain "${operators[1]}" payouts.0
+grep -hE '^(started|ended)' "$work"/worker*.out | sort | uniq -c
+
 if [ $hold = yes ]; then
   echo "entry http://${https[0]}"
   echo "entry http://${https[1]}"
