--- a/Source/Process/EntryProcess.cxx
+++ b/Source/Process/EntryProcess.cxx
@@ -10,6 +10,8 @@
 #include "Process/Log.h"
 #include "Process/MembershipListener.h"
 #include "Process/OperatorRoutes.h"
+#include "Process/Scheduler.h"
+#include "Process/WorkPages.h"
 #include "Version/ConfigurationHolder.h"
 
 #include <QTimer>
@@ -41,6 +43,12 @@
               configuration_,
               presence_.Directory(),
               aSettings.name_ + "-" + std::to_string(incarnation_) + "-")
+    , scheduler_({ aSettings.name_, incarnation_ },
+                 table_,
+                 configuration_,
+                 journal_,
+                 MakeChooser(FirstFitPlacement()))
+    , workPages_(table_, configuration_, scheduler_)
   {
   }
 
@@ -58,6 +66,8 @@
   TableClient table_;
   EntryPresence presence_;
   ConfigurationKeeper keeper_;
+  Scheduler scheduler_;
+  WorkPages workPages_;
   OperatorRoutes routes_;
   std::vector<std::unique_ptr<Lane>> lanes_;
   std::unique_ptr<MembershipListener> membership_;
@@ -91,6 +101,7 @@
   own.membership_ =
     settings_.membership_.ip_ + ":" + std::to_string(membership_->Port());
   presence_.Start(own);
+  scheduler_.Start();
   return true;
 }
 
@@ -144,6 +155,7 @@
 {
   AddHealthRoutes();
   keeper_.AddRoutes(routes_);
+  workPages_.AddRoutes(routes_);
   membership_->AddRoutes(routes_);
   explainer_->AddRoutes(routes_);
   auto front = HttpFront::Listen(
@@ -192,6 +204,7 @@
     open += lane->InProgress();
     finished = finished && lane->Drained();
   }
+  finished = finished && scheduler_.IsHandedOver();
   if (!finished && now < stopDeadline_) {
     return;
   }
@@ -227,6 +240,7 @@
   self->listenUntil_ = now + kBalancerNotice;
   self->stopDeadline_ = now + Millis(self->settings_.stopBoundMs_);
   self->stopped_ = std::move(aDone);
+  self->scheduler_.HandOver();
   LogChange("stopping", {});
   for (const std::unique_ptr<Lane>& lane : self->lanes_) {
     lane->CloseAfterAnswers();
