Measure: Drive the decision modules on a virtual clock

The policy could not be chosen for want of figures. cactusrail-measure runs first fit, least loaded, random of two, the decision modules and an oracle against small fake workers and runners with a hidden table of slowdowns, late reports, load waves, faults and mis-declared sizes, for both deployments.

First modules: Router with OutlierTracker and RetryBudget, UsageEstimate, InterferenceModel with its history, PlacementEngine, Reaction, WorkerHealth.

--- /dev/null
+++ b/Source/Version/PlacementEngine.cxx
@@ -0,0 +1,162 @@
+#include "Version/PlacementEngine.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace cactusrail {
+
+namespace {
+
+/** Reports lag; a placement may be missing from one this much younger. */
+constexpr Millis kReportSettle{ 1500 };
+/** Load that a runner is taken to reach soon, whatever it reports now. */
+constexpr double kLeastLoad = 0.2;
+constexpr double kPackingWeight = 0.02;
+constexpr double kSameProgramPenalty = 1.0;
+
+double
+PartTaken(const Resources& aTaken, const Resources& aCapacity)
+{
+  const auto part = [](std::int64_t aUsed, std::int64_t aAll) {
+    return aAll == 0 ? 0.0
+                     : static_cast<double>(aUsed) / static_cast<double>(aAll);
+  };
+  return std::max(part(aTaken.milliCpus_, aCapacity.milliCpus_),
+                  part(aTaken.memoryMb_, aCapacity.memoryMb_));
+}
+
+}
+
+PlacementEngine::PlacementEngine(const Rules& aRules,
+                                 const UsageEstimate& aUsage,
+                                 const InterferenceModel& aInterference,
+                                 InterferenceModel::Program aVictim,
+                                 std::uint64_t aSeed)
+  : rules_(aRules)
+  , usage_(aUsage)
+  , interference_(aInterference)
+  , victim_(aVictim)
+  , random_(aSeed)
+{
+}
+
+std::uint64_t
+PlacementEngine::NextRandom()
+{
+  random_ = random_ * 6364136223846793005ULL + 1442695040888963407ULL;
+  return random_ >> 33U;
+}
+
+bool
+PlacementEngine::ExpectedToFit(const Resources& aExpected,
+                               const WorkerFacts& aWorker,
+                               Instant)
+{
+  Resources taken = aWorker.used_;
+  const auto found = pending_.find(aWorker.workerId_);
+  if (found != pending_.end()) {
+    std::erase_if(found->second, [&aWorker](const Pending& aPending) {
+      return aPending.placedAt_ + kReportSettle < aWorker.reportedAt_;
+    });
+    for (const Pending& pending : found->second) {
+      taken += pending.resources_;
+    }
+  }
+  const auto limit = [this](std::int64_t aAll) {
+    return static_cast<double>(aAll) * rules_.fillLimit_;
+  };
+  return static_cast<double>(taken.milliCpus_ + aExpected.milliCpus_) <=
+           limit(aWorker.capacity_.milliCpus_) &&
+         static_cast<double>(taken.memoryMb_ + aExpected.memoryMb_) <=
+           limit(aWorker.capacity_.memoryMb_);
+}
+
+double
+PlacementEngine::Score(const TaskFacts& aTask,
+                       InterferenceModel::Program aProgram,
+                       const WorkerFacts& aWorker) const
+{
+  const double load = std::max(kLeastLoad, aWorker.urgentLoad_);
+  const double harm =
+    interference_.Cost(victim_, aProgram, load) * load * rules_.harmWeight_;
+  Resources after = aWorker.reserved_;
+  after += aTask.declared_;
+  return harm - kPackingWeight * PartTaken(after, aWorker.capacity_);
+}
+
+double
+PlacementEngine::ServiceScore(const TaskFacts& aTask,
+                              const WorkerFacts& aWorker) const
+{
+  // Replicas of one service apart, so that a host's failure takes one.
+  const auto same = std::count(
+    aWorker.programs_.begin(), aWorker.programs_.end(), aTask.program_);
+  return static_cast<double>(same) * kSameProgramPenalty +
+         PartTaken(aWorker.reserved_, aWorker.capacity_);
+}
+
+std::optional<std::size_t>
+PlacementEngine::Choose(const TaskFacts& aTask,
+                        std::span<const WorkerFacts> aWorkers,
+                        Instant aNow)
+{
+  const std::size_t count = aWorkers.size();
+  if (count == 0) {
+    return std::nullopt;
+  }
+  const bool urgent = aTask.kind_ == WorkKind::Service;
+  if (urgent) {
+    urgentSize_.milliCpus_ =
+      std::max(urgentSize_.milliCpus_, aTask.declared_.milliCpus_);
+    urgentSize_.memoryMb_ =
+      std::max(urgentSize_.memoryMb_, aTask.declared_.memoryMb_);
+  }
+  const auto isOpen = [this](const WorkerFacts& aWorker) {
+    return !aWorker.setAside_ &&
+           urgentSize_.FitsIn(aWorker.capacity_, aWorker.reserved_);
+  };
+  const auto open = static_cast<std::size_t>(
+    std::count_if(aWorkers.begin(), aWorkers.end(), isOpen));
+  const InterferenceModel::Program program = interference_.Find(aTask.program_);
+  const Resources expected =
+    usage_.Expect(aTask.program_, aTask.declared_, 0).resources_;
+  std::optional<std::size_t> best;
+  double bestScore = std::numeric_limits<double>::max();
+  std::size_t scored = 0;
+  const std::size_t start = NextRandom() % count;
+  for (std::size_t step = 0; step < count && scored < rules_.scored_; ++step) {
+    const std::size_t index = (start + step) % count;
+    const WorkerFacts& worker = aWorkers[index];
+    if (worker.setAside_ ||
+        !aTask.declared_.FitsIn(worker.capacity_, worker.reserved_)) {
+      continue;
+    }
+    if (!urgent) {
+      // Batch work that fills the last open workers would make the next urgent
+      // task wait for a checkpoint or cost an eviction.
+      Resources after = worker.reserved_;
+      after += aTask.declared_;
+      const bool closes =
+        isOpen(worker) && !urgentSize_.FitsIn(worker.capacity_, after);
+      if (closes && open <= rules_.workersKeptOpen_) {
+        continue;
+      }
+      if (!ExpectedToFit(expected, worker, aNow)) {
+        continue;
+      }
+    }
+    ++scored;
+    const double score =
+      urgent ? ServiceScore(aTask, worker) : Score(aTask, program, worker);
+    if (score < bestScore) {
+      best = index;
+      bestScore = score;
+    }
+  }
+  if (best.has_value()) {
+    pending_[aWorkers[*best].workerId_].push_back({ expected, aNow });
+  }
+  return best;
+}
+
+}
--- /dev/null
+++ b/Source/Version/PlacementEngine.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Version/InterferenceModel.h"
+#include "Version/PlacementFacts.h"
+#include "Version/UsageEstimate.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cactusrail {
+
+/**
+ * Chooses workers by declared size, learned use and learned interference. A
+ * PlacementPolicy: never chooses where the declared size does not fit. Pure;
+ * owned by a scheduler, which feeds the two models it reads.
+ */
+class PlacementEngine
+{
+public:
+  struct Rules
+  {
+    /** Workers that are scored in one choice; the rest only if none fits. */
+    std::size_t scored_ = 24;
+    /** Workers on which batch work leaves room for one urgent task. */
+    std::size_t workersKeptOpen_ = 2;
+    /** Expected use may fill this part of a worker. */
+    double fillLimit_ = 1.0;
+    /** Weight of harm to urgent work beside packing. */
+    double harmWeight_ = 1.0;
+  };
+
+  PlacementEngine(const Rules& aRules,
+                  const UsageEstimate& aUsage,
+                  const InterferenceModel& aInterference,
+                  InterferenceModel::Program aVictim,
+                  std::uint64_t aSeed);
+
+  std::optional<std::size_t> Choose(const TaskFacts& aTask,
+                                    std::span<const WorkerFacts> aWorkers,
+                                    Instant aNow);
+
+private:
+  /** Placed here, but not in the worker's latest report yet. */
+  struct Pending
+  {
+    Resources resources_;
+    Instant placedAt_;
+  };
+
+  bool ExpectedToFit(const Resources& aExpected,
+                     const WorkerFacts& aWorker,
+                     Instant aNow);
+  double Score(const TaskFacts& aTask,
+               InterferenceModel::Program aProgram,
+               const WorkerFacts& aWorker) const;
+  double ServiceScore(const TaskFacts& aTask, const WorkerFacts& aWorker) const;
+  std::uint64_t NextRandom();
+
+  Rules rules_;
+  const UsageEstimate& usage_;
+  const InterferenceModel& interference_;
+  InterferenceModel::Program victim_;
+  std::uint64_t random_;
+  /** The largest urgent task seen. */
+  Resources urgentSize_;
+  std::unordered_map<std::string, std::vector<Pending>> pending_;
+};
+
+}
--- a/Source/Version/PlacementFacts.h
+++ b/Source/Version/PlacementFacts.h
@@ -34,6 +34,8 @@
   std::vector<std::string> programs_;
   /** How many of them are urgent. */
   std::uint32_t urgentTasks_ = 0;
+  /** Part of the slots of the runner there that were busy, as last reported. */
+  double urgentLoad_ = 0;
   /** Latest reported use; late by reportAge. */
   Resources used_;
   Instant reportedAt_;
--- /dev/null
+++ b/Source/Version/Reaction.cxx
@@ -0,0 +1,285 @@
+#include "Version/Reaction.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+constexpr double kSlowdownSmoothing = 0.4;
+/** Below this a report says too little to act on. */
+constexpr double kFewSamples = 5;
+/** A task's relief is not worth a step below this. */
+constexpr double kLeastCost = 0.002;
+/** Price of a move, as part of an eviction's. */
+constexpr double kMovePart = 0.15;
+/** What a lost payout weighs beside another task's lost progress. */
+constexpr double kPayoutFactor = 10;
+/** Scales urgent harm, slowdown times load, to the price of an eviction. */
+constexpr double kHarmFactor = 20;
+
+}
+
+Reaction::Reaction(const Rules& aRules, const PolicyWeights& aWeights)
+  : rules_(aRules)
+  , weights_(aWeights)
+{
+}
+
+double
+Reaction::PriceOfLoss(const RunningTask& aTask) const
+{
+  const bool atRisk = aTask.payout_ && !aTask.checkpointed_;
+  return weights_.evictions_ * (atRisk ? kPayoutFactor : 1);
+}
+
+bool
+Reaction::TakeEviction(Instant aNow)
+{
+  while (!evictions_.empty() &&
+         evictions_.front() + rules_.evictionPeriod_ <= aNow) {
+    evictions_.pop_front();
+  }
+  if (evictions_.size() >= rules_.evictionsPerPeriod_) {
+    return false;
+  }
+  evictions_.push_back(aNow);
+  return true;
+}
+
+void
+Reaction::Observe(WorkerMemory& aMemory,
+                  const PressedWorker& aWorker,
+                  const InterferenceModel& aModel,
+                  InterferenceModel::Program aVictim) const
+{
+  if (aWorker.measuredAt_ <= aMemory.measuredAt_ ||
+      aWorker.samples_ < kFewSamples) {
+    return;
+  }
+  aMemory.measuredAt_ = aWorker.measuredAt_;
+  const double slowdown = aModel.Slowdown(aVictim, aWorker.latencyMicros_);
+  aMemory.slowdown_ += kSlowdownSmoothing * (slowdown - aMemory.slowdown_);
+}
+
+std::vector<ReactionStep>
+Reaction::Decide(std::span<const PressedWorker> aWorkers,
+                 const InterferenceModel& aModel,
+                 InterferenceModel::Program aVictim,
+                 Instant aNow)
+{
+  std::vector<ReactionStep> steps;
+  std::vector<Candidate> candidates;
+  for (std::size_t index = 0; index < aWorkers.size(); ++index) {
+    const PressedWorker& worker = aWorkers[index];
+    WorkerMemory& memory = workers_[worker.workerId_];
+    Observe(memory, worker, aModel, aVictim);
+    candidates.clear();
+    double predicted = 1;
+    for (std::size_t task = 0; task < worker.tasks_.size(); ++task) {
+      const RunningTask& running = worker.tasks_[task];
+      if (running.urgent_) {
+        continue;
+      }
+      const double cost =
+        aModel.Cost(aVictim, aModel.Find(running.program_), worker.urgentLoad_);
+      predicted += cost * running.throttle_;
+      if (!running.leaving_) {
+        candidates.push_back({ task, cost });
+      }
+    }
+    std::sort(candidates.begin(),
+              candidates.end(),
+              [](const Candidate& aLeft, const Candidate& aRight) {
+                return aLeft.cost_ != aRight.cost_ ? aLeft.cost_ > aRight.cost_
+                                                   : aLeft.task_ < aRight.task_;
+              });
+    // The model knows at once what was placed or throttled; the measurement
+    // knows waves that the model doesn't. Their mean reacts to both.
+    const double slowdown = (predicted + memory.slowdown_) / 2;
+    if (slowdown <= rules_.allowedSlowdown_) {
+      memory.pressedSince_.reset();
+    }
+    if (aNow < memory.settledAt_ || worker.setAside_) {
+      continue;
+    }
+    if (slowdown > rules_.allowedSlowdown_) {
+      Relieve(steps,
+              index,
+              worker,
+              candidates,
+              slowdown - rules_.allowedSlowdown_,
+              memory,
+              aNow);
+    } else if (slowdown < rules_.releaseSlowdown_) {
+      Release(steps,
+              index,
+              worker,
+              candidates,
+              rules_.allowedSlowdown_ - slowdown,
+              memory,
+              aNow);
+    }
+  }
+  return steps;
+}
+
+void
+Reaction::Relieve(std::vector<ReactionStep>& aSteps,
+                  std::size_t aIndex,
+                  const PressedWorker& aWorker,
+                  std::span<const Candidate> aCandidates,
+                  double aExcess,
+                  WorkerMemory& aMemory,
+                  Instant aNow)
+{
+  double left = aExcess;
+  for (const Candidate& candidate : aCandidates) {
+    if (left <= 0 || candidate.cost_ < kLeastCost) {
+      break;
+    }
+    const double now = aWorker.tasks_[candidate.task_].throttle_;
+    const double wanted = std::max(rules_.deepestThrottle_, now / 2);
+    if (wanted < now) {
+      aSteps.push_back(
+        { ReactionKind::Throttle, aIndex, candidate.task_, wanted });
+      left -= candidate.cost_ * (now - wanted);
+      aMemory.settledAt_ = aNow + rules_.settle_;
+    }
+  }
+  if (aMemory.settledAt_ > aNow) {
+    return;
+  }
+  if (!aMemory.pressedSince_.has_value()) {
+    aMemory.pressedSince_ = aNow;
+  }
+  if (aNow - *aMemory.pressedSince_ >= rules_.patience_) {
+    Remove(aSteps, aIndex, aWorker, aCandidates, aExcess, aMemory, aNow);
+  }
+}
+
+void
+Reaction::Remove(std::vector<ReactionStep>& aSteps,
+                 std::size_t aIndex,
+                 const PressedWorker& aWorker,
+                 std::span<const Candidate> aCandidates,
+                 double aExcess,
+                 WorkerMemory& aMemory,
+                 Instant aNow)
+{
+  const double harm =
+    weights_.tailLatency_ * aExcess * aWorker.urgentLoad_ * kHarmFactor;
+  for (const Candidate& candidate : aCandidates) {
+    const RunningTask& task = aWorker.tasks_[candidate.task_];
+    if (candidate.cost_ < kLeastCost) {
+      return;
+    }
+    ReactionKind kind = ReactionKind::Move;
+    double price = weights_.evictions_ * kMovePart;
+    if (!task.canCheckpoint_) {
+      kind = ReactionKind::Evict;
+      price = PriceOfLoss(task);
+    }
+    if (price > harm) {
+      continue;
+    }
+    if (kind == ReactionKind::Evict && !TakeEviction(aNow)) {
+      continue;
+    }
+    aSteps.push_back({ kind, aIndex, candidate.task_, task.throttle_ });
+    aMemory.settledAt_ = aNow + rules_.settle_;
+    aMemory.pressedSince_.reset();
+    return;
+  }
+}
+
+void
+Reaction::Release(std::vector<ReactionStep>& aSteps,
+                  std::size_t aIndex,
+                  const PressedWorker& aWorker,
+                  std::span<const Candidate> aCandidates,
+                  double aRoom,
+                  WorkerMemory& aMemory,
+                  Instant aNow) const
+{
+  double room = aRoom;
+  for (auto place = aCandidates.rbegin(); place != aCandidates.rend();
+       ++place) {
+    const double now = aWorker.tasks_[place->task_].throttle_;
+    if (now >= 1) {
+      continue;
+    }
+    const double wanted = std::min(1.0, now * 2);
+    room -= place->cost_ * (wanted - now);
+    if (room < 0) {
+      return;
+    }
+    aSteps.push_back({ ReactionKind::Restore, aIndex, place->task_, wanted });
+    aMemory.settledAt_ = aNow + rules_.settle_;
+  }
+}
+
+std::vector<ReactionStep>
+Reaction::MakeRoom(const Resources& aSize,
+                   std::span<const PressedWorker> aWorkers,
+                   Instant aNow)
+{
+  std::vector<ReactionStep> best;
+  double bestPrice = std::numeric_limits<double>::max();
+  std::size_t bestEvictions = 0;
+  for (std::size_t index = 0; index < aWorkers.size(); ++index) {
+    const PressedWorker& worker = aWorkers[index];
+    if (worker.setAside_) {
+      continue;
+    }
+    Resources reserved = worker.reserved_;
+    const auto free = [&reserved](const RunningTask& aTask) {
+      reserved.milliCpus_ -= aTask.declared_.milliCpus_;
+      reserved.memoryMb_ -= aTask.declared_.memoryMb_;
+      reserved.accelerators_ -= aTask.declared_.accelerators_;
+    };
+    std::vector<std::pair<double, std::size_t>> priced;
+    for (std::size_t task = 0; task < worker.tasks_.size(); ++task) {
+      const RunningTask& running = worker.tasks_[task];
+      if (running.leaving_) {
+        free(running);
+      } else if (!running.urgent_) {
+        const double price = running.canCheckpoint_
+                               ? weights_.evictions_ * kMovePart
+                               : PriceOfLoss(running);
+        priced.emplace_back(price, task);
+      }
+    }
+    std::sort(priced.begin(), priced.end());
+    std::vector<ReactionStep> steps;
+    double price = 0;
+    std::size_t evictions = 0;
+    for (const auto& [cost, task] : priced) {
+      if (aSize.FitsIn(worker.capacity_, reserved)) {
+        break;
+      }
+      const RunningTask& running = worker.tasks_[task];
+      free(running);
+      const ReactionKind kind =
+        running.canCheckpoint_ ? ReactionKind::Move : ReactionKind::Evict;
+      evictions += kind == ReactionKind::Evict ? 1 : 0;
+      steps.push_back({ kind, index, task, running.throttle_ });
+      price += cost;
+    }
+    if (aSize.FitsIn(worker.capacity_, reserved) && price < bestPrice) {
+      best = std::move(steps);
+      bestPrice = price;
+      bestEvictions = evictions;
+    }
+  }
+  for (std::size_t taken = 0; taken < bestEvictions; ++taken) {
+    if (!TakeEviction(aNow)) {
+      return {};
+    }
+  }
+  return best;
+}
+
+}
--- /dev/null
+++ b/Source/Version/WorkerHealth.cxx
@@ -0,0 +1,120 @@
+#include "Version/WorkerHealth.h"
+
+#include <algorithm>
+
+namespace cactusrail {
+
+WorkerHealth::WorkerHealth(const Rules& aRules)
+  : rules_(aRules)
+{
+}
+
+void
+WorkerHealth::OnSuccess(std::string_view aWorker, std::string_view aJob)
+{
+  Worker& worker = workers_[std::string(aWorker)];
+  worker.failedJobs_.clear();
+  worker.setAside_ = false;
+  worker.pause_ = Millis(0);
+  Job& job = jobs_[std::string(aJob)];
+  job.succeeded_ = true;
+  job.failedOn_.clear();
+}
+
+void
+WorkerHealth::OnFailure(std::string_view aWorker,
+                        std::string_view aJob,
+                        Instant aNow)
+{
+  const std::string workerName(aWorker);
+  const std::string jobName(aJob);
+  Worker& worker = workers_[workerName];
+  Job& job = jobs_[jobName];
+  if (worker.setAside_) {
+    // Known to be bad: says nothing about the job, and the probe has failed.
+    SetAside(workerName, worker, aNow);
+    return;
+  }
+  if (job.parked_) {
+    return;
+  }
+  worker.failedJobs_.insert(jobName);
+  job.failedOn_.insert(workerName);
+  if (worker.failedJobs_.size() >= rules_.jobsToSetAside_) {
+    SetAside(workerName, worker, aNow);
+    return;
+  }
+  if (!job.succeeded_ && job.failedOn_.size() >= rules_.workersToPark_) {
+    Park(jobName, job);
+  }
+}
+
+void
+WorkerHealth::SetAside(const std::string& aName, Worker& aWorker, Instant aNow)
+{
+  aWorker.setAside_ = true;
+  aWorker.pause_ =
+    std::clamp(aWorker.pause_ * 2, rules_.firstPause_, rules_.longestPause_);
+  aWorker.probeAt_ = aNow + aWorker.pause_;
+  for (const std::string& jobName : aWorker.failedJobs_) {
+    jobs_[jobName].failedOn_.erase(aName);
+  }
+  aWorker.failedJobs_.clear();
+}
+
+void
+WorkerHealth::Park(const std::string& aName, Job& aJob)
+{
+  aJob.parked_ = true;
+  for (const std::string& workerName : aJob.failedOn_) {
+    workers_[workerName].failedJobs_.erase(aName);
+  }
+}
+
+void
+WorkerHealth::OnStart(std::string_view aWorker, Instant aNow)
+{
+  const auto found = workers_.find(std::string(aWorker));
+  if (found != workers_.end() && found->second.setAside_) {
+    found->second.probeAt_ = aNow + found->second.pause_;
+  }
+}
+
+bool
+WorkerHealth::IsSetAside(std::string_view aWorker, Instant aNow) const
+{
+  const auto found = workers_.find(std::string(aWorker));
+  return found != workers_.end() && found->second.setAside_ &&
+         aNow < found->second.probeAt_;
+}
+
+bool
+WorkerHealth::IsParked(std::string_view aJob) const
+{
+  const auto found = jobs_.find(std::string(aJob));
+  return found != jobs_.end() && found->second.parked_;
+}
+
+std::string
+WorkerHealth::WhyParked(std::string_view aJob) const
+{
+  const auto found = jobs_.find(std::string(aJob));
+  if (found == jobs_.end() || !found->second.parked_) {
+    return {};
+  }
+  std::string names;
+  for (const std::string& name : found->second.failedOn_) {
+    names += (names.empty() ? "" : ", ") + name;
+  }
+  return "Every task of job " + std::string(aJob) + " failed, on the workers " +
+         names +
+         ", which run other jobs well. Correct the job and create it again.";
+}
+
+void
+WorkerHealth::Unpark(std::string_view aJob)
+{
+  jobs_.erase(std::string(aJob));
+}
+
+}
--- /dev/null
+++ b/Tests/Measure/DecisionBench.cxx
@@ -0,0 +1,5 @@
+#include "Request/Routing.h"
+
+#include <benchmark/benchmark.h>
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/Tests/Measure/Policy.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "Request/Routing.h"
+#include "Version/PlacementFacts.h"
+#include "Version/Reaction.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace cactusrail::measure {
+
+/** Usage of one task over the last second. */
+struct TaskReport
+{
+  std::string taskId_;
+  std::string program_;
+  Resources declared_;
+  Resources used_;
+};
+
+/** What a worker reports each second; it arrives late. */
+struct WorkerReport
+{
+  std::size_t worker_ = 0;
+  Instant measuredAt_;
+  /** Mean time that requests took on a slot, in microseconds. */
+  double latencyMicros_ = 0;
+  double samples_ = 0;
+  double load_ = 0;
+  std::vector<TaskReport> tasks_;
+};
+
+/** How a task left its worker. */
+enum class TaskEnd : std::uint8_t
+{
+  Finished,
+  Failed,
+  Stopped,
+};
+
+/** What a policy is asked and told; the world calls it in time order. */
+class Policy
+{
+public:
+  virtual ~Policy() = default;
+
+  virtual std::optional<std::size_t> Route(std::size_t aEntry,
+                                           std::span<const Router::Runner> aNot,
+                                           Instant aNow) = 0;
+  virtual void OnSent(std::size_t, std::size_t, Instant) {}
+  virtual void OnAnswer(std::size_t, std::size_t, Micros, Instant) {}
+  virtual void OnRefused(std::size_t, std::size_t, Instant) {}
+  virtual void OnHeartbeat(std::size_t aEntry,
+                           std::size_t aRunner,
+                           const RunnerReport& aReport,
+                           Instant aNow) = 0;
+  virtual void OnSilent(std::size_t aEntry, std::size_t aRunner) = 0;
+  /** A request arrived at the entry; pays into the retry budget. */
+  virtual void OnRequest(std::size_t, Instant) {}
+  virtual bool MayRetry(std::size_t, Instant) { return true; }
+
+  virtual std::optional<std::size_t> Place(
+    const TaskFacts& aTask,
+    std::span<const WorkerFacts> aWorkers,
+    Instant aNow) = 0;
+  virtual void OnReport(const WorkerReport&, Instant) {}
+  virtual void OnTaskEnd(std::size_t, const TaskFacts&, TaskEnd, Instant) {}
+  /** Whether the program's tasks are parked as impossible. */
+  virtual bool IsParked(const std::string&) { return false; }
+  virtual std::vector<ReactionStep> React(
+    std::span<const PressedWorker> aWorkers,
+    Instant aNow) = 0;
+  virtual std::vector<ReactionStep> MakeRoom(
+    const Resources& aSize,
+    std::span<const PressedWorker> aWorkers,
+    Instant aNow) = 0;
+};
+
+}
--- /dev/null
+++ b/Tests/Measure/Scenario.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "Version/Configuration.h"
+#include "Version/WorkRecords.h"
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cactusrail::measure {
+
+using Random = std::mt19937_64;
+
+/** Sizes and weights of one user, from the brief. */
+struct Deployment
+{
+  std::string name_;
+  std::size_t workers_ = 10;
+  std::size_t entries_ = 4;
+  std::uint32_t slots_ = 8;
+  Resources capacity_;
+  /** Held for the runner on each worker; the batch gets the rest. */
+  Resources runnerReserve_;
+  double serviceMs_ = 40;
+  /** Mean part of all slots that the requests keep busy. */
+  double utilisation_ = 0.4;
+  double taskCores_ = 4;
+  PolicyWeights weights_;
+};
+
+Deployment
+TagasiDeployment();
+Deployment
+ValtierraDeployment();
+
+/** What a batch program truly does; policies never see it, the oracle does. */
+struct HiddenProgram
+{
+  std::string name_;
+  Resources declared_;
+  double cpuFactor_ = 1;
+  double memoryFactor_ = 1;
+  double runSeconds_ = 10;
+  std::uint64_t declaredRunMs_ = 0;
+  /** Slowdown that one task adds to urgent work on a fully loaded runner. */
+  double hurt_ = 0;
+  /** In a noisy wave the slowdown is this many times as large. */
+  double waveFactor_ = 1;
+  double waveOn_ = 8;
+  double waveOff_ = 30;
+  double wavePhase_ = 0;
+  /** Slowdown that a loaded runner adds to a task of the program. */
+  double dragged_ = 0;
+  /** Seconds that a checkpoint takes; 0 if it can't. */
+  double checkpointSeconds_ = 0;
+  bool payout_ = false;
+  bool impossible_ = false;
+};
+
+/** One seed's hidden truth. */
+struct Scenario
+{
+  std::vector<HiddenProgram> programs_;
+  /** Slowdown that a task of the column adds to one of the row. */
+  std::vector<std::vector<double>> pairs_;
+  std::vector<double> hostSpeed_;
+};
+
+Scenario
+MakeScenario(const Deployment& aDeployment, std::uint64_t aSeed);
+
+/** The part of the hidden slowdown that shows at this load of the runner. */
+double
+LoadShape(double aLoad);
+
+/** The program's wave factor at a time. */
+double
+WaveAt(const HiddenProgram& aProgram, double aSeconds);
+
+/** Requests a second at a time: slow waves and short bursts. */
+double
+RequestRate(const Deployment& aDeployment, double aSeconds);
+
+}
