Placement: Count a new task twice for a third of a second only

Cause: a task that was placed stayed in the pending list until a report 1.5 s younger than its start, though the report lists it from its start on; each start blocked its own size on a full worker for that time.

Ruled out: the memory limit (lifting it changes nothing).

--- a/Source/Version/PlacementEngine.cxx
+++ b/Source/Version/PlacementEngine.cxx
@@ -8,7 +8,7 @@
 namespace {
 
 /** Reports lag; a placement may be missing from one this much younger. */
-constexpr Millis kReportSettle{ 1500 };
+constexpr Millis kReportSettle{ 300 };
 /** Load that a runner is taken to reach soon, whatever it reports now. */
 constexpr double kLeastLoad = 0.2;
 constexpr double kPackingWeight = 0.02;
