--- a/Source/Process/SideProcess.cxx
+++ b/Source/Process/SideProcess.cxx
@@ -28,6 +28,8 @@
 constexpr Millis kAnnouncementLife{ 3000 };
 /** Heartbeats that say "leaving" before the process ends. */
 constexpr Millis kLeavingNotice{ 1000 };
+/** After the bound, for the answers to those given up to leave. */
+constexpr Millis kLastAnswers{ 1000 };
 /** A stopping side ends only after entries have sent nothing for this long. */
 constexpr Millis kQuietBeforeEnd{ 200 };
 
@@ -152,6 +154,9 @@
   /** When an entry last sent something. */
   Instant quietSince_;
   Instant stopDeadline_;
+  /** The bound came first, perhaps with attempts unfinished. */
+  bool gaveUp_ = false;
+  bool leftOver_ = false;
   std::function<void()> stopped_;
 };
 
@@ -333,7 +338,7 @@
 void
 SideProcess::Private::SendHeartbeat()
 {
-  HeartbeatMessage heartbeat = core_.Heartbeat();
+  HeartbeatMessage heartbeat = core_.Heartbeat(ReadMonotonicClock());
   if (heartbeat.state_ != loggedState_) {
     loggedState_ = heartbeat.state_;
     LogChange("upstream-state",
@@ -433,8 +438,15 @@
     });
   const bool finished =
     core_.Idle() && flushed && quiet && now >= stopEarliest_;
+  if (!finished && now >= stopDeadline_ && !gaveUp_) {
+    gaveUp_ = true;
+    leftOver_ = !core_.Idle();
+    stopDeadline_ = now + kLastAnswers;
+    Run(core_.OnStopBound(now));
+    return;
+  }
   if (finished || now >= stopDeadline_) {
-    LogChange("stopped", { { "in-flight-left", core_.Idle() ? "no" : "yes" } });
+    LogChange("stopped", { { "in-flight-left", leftOver_ ? "yes" : "no" } });
     std::exchange(stopped_, nullptr)();
   }
 }
--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -1,5 +1,6 @@
 #include "Bench.h"
 
+#include "Request/ExplainVerdict.h"
 #include "Version/JsonText.h"
 
 #include <criterion/criterion.h>
@@ -370,13 +371,7 @@
 Verdict
 Bench::Conclude(const std::vector<RequestStep>& aSteps)
 {
-  Verdict verdict = Verdict::MayHaveRun;
-  for (const RequestStep& step : aSteps) {
-    if (step.conclusive_) {
-      verdict = step.verdict_;
-    }
-  }
-  return verdict;
+  return ExplainVerdict(aSteps).verdict_;
 }
 
 Tally
