Configuration: Let a change wait for the table's first answer

A change sent right after an entry's start was refused with 503, seen as 'The configuration was not accepted' in BadInputTest under load. It now waits for the first read, and is refused as 'not made' if that fails.

--- a/Source/Version/ConfigurationVersion.cxx
+++ b/Source/Version/ConfigurationVersion.cxx
@@ -50,6 +50,8 @@
   ConfigurationRecord record_;
   std::uint64_t revision_ = 0;
   Instant deadline_;
+  /** Written at least once, so that it may have taken effect. */
+  bool sent_ = false;
   /** A write is on its way to the table. */
   bool writing_ = false;
   Instant nextWrite_;
@@ -69,6 +71,8 @@
   void WriteChange(Actions& aActions);
   void WriteBack(Actions& aActions, std::uint64_t aRevision, Instant aNow);
   void CompareRow(Actions& aActions, const TableRow& aRow, Instant aNow);
+  void BeginChange(Actions& aActions);
+  std::string WrongVersion() const;
   void OnChangeWritten(Actions& aActions,
                        const TableOutcome& aOutcome,
                        Instant aNow);
@@ -120,6 +124,7 @@
 void
 ConfigurationVersion::Private::WriteChange(Actions& aActions)
 {
+  change_->sent_ = true;
   change_->writing_ = true;
   aActions.emplace_back(WriteConfigurationRow{
     change_->revision_, ToJson(change_->record_), true });
@@ -203,12 +208,6 @@
                      "Another change is being written through this entry; "
                      "look at its outcome first.");
   }
-  if (!rowKnown_) {
-    return std::pair(kUnavailable,
-                     "The table service has not answered yet, so the "
-                     "configuration in force isn't known for certain; the "
-                     "change was not made.");
-  }
   const std::uint64_t elsewhere = KnownElsewhere(aNow);
   if (elsewhere > Held()) {
     return std::pair(kUnavailable,
@@ -217,15 +216,35 @@
                        "change was not made.");
   }
   const std::uint64_t version = std::get<Configuration>(aParsed).version_;
-  if (version != Held() + 1) {
-    return std::pair(kConflict,
-                     "The version must be " + std::to_string(Held() + 1) +
-                       "; another operator may have changed the "
-                       "configuration. The change was not made.");
+  if (rowKnown_ && version != Held() + 1) {
+    return std::pair(kConflict, WrongVersion());
   }
   return std::nullopt;
 }
 
+std::string
+ConfigurationVersion::Private::WrongVersion() const
+{
+  return "The version must be " + std::to_string(Held() + 1) +
+         "; another operator may have changed the configuration. The change "
+         "was not made.";
+}
+
+/** Sends a change that came before the table's first answer, if it fits. */
+void
+ConfigurationVersion::Private::BeginChange(Actions& aActions)
+{
+  if (!change_.has_value() || change_->sent_) {
+    return;
+  }
+  if (change_->record_.configuration_.version_ != Held() + 1) {
+    Answer(aActions, kConflict, WrongVersion());
+    return;
+  }
+  change_->revision_ = revision_;
+  WriteChange(aActions);
+}
+
 void
 ConfigurationVersion::Private::OnChangeWritten(Actions& aActions,
                                                const TableOutcome& aOutcome,
@@ -283,7 +302,8 @@
 {
   Actions actions;
   Private& self = *private_;
-  if (self.change_.has_value() && !self.change_->writing_) {
+  if (self.change_.has_value() && self.change_->sent_ &&
+      !self.change_->writing_) {
     if (self.change_->deadline_ <= aNow) {
       self.Answer(actions,
                   kUnavailable,
@@ -317,14 +337,23 @@
   self.rowKnown_ = true;
   self.revision_ = aRow.revision_;
   self.CompareRow(actions, aRow, aNow);
+  self.BeginChange(actions);
   return actions;
 }
 
 ConfigurationVersion::Actions
 ConfigurationVersion::OnReadFailed(Instant)
 {
-  private_->reading_ = false;
-  return {};
+  Actions actions;
+  Private& self = *private_;
+  self.reading_ = false;
+  if (self.change_.has_value() && !self.change_->sent_) {
+    self.Answer(actions,
+                kUnavailable,
+                "The table service does not answer, so the configuration in "
+                "force isn't known for certain; the change was not made.");
+  }
+  return actions;
 }
 
 ConfigurationVersion::Actions
@@ -370,10 +399,11 @@
   Change change;
   change.record_.nonce_ = aNonce;
   change.record_.configuration_ = std::move(std::get<Configuration>(parsed));
-  change.revision_ = self.revision_;
   change.deadline_ = aNow + kChangeBound;
   self.change_ = std::move(change);
-  self.WriteChange(actions);
+  if (self.rowKnown_) {
+    self.BeginChange(actions);
+  }
   return actions;
 }
 
--- a/Tests/Process/StopTest.cxx
+++ b/Tests/Process/StopTest.cxx
@@ -251,21 +251,25 @@
   bench.StartPlatform();
   bench.StartEntry("entry1");
   const std::string settings = bench.SettingsPath("entry1");
+  std::vector<std::unique_ptr<QProcess>> processes;
   for (int wait = 0; wait < 24; ++wait) {
-    QProcess process;
+    processes.push_back(std::make_unique<QProcess>());
+    QProcess& process = *processes.back();
     process.start(CACTUSRAIL_PROGRAM,
                   { "entry", QString::fromStdString(settings) });
     cr_assert(process.waitForStarted());
     // Not a wait for an event: each round hits another point of the start-up.
     process.waitForReadyRead(wait * 2);
     ::kill(static_cast<pid_t>(process.processId()), SIGTERM);
+  }
+  for (const auto& started : processes) {
+    QProcess& process = *started;
     WaitUntil([&] { return process.state() == QProcess::NotRunning; },
               "the process to end");
     const bool byDefault = process.exitStatus() == QProcess::CrashExit &&
                            process.exitCode() == SIGTERM;
     cr_assert(byDefault || process.exitCode() == 0,
-              "round %d ended with %d: %s",
-              wait,
+              "a process ended with %d: %s",
               process.exitCode(),
               process.readAllStandardError().constData());
   }
