--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -303,8 +303,9 @@
   call.deadline_ = ReadMonotonicClock() + kCallBound;
   // Shared: the call may outlive a test that gave up waiting.
   auto result = std::make_shared<std::optional<Result<HttpReply>>>();
-  caller_.Start(std::move(call),
-                [result](Result<HttpReply> aReply) { *result = aReply; });
+  caller_.Start(std::move(call), [result](const Result<HttpReply>& aReply) {
+    *result = aReply;
+  });
   WaitUntil([result] { return result->has_value(); }, aMethod + " " + aUrl);
   return **result;
 }
--- a/Tests/Process/Bench.h
+++ b/Tests/Process/Bench.h
@@ -19,7 +19,7 @@
   std::string service_ = "once";
   std::string method_ = "POST";
   /** The upstream's behaviour: "work=50", "fail=close" and so on. */
-  std::string query_;
+  std::string query_ = {};
   std::string idempotencyKey_ = {};
   /** Empty: a new one. Repeated by a caller that retries. */
   std::string mark_ = {};
