--- a/Tests/Process/BadInputTest.cxx
+++ b/Tests/Process/BadInputTest.cxx
@@ -13,7 +13,7 @@
 
 constexpr const char* kKeyHeader = "Authorization: Bearer bench-key\r\n";
 /** What a process may grow by while it turns bad input away. */
-constexpr std::size_t kGrowthKilobytes = 48 * 1024;
+constexpr std::size_t kGrowthKilobytes = 48U << 10U;
 
 std::string
 GoodRequest(const std::string& aMark, const std::string& aQuery)
--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -67,7 +67,7 @@
 std::string
 Bench::WriteSettings(const std::string& aName, const std::string& aText)
 {
-  const std::string path = SettingsPath(aName);
+  std::string path = SettingsPath(aName);
   std::ofstream(path) << aText;
   return path;
 }
--- a/Tests/Process/Child.cxx
+++ b/Tests/Process/Child.cxx
@@ -34,7 +34,7 @@
 
 Child::Child(std::string aName,
              const std::string& aProgram,
-             QStringList aArguments)
+             const QStringList& aArguments)
   : name_(std::move(aName))
 {
   QObject::connect(&process_,
