Operators: A table of commands, settings with line numbers, examples

Verbs were matched by hand, settings faults named no line, and the pages had no source. A tenant's key comes from a file, since an argument shows in the process list.

Seen failing, with EntryClient's guard out (next entry asked always): [FAIL] EntryClient::AChangeThatMayHaveArrivedIsNotSentToAnotherEntry The expression failure != nullptr is false.

Utilities/demo.sh uses the new verbs and exits 0.

--- /dev/null
+++ b/Source/Process/Confirmation.cxx
@@ -0,0 +1,57 @@
+#include "Process/Confirmation.h"
+
+#include "Process/Terminal.h"
+
+#include <array>
+#include <iostream>
+
+namespace cactusrail {
+
+namespace {
+
+bool
+AskOnTerminal(std::string_view aVerb, std::size_t aCount)
+{
+  std::cerr << "Really " << aVerb << " these " << aCount << "? [y/N] ";
+  std::string answer;
+  std::getline(std::cin, answer);
+  return answer == "y" || answer == "yes";
+}
+
+}
+
+std::span<const CommandOption>
+ChoiceOptions()
+{
+  static const std::array<CommandOption, 2> kOptions{ {
+    { "yes", "", "act without a question if the selector chose several" },
+    { "dry-run", "", "print what would be chosen and do nothing" },
+  } };
+  return kOptions;
+}
+
+ChoiceDecision
+ConfirmChoice(const CommandLine& aLine,
+              std::string_view aVerb,
+              std::span<const std::string> aChosen)
+{
+  const bool dryRun = aLine.Given("dry-run");
+  const bool yes = aLine.Given("yes");
+  const bool terminal = IsTerminal(Stream::Input) && IsTerminal(Stream::Error);
+  if (dryRun || (aChosen.size() > 1 && !yes && terminal)) {
+    for (const std::string& name : aChosen) {
+      (dryRun ? std::cout : std::cerr) << name << '\n';
+    }
+  }
+  const ChoiceDecision decision =
+    DecideChoice(aChosen.size(), dryRun, yes, terminal, [&] {
+      return AskOnTerminal(aVerb, aChosen.size());
+    });
+  if (decision == ChoiceDecision::Refuse) {
+    std::cerr << "Nothing was done: the selector chose " << aChosen.size()
+              << "; add --yes to " << aVerb << " them all.\n";
+  }
+  return decision;
+}
+
+}
--- /dev/null
+++ b/Source/Process/EntryClient.cxx
@@ -0,0 +1,115 @@
+#include "Process/EntryClient.h"
+
+#include "Version/JsonText.h"
+
+#include <QEventLoop>
+
+#include <iostream>
+#include <optional>
+
+namespace cactusrail {
+
+namespace {
+
+constexpr Millis kCallTimeout{ 5000 };
+
+/** The body of an entry's error. */
+struct ErrorBody
+{
+  std::string message_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(cereal::make_nvp("message", message_));
+  }
+};
+
+Result<HttpReply>
+CallOne(HttpCall aCall)
+{
+  HttpCaller caller;
+  QEventLoop loop;
+  std::optional<Result<HttpReply>> result;
+  caller.Start(std::move(aCall), [&](Result<HttpReply> aResult) {
+    result = std::move(aResult);
+    loop.quit();
+  });
+  while (!result.has_value()) {
+    loop.exec();
+  }
+  return *std::move(result);
+}
+
+std::string
+ErrorText(const HttpReply& aReply)
+{
+  const Result<ErrorBody> parsed = FromJson<ErrorBody>(aReply.body_);
+  const auto* body = std::get_if<ErrorBody>(&parsed);
+  return body != nullptr ? body->message_ : aReply.body_;
+}
+
+}
+
+Result<EntryClient>
+EntryClient::Make(const CommandLine& aLine)
+{
+  Result<std::vector<SocketAddress>> entries = aLine.Entries();
+  if (const auto* failure = std::get_if<Failure>(&entries)) {
+    return *failure;
+  }
+  EntryClient client;
+  client.entries_ = std::move(std::get<std::vector<SocketAddress>>(entries));
+  return client;
+}
+
+Result<HttpReply>
+EntryClient::Call(const std::string& aMethod,
+                  const std::string& aTarget,
+                  const std::string& aBody) const
+{
+  Failure last;
+  for (const SocketAddress& entry : entries_) {
+    HttpCall call;
+    call.method_ = aMethod;
+    call.url_ = "http://" + entry.Text() + aTarget;
+    call.body_ = aBody;
+    call.deadline_ = ReadMonotonicClock() + kCallTimeout;
+    Result<HttpReply> result = CallOne(std::move(call));
+    const auto* failure = std::get_if<Failure>(&result);
+    if (failure == nullptr) {
+      return result;
+    }
+    last = *failure;
+    last.message_ = "The entry " + entry.Text() + ": " + failure->message_;
+    if (aMethod != "GET" && failure->verdict_ != Verdict::DidNotRun) {
+      last.message_ += " The change may have been made; look before you try "
+                       "again.";
+      break;
+    }
+  }
+  return last;
+}
+
+std::optional<HttpReply>
+EntryClient::CallOrReport(const std::string& aMethod,
+                          const std::string& aTarget,
+                          const std::string& aBody,
+                          ExitCode& aCode) const
+{
+  Result<HttpReply> result = Call(aMethod, aTarget, aBody);
+  if (const auto* failure = std::get_if<Failure>(&result)) {
+    std::cerr << failure->message_ << '\n';
+    aCode = ExitCodeOfFailure(*failure);
+    return std::nullopt;
+  }
+  auto& reply = std::get<HttpReply>(result);
+  aCode = ExitCodeOfStatus(reply.status_);
+  if (aCode != ExitCode::Done) {
+    std::cerr << ErrorText(reply) << '\n';
+    return std::nullopt;
+  }
+  return std::move(reply);
+}
+
+}
--- a/Source/Process/EntrySettings.cxx
+++ b/Source/Process/EntrySettings.cxx
@@ -7,67 +7,52 @@
 namespace {
 
 constexpr std::array<SettingSpec, 11> kSpecs{ {
-  { "entry.name", SettingKind::Text, {}, 0, 0, "this entry's unique name" },
-  { "entry.data-centre",
-    SettingKind::Text,
-    {},
-    0,
-    0,
-    "the data centre's name" },
-  { "entry.listen",
-    SettingKind::Address,
-    {},
-    0,
-    0,
-    "IP:PORT that callers' requests arrive at" },
-  { "entry.operators",
-    SettingKind::Address,
-    {},
-    0,
-    0,
-    "IP:PORT that operators and other entries ask" },
-  { "entry.membership",
-    SettingKind::Address,
-    {},
-    0,
-    0,
-    "IP:PORT that sides' heartbeats arrive at" },
-  { "platform.table",
-    SettingKind::Address,
-    {},
-    0,
-    0,
-    "IP:PORT of the platform's table service" },
-  { "entry.lanes",
-    SettingKind::Number,
-    "2",
-    1,
-    64,
-    "threads that serve callers" },
-  { "entry.stop-bound-ms",
-    SettingKind::Number,
-    "30000",
-    0,
-    600000,
-    "milliseconds that a planned stop may take" },
-  { "entry.journal-requests",
-    SettingKind::Number,
-    "100000",
-    100,
-    10000000,
-    "requests whose steps are remembered" },
-  { "entry.max-body-bytes",
-    SettingKind::Number,
-    "1048576",
-    0,
-    6291456,
-    "bytes of a request's body" },
-  { "entry.receive-timeout-ms",
-    SettingKind::Number,
-    "10000",
-    100,
-    600000,
-    "milliseconds for a request to arrive whole" },
+  RequiredSetting("entry.name", SettingKind::Text, "this entry's unique name"),
+  RequiredSetting("entry.data-centre",
+                  SettingKind::Text,
+                  "the name of its data centre"),
+  RequiredSetting("entry.listen",
+                  SettingKind::Address,
+                  "IP:PORT that callers' requests arrive at"),
+  RequiredSetting("entry.operators",
+                  SettingKind::Address,
+                  "IP:PORT that operators and other entries ask"),
+  RequiredSetting("entry.membership",
+                  SettingKind::Address,
+                  "IP:PORT that sides' heartbeats arrive at"),
+  RequiredSetting("platform.table",
+                  SettingKind::Address,
+                  "IP:PORT of the platform's table service"),
+  NumberSetting("entry.lanes",
+                "2",
+                1,
+                64,
+                "threads",
+                "threads that serve callers"),
+  NumberSetting("entry.stop-bound-ms",
+                "30000",
+                0,
+                600000,
+                "ms",
+                "time that a planned stop may take"),
+  NumberSetting("entry.journal-requests",
+                "100000",
+                100,
+                10000000,
+                "requests",
+                "requests whose steps are remembered"),
+  NumberSetting("entry.max-body-bytes",
+                "1048576",
+                0,
+                6291456,
+                "bytes",
+                "bytes of a request's body"),
+  NumberSetting("entry.receive-timeout-ms",
+                "10000",
+                100,
+                600000,
+                "ms",
+                "time for a request to arrive whole"),
 } };
 
 }
@@ -75,18 +60,26 @@
 std::span<const SettingSpec>
 EntrySettings::Specs()
 {
-  return kSpecs;
+  static const std::vector<SettingSpec> kAll =
+    CommonSettings::JoinedWith(kSpecs);
+  return kAll;
 }
 
 Result<EntrySettings>
 EntrySettings::Load(const std::string& aPath)
 {
-  const Result<SettingsFile> loaded = SettingsFile::Load(aPath, kSpecs);
+  const Result<SettingsFile> loaded = SettingsFile::Load(aPath, Specs());
   if (const auto* failure = std::get_if<Failure>(&loaded)) {
     return *failure;
   }
   const auto& file = std::get<SettingsFile>(loaded);
+  const Result<CommonSettings> common =
+    CommonSettings::From(aPath, file, Specs());
+  if (const auto* failure = std::get_if<Failure>(&common)) {
+    return *failure;
+  }
   EntrySettings settings;
+  settings.common_ = std::get<CommonSettings>(common);
   settings.name_ = file.Text("entry.name");
   settings.dataCentre_ = file.Text("entry.data-centre");
   settings.listen_ = file.Address("entry.listen");
--- a/Source/Process/EntrySettings.h
+++ b/Source/Process/EntrySettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Process/CommonSettings.h"
 #include "Process/SettingsFile.h"
 
 #include <string>
@@ -25,6 +26,8 @@
   std::int64_t maxBodyBytes_ = 0;
   std::int64_t receiveTimeoutMs_ = 0;
 
+  CommonSettings common_;
+
   static std::span<const SettingSpec> Specs();
   static Result<EntrySettings> Load(const std::string& aPath);
 };
--- /dev/null
+++ b/Source/Process/ExplainCommand.cxx
@@ -0,0 +1,156 @@
+#include "Process/ExplainCommand.h"
+
+#include "Process/CommandTable.h"
+#include "Process/EntryClient.h"
+#include "Process/TextTable.h"
+#include "Request/RequestStep.h"
+#include "Version/JsonText.h"
+
+#include <QDateTime>
+#include <QUrl>
+
+#include <iostream>
+
+namespace cactusrail {
+
+namespace {
+
+/** The steps of a request, as an entry answers them. */
+struct StepList
+{
+  std::vector<RequestStep> steps_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(cereal::make_nvp("steps", steps_));
+  }
+};
+
+/** What explain prints for scripts. */
+struct Explanation
+{
+  std::string requestId_;
+  std::string verdict_;
+  std::vector<RequestStep> steps_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(cereal::make_nvp("requestId", requestId_),
+       cereal::make_nvp("verdict", verdict_),
+       cereal::make_nvp("steps", steps_));
+  }
+};
+
+std::string
+ClockText(std::int64_t aWallMicros)
+{
+  return QDateTime::fromMSecsSinceEpoch(aWallMicros / 1000, Qt::UTC)
+    .toString(Qt::ISODateWithMs)
+    .toStdString();
+}
+
+Verdict
+VerdictOfSteps(std::span<const RequestStep> aSteps)
+{
+  Verdict verdict = Verdict::MayHaveRun;
+  for (const RequestStep& step : aSteps) {
+    if (step.conclusive_) {
+      verdict = step.verdict_;
+    }
+  }
+  return verdict;
+}
+
+void
+PrintSteps(const std::vector<RequestStep>& aSteps, Verdict aVerdict)
+{
+  TextTable table;
+  table.AddRow({ "TIME", "PROCESS", "STEP", "DETAIL" });
+  for (const RequestStep& step : aSteps) {
+    table.AddRow(
+      { ClockText(step.wallMicros_), step.host_, step.step_, step.detail_ });
+  }
+  std::cout << table.Text() << "verdict: " << VerdictText(aVerdict) << '\n';
+}
+
+/** Asks an entry for a page and returns its body, or reports why not. */
+std::optional<std::string>
+AskPage(const CommandLine& aLine, const std::string& aTarget, ExitCode& aCode)
+{
+  const Result<EntryClient> client = EntryClient::Make(aLine);
+  if (const auto* failure = std::get_if<Failure>(&client)) {
+    std::cerr << failure->message_ << '\n';
+    aCode = ExitCodeOfFailure(*failure);
+    return std::nullopt;
+  }
+  std::optional<HttpReply> reply =
+    std::get<EntryClient>(client).CallOrReport("GET", aTarget, "", aCode);
+  return reply.has_value() ? std::optional(std::move(reply->body_))
+                           : std::nullopt;
+}
+
+ExitCode
+Explain(const CommandLine& aLine)
+{
+  const std::string id = aLine.Text("ID");
+  const std::string escaped =
+    QUrl::toPercentEncoding(QString::fromStdString(id)).toStdString();
+  ExitCode code = ExitCode::Done;
+  const std::optional<std::string> body =
+    AskPage(aLine, "/v1/explain?id=" + escaped, code);
+  if (!body.has_value()) {
+    return code;
+  }
+  const Result<StepList> parsed = FromJson<StepList>(*body);
+  if (const auto* failure = std::get_if<Failure>(&parsed)) {
+    std::cerr << failure->message_ << '\n';
+    return ExitCode::Other;
+  }
+  const auto& steps = std::get<StepList>(parsed).steps_;
+  const Verdict verdict = VerdictOfSteps(steps);
+  if (aLine.Output() == OutputFormat::Json) {
+    const Explanation explanation{ id,
+                                   std::string(VerdictText(verdict)),
+                                   steps };
+    std::cout << ToJson(explanation) << '\n';
+  } else {
+    PrintSteps(steps, verdict);
+  }
+  return ExitCode::Done;
+}
+
+ExitCode
+PrintSides(const CommandLine& aLine)
+{
+  ExitCode code = ExitCode::Done;
+  const std::optional<std::string> body = AskPage(aLine, "/v1/sides", code);
+  if (body.has_value()) {
+    std::cout << *body;
+  }
+  return code;
+}
+
+}
+
+void
+AddExplainCommands(CommandTable& aTable)
+{
+  aTable.Add({ "explain",
+               { "ID" },
+               "Says what became of one request: its steps and its verdict.",
+               "cactusrail explain entry1-k3-0-17 --entry 127.0.0.1:7001",
+               {},
+               true,
+               Explain });
+  aTable.Add({ "list sides",
+               {},
+               "Prints the sides that an entry hears of, as that entry does.",
+               "cactusrail list sides --entry 127.0.0.1:7001",
+               {},
+               true,
+               PrintSides });
+}
+
+}
--- /dev/null
+++ b/Source/Process/RoleCommands.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace cactusrail {
+
+class CommandTable;
+
+/** Adds entry and side, which run a role until it is stopped. */
+void
+AddRoleCommands(CommandTable& aTable);
+
+}
--- a/Source/Process/SettingsFile.cxx
+++ b/Source/Process/SettingsFile.cxx
@@ -4,11 +4,7 @@
 #include <boost/program_options/parsers.hpp>
 #include <boost/program_options/variables_map.hpp>
 
-#include <QHostAddress>
-
-#include <charconv>
 #include <fstream>
-#include <optional>
 #include <sstream>
 
 namespace cactusrail {
@@ -17,118 +13,115 @@
 
 namespace options = boost::program_options;
 
-Failure
-BadSetting(const std::string& aPath,
-           std::string_view aName,
-           const std::string& aExpected)
-{
-  const std::size_t dot = aName.find('.');
-  const std::string section(aName.substr(0, dot));
-  const std::string key(dot == std::string_view::npos ? aName
-                                                      : aName.substr(dot + 1));
-  return NotRun(FailureKind::BadInput,
-                aPath + ": [" + section + "] " + key + ": " + aExpected);
-}
-
-std::optional<std::int64_t>
-ParseWhole(std::string_view aText)
+std::string
+Trimmed(const std::string& aText)
 {
-  std::int64_t number = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [stop, error] = std::from_chars(aText.data(), end, number);
-  if (aText.empty() || error != std::errc() || stop != end) {
-    return std::nullopt;
+  constexpr const char* kBlank = " \t\r";
+  const std::size_t first = aText.find_first_not_of(kBlank);
+  if (first == std::string::npos) {
+    return {};
   }
-  return number;
+  return aText.substr(first, aText.find_last_not_of(kBlank) - first + 1);
 }
 
-std::vector<std::string>
-SplitAtCommas(const std::string& aText)
+/**
+ * Finds lines of a settings file for messages, since Program_options, which
+ * reads the file, names none. Decides nothing about what the file means.
+ */
+class LineFinder
 {
-  std::vector<std::string> parts;
-  std::istringstream stream(aText);
-  std::string part;
-  while (std::getline(stream, part, ',')) {
-    const std::size_t first = part.find_first_not_of(' ');
-    const std::size_t last = part.find_last_not_of(' ');
-    if (first != std::string::npos) {
-      parts.push_back(part.substr(first, last - first + 1));
+public:
+  explicit LineFinder(const std::string& aText)
+  {
+    std::istringstream stream(aText);
+    std::string line;
+    while (std::getline(stream, line)) {
+      lines_.push_back(Trimmed(line.substr(0, line.find('#'))));
     }
   }
-  return parts;
-}
 
-/** What a value should have been; empty if it is right. */
-std::string
-FindFault(const SettingSpec& aSpec, const std::string& aValue)
-{
-  switch (aSpec.kind_) {
-    case SettingKind::Text:
-      return {};
-    case SettingKind::Number: {
-      const std::optional<std::int64_t> number = ParseWhole(aValue);
-      if (number.has_value() && *number >= aSpec.minimum_ &&
-          *number <= aSpec.maximum_) {
-        return {};
+  /** The last line that sets "section.key"; 0 if there is none. */
+  std::size_t LineOfKey(std::string_view aName) const
+  {
+    std::string section;
+    std::size_t found = 0;
+    for (std::size_t number = 1; number <= lines_.size(); ++number) {
+      const std::string& line = lines_[number - 1];
+      if (line.starts_with('[') && line.ends_with(']')) {
+        section = line.substr(1, line.size() - 2) + ".";
+      }
+      const std::size_t equals = line.find('=');
+      if (equals != std::string::npos &&
+          section + Trimmed(line.substr(0, equals)) == aName) {
+        found = number;
       }
-      return "expected a whole number from " + std::to_string(aSpec.minimum_) +
-             " to " + std::to_string(aSpec.maximum_) + ", got '" + aValue +
-             "'.";
-    }
-    case SettingKind::Address: {
-      const Result<SocketAddress> address = ParseSocketAddress(aValue);
-      return Succeeded(address) ? std::string()
-                                : std::get<Failure>(address).message_;
     }
-    case SettingKind::AddressList:
-      for (const std::string& part : SplitAtCommas(aValue)) {
-        const Result<SocketAddress> address = ParseSocketAddress(part);
-        if (const auto* failure = std::get_if<Failure>(&address)) {
-          return failure->message_;
-        }
+    return found;
+  }
+
+  /** The first line that is neither a section nor "key = value"; 0 if none. */
+  std::size_t LineOfBadSyntax() const
+  {
+    for (std::size_t number = 1; number <= lines_.size(); ++number) {
+      const std::string& line = lines_[number - 1];
+      const bool isSection = line.starts_with('[') && line.ends_with(']');
+      if (!line.empty() && !isSection && line.find('=') == std::string::npos) {
+        return number;
       }
-      return {};
+    }
+    return 0;
   }
-  return {};
+
+private:
+  std::vector<std::string> lines_;
+};
+
+/** "FILE:LINE: " or, if the line is not known, "FILE: ". */
+std::string
+Place(const std::string& aPath, std::size_t aLine)
+{
+  return aLine == 0 ? aPath + ": " : aPath + ":" + std::to_string(aLine) + ": ";
+}
+
+Failure
+BadSetting(const std::string& aPath,
+           std::size_t aLine,
+           std::string_view aName,
+           const std::string& aExpected)
+{
+  const std::size_t dot = aName.find('.');
+  const std::string section(
+    dot == std::string_view::npos ? std::string_view() : aName.substr(0, dot));
+  const std::string key(dot == std::string_view::npos ? aName
+                                                      : aName.substr(dot + 1));
+  return NotRun(FailureKind::BadInput,
+                Place(aPath, aLine) + "[" + section + "] " + key + ": " +
+                  aExpected);
 }
 
 }
 
-Result<SocketAddress>
-ParseSocketAddress(std::string_view aText)
+Result<std::string>
+SettingsFile::ReadText(const std::string& aPath)
 {
-  const auto bad = [aText] {
+  std::ifstream file(aPath);
+  std::stringstream text;
+  if (!file || !(text << file.rdbuf())) {
     return NotRun(FailureKind::BadInput,
-                  "expected an IPv4 number and a port such as 127.0.0.1:7000, "
-                  "got '" +
-                    std::string(aText) + "'.");
-  };
-  const std::size_t colon = aText.rfind(':');
-  if (colon == std::string_view::npos) {
-    return bad();
-  }
-  const std::optional<std::int64_t> port = ParseWhole(aText.substr(colon + 1));
-  const std::string ip(aText.substr(0, colon));
-  const QHostAddress address(QString::fromStdString(ip));
-  constexpr std::int64_t kMaxPort = 65535;
-  if (!port.has_value() || *port < 0 || *port > kMaxPort ||
-      address.protocol() != QAbstractSocket::IPv4Protocol) {
-    return bad();
+                  aPath + ": the settings file can't be read or is empty.");
   }
-  return SocketAddress{ ip, static_cast<std::uint16_t>(*port) };
+  return text.str();
 }
 
 Result<SettingsFile>
 SettingsFile::Load(const std::string& aPath,
                    std::span<const SettingSpec> aSpecs)
 {
-  std::ifstream file(aPath);
-  std::stringstream text;
-  if (!file || !(text << file.rdbuf())) {
-    return NotRun(FailureKind::BadInput,
-                  aPath + ": the settings file can't be read or is empty.");
+  const Result<std::string> text = ReadText(aPath);
+  if (const auto* failure = std::get_if<Failure>(&text)) {
+    return *failure;
   }
-  return Parse(aPath, text.str(), aSpecs);
+  return Parse(aPath, std::get<std::string>(text), aSpecs);
 }
 
 Result<SettingsFile>
@@ -136,6 +129,7 @@
                     const std::string& aText,
                     std::span<const SettingSpec> aSpecs)
 {
+  const LineFinder lines(aText);
   options::options_description known;
   for (const SettingSpec& spec : aSpecs) {
     known.add_options()(std::string(spec.name_).c_str(),
@@ -146,29 +140,35 @@
     std::istringstream stream(aText);
     options::store(options::parse_config_file(stream, known), found);
   } catch (const options::unknown_option& error) {
+    const std::string name = error.get_option_name();
     return BadSetting(
-      aPath, error.get_option_name(), "is not a setting of this role.");
+      aPath, lines.LineOfKey(name), name, "is not a setting of this role.");
   } catch (const options::multiple_occurrences& error) {
+    const std::string name = error.get_option_name();
     return BadSetting(
-      aPath, error.get_option_name(), "is given more than once.");
+      aPath, lines.LineOfKey(name), name, "is given more than once.");
   } catch (const options::error& error) {
-    return NotRun(FailureKind::BadInput,
-                  aPath + ": expected '[section]' and 'key = value' lines: " +
-                    error.what() + ".");
+    return NotRun(
+      FailureKind::BadInput,
+      Place(aPath, lines.LineOfBadSyntax()) +
+        "expected '[section]' and 'key = value' lines: " + error.what() + ".");
   }
   SettingsFile settings;
   for (const SettingSpec& spec : aSpecs) {
     const std::string name(spec.name_);
     const bool given = found.count(name) != 0;
-    if (!given && spec.default_.data() == nullptr) {
-      return BadSetting(
-        aPath, name, "is missing; expected " + std::string(spec.help_) + ".");
+    if (!given && spec.IsRequired()) {
+      return BadSetting(aPath,
+                        0,
+                        name,
+                        "is missing; expected " + std::string(spec.help_) +
+                          ".");
     }
     std::string value =
       given ? found[name].as<std::string>() : std::string(spec.default_);
-    const std::string fault = FindFault(spec, value);
+    const std::string fault = FindSettingFault(spec, value);
     if (!fault.empty()) {
-      return BadSetting(aPath, name, fault);
+      return BadSetting(aPath, lines.LineOfKey(name), name, fault);
     }
     settings.values_.emplace(name, std::move(value));
   }
@@ -184,7 +184,7 @@
 std::int64_t
 SettingsFile::Number(std::string_view aName) const
 {
-  return ParseWhole(Text(aName)).value_or(0);
+  return std::get<std::int64_t>(ParseWholeNumber(Text(aName)));
 }
 
 SocketAddress
@@ -203,4 +203,18 @@
   return addresses;
 }
 
+std::vector<SocketAddress>
+SettingsFile::AllAddresses(std::span<const SettingSpec> aSpecs) const
+{
+  std::vector<SocketAddress> addresses;
+  for (const SettingSpec& spec : aSpecs) {
+    if (spec.kind_ == SettingKind::Address ||
+        spec.kind_ == SettingKind::AddressList) {
+      const std::vector<SocketAddress> own = AddressList(spec.name_);
+      addresses.insert(addresses.end(), own.begin(), own.end());
+    }
+  }
+  return addresses;
+}
+
 }
--- a/Source/Process/SettingsFile.h
+++ b/Source/Process/SettingsFile.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Process/SettingSpec.h"
+#include "Process/SocketAddress.h"
 #include "Request/Failure.h"
 
 #include <cstdint>
@@ -11,53 +13,13 @@
 
 namespace cactusrail {
 
-/** What a setting's text must be. */
-enum class SettingKind : std::uint8_t
-{
-  Text,
-  /** A whole number within the spec's range. */
-  Number,
-  /** "IP:PORT", IPv4, port 0 for any free one. */
-  Address,
-  /** "IP:PORT,IP:PORT" or empty. */
-  AddressList,
-};
-
-/** One key that a role's settings file may hold. */
-struct SettingSpec
-{
-  /** "section.key". */
-  std::string_view name_;
-  SettingKind kind_ = SettingKind::Text;
-  /** Used if the key is absent; a null view means that it is required. */
-  std::string_view default_;
-  std::int64_t minimum_ = 0;
-  std::int64_t maximum_ = 0;
-  /** What it is for, with its unit, for docs and error messages. */
-  std::string_view help_;
-};
-
-/** An IPv4 number and a port. */
-struct SocketAddress
-{
-  std::string ip_;
-  std::uint16_t port_ = 0;
-
-  std::string Text() const { return ip_ + ":" + std::to_string(port_); }
-  bool operator==(const SocketAddress&) const = default;
-};
-
-/** Reads "IP:PORT"; a name is not taken, nor a port over 65535. */
-Result<SocketAddress>
-ParseSocketAddress(std::string_view aText);
-
 /** The checked settings of one process, from one INI file. */
 class SettingsFile
 {
 public:
   /**
    * Reads and checks a file against the keys a role knows. The failure is one
-   * line with file, section, key and what was expected.
+   * line with file, line, section, key and what was expected.
    */
   static Result<SettingsFile> Load(const std::string& aPath,
                                    std::span<const SettingSpec> aSpecs);
@@ -67,11 +29,18 @@
                                     const std::string& aText,
                                     std::span<const SettingSpec> aSpecs);
 
+  /** The text of a settings file, or why it can't be had. */
+  static Result<std::string> ReadText(const std::string& aPath);
+
   const std::string& Text(std::string_view aName) const;
   std::int64_t Number(std::string_view aName) const;
   SocketAddress Address(std::string_view aName) const;
   std::vector<SocketAddress> AddressList(std::string_view aName) const;
 
+  /** Every address in the file, of any key. */
+  std::vector<SocketAddress> AllAddresses(
+    std::span<const SettingSpec> aSpecs) const;
+
 private:
   std::map<std::string, std::string, std::less<>> values_;
 };
--- a/Source/Process/SideSettings.cxx
+++ b/Source/Process/SideSettings.cxx
@@ -7,44 +7,37 @@
 namespace {
 
 constexpr std::array<SettingSpec, 8> kSpecs{ {
-  { "side.name", SettingKind::Text, {}, 0, 0, "this side's unique name" },
-  { "side.data-centre", SettingKind::Text, {}, 0, 0, "the data centre's name" },
-  { "side.listen",
-    SettingKind::Address,
-    {},
-    0,
-    0,
-    "IP:PORT that entries connect to" },
-  { "side.announce",
-    SettingKind::Address,
-    {},
-    0,
-    0,
-    "IP:PORT that the upstream announces itself at" },
-  { "side.entries",
-    SettingKind::AddressList,
-    {},
-    0,
-    0,
-    "IP:PORT,... of some entries' membership sockets" },
-  { "side.heartbeat-ms",
-    SettingKind::Number,
-    "500",
-    50,
-    1000,
-    "milliseconds between heartbeats" },
-  { "side.max-queued",
-    SettingKind::Number,
-    "16",
-    0,
-    1024,
-    "attempts that may wait for a slot" },
-  { "side.stop-bound-ms",
-    SettingKind::Number,
-    "30000",
-    0,
-    600000,
-    "milliseconds that a planned stop may take" },
+  RequiredSetting("side.name", SettingKind::Text, "this side's unique name"),
+  RequiredSetting("side.data-centre",
+                  SettingKind::Text,
+                  "the name of its data centre"),
+  RequiredSetting("side.listen",
+                  SettingKind::Address,
+                  "IP:PORT that entries connect to"),
+  RequiredSetting("side.announce",
+                  SettingKind::Address,
+                  "IP:PORT that the upstream announces itself at"),
+  RequiredSetting("side.entries",
+                  SettingKind::AddressList,
+                  "IP:PORT,... of some entries' membership sockets"),
+  NumberSetting("side.heartbeat-ms",
+                "500",
+                50,
+                1000,
+                "ms",
+                "time between heartbeats"),
+  NumberSetting("side.max-queued",
+                "16",
+                0,
+                1024,
+                "attempts",
+                "attempts that may wait for a slot"),
+  NumberSetting("side.stop-bound-ms",
+                "30000",
+                0,
+                600000,
+                "ms",
+                "time that a planned stop may take"),
 } };
 
 }
@@ -52,18 +45,26 @@
 std::span<const SettingSpec>
 SideSettings::Specs()
 {
-  return kSpecs;
+  static const std::vector<SettingSpec> kAll =
+    CommonSettings::JoinedWith(kSpecs);
+  return kAll;
 }
 
 Result<SideSettings>
 SideSettings::Load(const std::string& aPath)
 {
-  const Result<SettingsFile> loaded = SettingsFile::Load(aPath, kSpecs);
+  const Result<SettingsFile> loaded = SettingsFile::Load(aPath, Specs());
   if (const auto* failure = std::get_if<Failure>(&loaded)) {
     return *failure;
   }
   const auto& file = std::get<SettingsFile>(loaded);
+  const Result<CommonSettings> common =
+    CommonSettings::From(aPath, file, Specs());
+  if (const auto* failure = std::get_if<Failure>(&common)) {
+    return *failure;
+  }
   SideSettings settings;
+  settings.common_ = std::get<CommonSettings>(common);
   settings.name_ = file.Text("side.name");
   settings.dataCentre_ = file.Text("side.data-centre");
   settings.listen_ = file.Address("side.listen");
--- a/Source/Process/SideSettings.h
+++ b/Source/Process/SideSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Process/CommonSettings.h"
 #include "Process/SettingsFile.h"
 
 #include <string>
@@ -22,6 +23,8 @@
   std::int64_t maxQueued_ = 0;
   std::int64_t stopBoundMs_ = 0;
 
+  CommonSettings common_;
+
   static std::span<const SettingSpec> Specs();
   static Result<SideSettings> Load(const std::string& aPath);
 };
--- /dev/null
+++ b/Tests/Unit/EntryClientTest.cxx
@@ -0,0 +1,98 @@
+#include "Process/EntryClient.h"
+#include "Connection/HttpFront.h"
+
+#include <QCoreApplication>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <criterion/criterion.h>
+
+using namespace cactusrail;
+
+namespace {
+
+/** An event loop, an entry that answers, and a count of what it was asked. */
+class Bench
+{
+public:
+  Bench()
+    : application_(argc_, &argv_)
+  {
+    auto front = HttpFront::Listen(
+      "127.0.0.1", 0, HttpLimits{}, [this](const HttpExchange& aExchange) {
+        ++asked_;
+        HttpAnswer answer;
+        answer.body_ = "here";
+        aExchange.Answer(answer);
+      });
+    front_ = std::move(std::get<std::unique_ptr<HttpFront>>(front));
+  }
+
+  EntryClient Client(std::uint16_t aFirstPort) const
+  {
+    const std::vector<std::string> words{
+      "--entry",
+      "127.0.0.1:" + std::to_string(aFirstPort),
+      "--entry",
+      "127.0.0.1:" + std::to_string(front_->Port())
+    };
+    const auto line = CommandLine::Parse(words, {}, EntryOptions());
+    return std::get<EntryClient>(
+      EntryClient::Make(std::get<CommandLine>(line)));
+  }
+
+  int asked_ = 0;
+
+private:
+  int argc_ = 1;
+  char name_[2] = "t";
+  char* argv_ = name_;
+  QCoreApplication application_;
+  std::unique_ptr<HttpFront> front_;
+};
+
+/** A port where nobody listens. */
+std::uint16_t
+ClosedPort()
+{
+  QTcpServer server;
+  server.listen(QHostAddress::LocalHost, 0);
+  return server.serverPort();
+}
+
+}
+
+Test(EntryClient, AsksTheNextEntryIfOneCannotBeReached)
+{
+  Bench bench;
+  const EntryClient client = bench.Client(ClosedPort());
+  const auto got = client.Call("GET", "/", "");
+  cr_assert(std::get<HttpReply>(got).body_ == "here");
+  const auto put = client.Call("PUT", "/", "x");
+  cr_assert(std::get<HttpReply>(put).body_ == "here");
+  cr_assert(bench.asked_ == 2);
+}
+
+// An operator drains a worker; the entry takes the command and dies before its
+// answer. Asked again through the next entry, the command would run twice, so
+// the operator is told that it may have been done.
+Test(EntryClient, AChangeThatMayHaveArrivedIsNotSentToAnotherEntry)
+{
+  Bench bench;
+  QTcpServer dying;
+  dying.listen(QHostAddress::LocalHost, 0);
+  int read = 0;
+  QObject::connect(&dying, &QTcpServer::newConnection, &dying, [&] {
+    QTcpSocket* socket = dying.nextPendingConnection();
+    QObject::connect(socket, &QTcpSocket::readyRead, socket, [&read, socket] {
+      ++read;
+      socket->abort();
+    });
+  });
+  const EntryClient client = bench.Client(dying.serverPort());
+  const auto result = client.Call("POST", "/v1/drain", "x");
+  const auto* failure = std::get_if<Failure>(&result);
+  cr_assert(failure != nullptr);
+  cr_assert(failure->verdict_ == Verdict::MayHaveRun);
+  cr_assert(read == 1 && bench.asked_ == 0);
+}
--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -119,8 +119,9 @@
 done
 
 step="configuring"
-$program create-tenant "${operators[0]}" clerk demo-key >/dev/null
-$program create-service "${operators[0]}" pricing once 5000 >/dev/null
+export CACTUSRAIL_ENTRY=${operators[0]},${operators[1]}
+printf demo-key | $program create tenant clerk - >/dev/null
+$program create service pricing --timeout-ms 5000 >/dev/null
 
 call=(curl -fsS -H "Authorization: Bearer demo-key" -X POST -d "lot 7"
   "http://${https[1]}/s/pricing/value")
@@ -136,8 +137,8 @@
 
 step="explaining a request"
 id=$(sed -nE 's/.*last-id=([^ ]+).*/\1/p' "$work/once")
-echo "\$ cactusrail explain ${operators[1]} $id"
-$program explain "${operators[1]}" "$id"
+echo "\$ cactusrail explain $id --entry ${operators[1]}"
+$program explain "$id" --entry "${operators[1]}"
 
 if [ $hold = yes ]; then
   echo "entry http://${https[0]}"
