--- a/Tests/Process/Child.h
+++ b/Tests/Process/Child.h
@@ -24,7 +24,9 @@
 {
 public:
   /** Starts the program and waits for its "ready" line. */
-  Child(std::string aName, const std::string& aProgram, const QStringList& aArguments);
+  Child(std::string aName,
+        const std::string& aProgram,
+        const QStringList& aArguments);
   ~Child();
   Child(const Child&) = delete;
   Child& operator=(const Child&) = delete;
