--- a/Source/Process/Lane.cxx
+++ b/Source/Process/Lane.cxx
@@ -164,7 +164,7 @@
   tick_ = std::make_unique<QTimer>();
   connect(tick_.get(), &QTimer::timeout, this, [this] {
     Run(core_->OnTick(ReadMonotonicClock()));
-    inProgress_ = exchanges_.size();
+    inProgress_ = exchanges_.size() + core_->UnwrittenOutcomes();
   });
   tick_->start(kTick);
   return true;
--- a/Source/Process/SideProcess.cxx
+++ b/Source/Process/SideProcess.cxx
@@ -50,6 +50,18 @@
   }
 };
 
+/** The JSON body of an upstream's goodbye; may be left out. */
+struct GoodbyeBody
+{
+  std::uint64_t incarnation_ = 0;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(cereal::make_nvp("incarnation", incarnation_));
+  }
+};
+
 /** Headers that belong to one connection and are not passed on. */
 bool
 IsHopHeader(std::string_view aName)
@@ -191,7 +203,9 @@
       "}\n";
   } else if (aExchange.Method() == "POST" &&
              aExchange.Path() == "/v1/goodbye") {
-    Run(core_.OnGoodbye(now));
+    const Result<GoodbyeBody> parsed = FromJson<GoodbyeBody>(aExchange.Body());
+    const auto* body = std::get_if<GoodbyeBody>(&parsed);
+    Run(core_.OnGoodbye(body == nullptr ? 0 : body->incarnation_, now));
     answer.body_ = "{}\n";
   } else {
     answer.status_ = 404;
@@ -357,7 +371,9 @@
   const Instant now = ReadMonotonicClock();
   const bool finished = core_.Idle() && now >= stopEarliest_;
   if (finished || now >= stopDeadline_) {
-    LogChange("stopped", { { "in-flight-left", core_.Idle() ? "no" : "yes" } });
+    const std::string left = core_.Idle() ? "no" : "yes";
+    Run(core_.OnStopBound(now));
+    LogChange("stopped", { { "in-flight-left", left } });
     std::exchange(stopped_, nullptr)();
   }
 }
--- a/Source/Request/EntryCore.cxx
+++ b/Source/Request/EntryCore.cxx
@@ -117,6 +117,8 @@
                      Request& aRequest,
                      const std::string& aReason,
                      Instant aNow);
+  void LeaveSilentSides(Actions& aActions, Instant aNow);
+  void LeaveSilentSide(Actions& aActions, Request& aRequest, Instant aNow);
   void GiveUp(Actions& aActions,
               const std::string& aRequestId,
               int aStatus,
@@ -504,6 +506,48 @@
     aActions, std::string(aRequest.facts_.requestId_), status, aReason, aNow);
 }
 
+void
+EntryCore::Private::LeaveSilentSide(Actions& aActions,
+                                    Request& aRequest,
+                                    Instant aNow)
+{
+  const bool mayMove = aRequest.facts_.idempotent_ &&
+                       aRequest.attempts_ < limits_.maxAttempts_ &&
+                       Choose(aRequest, aNow).has_value();
+  if (!mayMove) {
+    return;
+  }
+  Record(aActions,
+         aRequest.facts_.requestId_,
+         "side silent",
+         Verdict::MayHaveRun,
+         false,
+         "on side/" + aRequest.sideId_,
+         aRequest.attemptId_);
+  aActions.emplace_back(
+    SendCancel{ aRequest.sideId_, CancelMessage{ aRequest.attemptId_ } });
+  aRequest.verdict_ = CombineVerdicts(aRequest.verdict_, Verdict::MayHaveRun);
+  EndAttempt(aRequest);
+  Dispatch(aActions, aRequest, aNow);
+}
+
+void
+EntryCore::Private::LeaveSilentSides(Actions& aActions, Instant aNow)
+{
+  // A frozen side's connection stands for minutes. Its attempts would wait for
+  // their deadlines although another side has room.
+  std::set<std::string> waiting;
+  for (const auto& [sideId, ids] : sent_) {
+    const std::optional<SideView> side = membership_.Find(sideId);
+    if (!side.has_value() || side->usableUntil_ <= aNow) {
+      waiting.insert(ids.begin(), ids.end());
+    }
+  }
+  for (const std::string& id : waiting) {
+    LeaveSilentSide(aActions, requests_.at(id), aNow);
+  }
+}
+
 EntryCore::EntryCore(const Limits& aLimits)
   : private_(std::make_unique<Private>(aLimits))
 {
@@ -711,6 +755,7 @@
     const std::string id = self.deadlines_.begin()->second;
     self.GiveUp(actions, id, 504, "The deadline passed.", aNow);
   }
+  self.LeaveSilentSides(actions, aNow);
   while (!self.givenUpOrder_.empty() &&
          self.givenUpOrder_.front().first <= aNow) {
     self.givenUp_.erase(self.givenUpOrder_.front().second);
--- a/Source/Request/SideCore.cxx
+++ b/Source/Request/SideCore.cxx
@@ -74,6 +74,8 @@
 
   Limits limits_;
   std::optional<Announcement> upstream_;
+  /** Of the latest announcement that counted, lapsed or not. */
+  std::uint64_t lastIncarnation_ = 0;
   bool upstreamLeaving_ = false;
   bool stopping_ = false;
   std::unordered_map<std::string, Attempt> attempts_;
@@ -306,20 +308,27 @@
   }
   self.upstreamLeaving_ = false;
   self.upstream_ = aAnnouncement;
+  self.lastIncarnation_ = aAnnouncement.incarnation_;
   self.StartQueued(actions, aNow);
   return actions;
 }
 
 std::vector<SideAction>
-SideCore::OnGoodbye(Instant)
+SideCore::OnGoodbye(std::uint64_t aIncarnation, Instant)
 {
   std::vector<SideAction> actions;
-  if (!private_->upstream_.has_value()) {
-    return actions;
+  Private& self = *private_;
+  const std::uint64_t leaving =
+    aIncarnation == 0 ? self.lastIncarnation_ : aIncarnation;
+  // Also if it is not announced now: a late repeat of its announcement must not
+  // open it again.
+  self.EndIncarnation(leaving);
+  const bool current =
+    self.upstream_.has_value() && self.upstream_->incarnation_ == leaving;
+  if (current) {
+    self.upstreamLeaving_ = true;
+    self.RefuseQueued(actions, "The upstream is leaving.");
   }
-  private_->upstreamLeaving_ = true;
-  private_->EndIncarnation(private_->upstream_->incarnation_);
-  private_->RefuseQueued(actions, "The upstream is leaving.");
   return actions;
 }
 
--- a/Source/Request/SideCore.h
+++ b/Source/Request/SideCore.h
@@ -84,8 +84,11 @@
   std::vector<SideAction> OnAnnounce(const Announcement& aAnnouncement,
                                      Instant aNow);
 
-  /** The upstream said goodbye: what it runs may finish, nothing new starts. */
-  std::vector<SideAction> OnGoodbye(Instant aNow);
+  /**
+   * The upstream said goodbye: what it runs may finish, nothing new starts.
+   * Incarnation 0, if it did not name one, means the latest announced.
+   */
+  std::vector<SideAction> OnGoodbye(std::uint64_t aIncarnation, Instant aNow);
 
   std::vector<SideAction> OnDispatch(LinkId aLink,
                                      const DispatchMessage& aDispatch,
--- a/Tests/Golden/RandomSessionsTest.cxx
+++ b/Tests/Golden/RandomSessionsTest.cxx
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::uint64_t kSessions = 3000;
+constexpr std::uint64_t kSessions = RANDOM_SESSIONS;
 constexpr int kFaultsFrom = 1000;
 constexpr int kHealAt = 7000;
 constexpr int kAgainAt = 10000;
@@ -142,6 +142,9 @@
            "table " + std::string(kModes.at(
                         static_cast<std::size_t>(Pick(0, kModes.size() - 1)))));
       Line(aAt + length, "table up");
+    } else if (kind == "goodbye") {
+      Line(aAt, "goodbye " + side);
+      Line(aAt + Pick(0, 200), "announce " + side);
     } else if (kind == "stop") {
       Line(aAt, "stop " + entry + " " + std::to_string(length + 1000));
       Line(aAt + length + 1100, "entry " + entry);
--- a/Tests/Golden/VirtualCluster.cxx
+++ b/Tests/Golden/VirtualCluster.cxx
@@ -34,6 +34,15 @@
 constexpr Millis kDrain{ 8000 };
 /** A caller whose entry lives has its answer so soon after the deadline. */
 constexpr Millis kAnswerSlack{ 30 };
+constexpr std::size_t kShownBody = 60;
+/**
+ * Promise 7: so long after it began to leave, an upstream gets nothing new.
+ * What its side was told counts at once, what it must notice takes the life of
+ * an announcement. A side that is frozen itself takes up later what was sent to
+ * it before; the bound begins when it thaws.
+ */
+constexpr Millis kToldBound{ 10 };
+constexpr Millis kNoticedBound = kAnnouncementLife + kToldBound;
 
 using Words = std::vector<std::string>;
 
@@ -83,6 +92,7 @@
   bool leaving_ = false;
   std::string leavingHow_;
   Instant leavingSince_;
+  bool sideFroze_ = false;
   std::int64_t lastCallAfter_ = 0;
   std::set<std::string> calls_;
 };
@@ -223,6 +233,7 @@
   void Heartbeat(const std::string& aName, std::uint64_t aIncarnation);
   void SendHeartbeat(SideNode& aSide);
   void Announce(const std::string& aSide, std::uint64_t aIncarnation);
+  void CarryAnnouncement(const std::string& aSide);
   void RunEntry(EntryNode& aEntry, const std::vector<EntryAction>& aActions);
   void RunSide(SideNode& aSide, const std::vector<SideAction>& aActions);
   void Do(EntryNode& aEntry, const SendDispatch& aAction);
@@ -303,6 +314,7 @@
   std::map<std::string, std::string> bodyByKey_;
   /** When a side took up a dispatch, by attempt. */
   std::map<std::string, Instant> takenAt_;
+  std::map<std::string, std::string> expected_;
   bool entryKilled_ = false;
   SessionCounts counts_;
   std::vector<std::string> broken_;
@@ -334,14 +346,16 @@
 
 /**
  * entry NAME | side NAME | upstream SIDE           a process starts, anew too
- * send LABEL ENTRY KEY once|many DEADLINE SERVE [BODYBYTES]
+ * send LABEL ENTRY KEY once|many DEADLINE SERVE [BODY]    BODY BYTESx: so long
  * hangup LABEL
  * cut|block|unblock|stall|unstall|double ENTRY SIDE  of their connection
  * mute|unmute|echo SIDE                              of its heartbeats
  * goodbye|goodbye-lost|silence|dies|closes SIDE      of its upstream
+ * announce SIDE                  a repeat that was on its way arrives only now
  * freeze|thaw|kill NODE, stop NODE BOUND             entry or side
  * table up|down|stall|lost|late|slow
  * heal                                               ends all faults
+ * expect LABEL ran|not-run|may-have-run          what the caller must be told
  */
 void
 VirtualCluster::Private::Execute(const Words& aWords)
@@ -403,6 +417,10 @@
     Stop(first, Millis(std::stoi(second)));
   } else if (verb == "table") {
     tableMode_ = first;
+  } else if (verb == "announce") {
+    CarryAnnouncement(first);
+  } else if (verb == "expect") {
+    expected_[first] = second;
   } else if (verb == "heal") {
     Heal();
   } else {
@@ -489,15 +507,26 @@
   upstream.leaving_ = true;
   upstream.leavingHow_ = aHow;
   upstream.leavingSince_ = now_;
+  upstream.sideFroze_ = aSide.frozen_;
   upstream.lastCallAfter_ = 0;
 }
 
 void
 VirtualCluster::Private::EndLeaving(Upstream& aUpstream)
 {
-  if (aUpstream.leaving_) {
-    leaving_[aUpstream.leavingHow_].push_back(aUpstream.lastCallAfter_);
-    aUpstream.leaving_ = false;
+  if (!aUpstream.leaving_) {
+    return;
+  }
+  aUpstream.leaving_ = false;
+  const std::string& how = aUpstream.leavingHow_;
+  const std::string frozen = aUpstream.sideFroze_ ? ", side frozen" : "";
+  leaving_[how + frozen].push_back(aUpstream.lastCallAfter_);
+  const bool noticed = how == "silence" || how == "lost goodbye";
+  const Millis bound = noticed ? kNoticedBound : kToldBound;
+  if (!aUpstream.sideFroze_ && aUpstream.lastCallAfter_ > bound.count()) {
+    Break("An upstream got a new call " +
+          std::to_string(aUpstream.lastCallAfter_) + " ms after its " + how +
+          ".");
   }
 }
 
@@ -505,17 +534,19 @@
 VirtualCluster::Private::Goodbye(const std::string& aSide, bool aLost)
 {
   SideNode& side = sides_.at(aSide);
-  Leave(side, aLost ? "lost goodbye" : "goodbye");
+  const bool lost = aLost || side.core_ == nullptr;
+  Leave(side, lost ? "lost goodbye" : "goodbye");
   side.upstream_.announces_ = false;
-  if (aLost || side.core_ == nullptr) {
+  if (lost) {
     return;
   }
   const std::uint64_t incarnation = side.incarnation_;
-  After(kLocalHop, [this, aSide, incarnation] {
+  const std::uint64_t upstream = side.upstream_.incarnation_;
+  After(kLocalHop, [this, aSide, incarnation, upstream] {
     SideNode* node = FindSide(aSide, incarnation);
     if (node != nullptr) {
-      Deliver(*node, [this, node] {
-        RunSide(*node, node->core_->OnGoodbye(now_));
+      Deliver(*node, [this, node, upstream] {
+        RunSide(*node, node->core_->OnGoodbye(upstream, now_));
         SendHeartbeat(*node);
       });
     }
@@ -532,6 +563,9 @@
   caller.key_ = aWords.at(4);
   caller.idempotent_ = aWords.at(5) == "many";
   caller.payload_ = aWords.size() > 8 ? aWords.at(8) : caller.key_;
+  if (caller.payload_.ends_with('x')) {
+    caller.payload_ = std::string(std::stoul(caller.payload_), 'x');
+  }
   caller.deadline_ = now_ + Millis(std::stoi(aWords.at(6)));
   if (entry.core_ == nullptr ||
       (entry.stopping_ && now_ >= entry.stopEarliest_)) {
@@ -639,6 +673,7 @@
     }
   } else {
     sides_.at(aNode).frozen_ = true;
+    sides_.at(aNode).upstream_.sideFroze_ = true;
   }
 }
 
@@ -852,10 +887,19 @@
   if (!upstream.announces_ || upstream.incarnation_ != aIncarnation) {
     return;
   }
+  CarryAnnouncement(aSide);
+  After(kAnnounce,
+        [this, aSide, aIncarnation] { Announce(aSide, aIncarnation); });
+}
+
+void
+VirtualCluster::Private::CarryAnnouncement(const std::string& aSide)
+{
+  const Upstream& upstream = sides_.at(aSide).upstream_;
   Announcement announcement;
   announcement.service_ = "payout";
   announcement.slots_ = upstream.slots_;
-  announcement.incarnation_ = aIncarnation;
+  announcement.incarnation_ = upstream.incarnation_;
   const std::uint64_t sideIncarnation = sides_.at(aSide).incarnation_;
   After(kLocalHop, [this, aSide, sideIncarnation, announcement] {
     SideNode* side = FindSide(aSide, sideIncarnation);
@@ -869,8 +913,6 @@
       SendHeartbeat(*side);
     });
   });
-  After(kAnnounce,
-        [this, aSide, aIncarnation] { Announce(aSide, aIncarnation); });
 }
 
 void
@@ -1341,6 +1383,15 @@
             " times.");
     }
   }
+  for (const auto& [label, expected] : expected_) {
+    const std::vector<AnswerCaller>& told = callers_[label].told_;
+    std::string got(told.empty() ? "nothing"
+                                 : VerdictText(told.front().verdict_));
+    std::replace(got.begin(), got.end(), ' ', '-');
+    if (got != (expected == "not-run" ? "did-not-run" : expected)) {
+      Break("caller " + label + " was told " + got + ", not " + expected + ".");
+    }
+  }
   // A session that ends with "again-KEY" after "heal": the retry must run.
   for (const auto& [label, caller] : callers_) {
     const bool retry = label.starts_with("again-");
