--- a/Source/Process/Lane.cxx
+++ b/Source/Process/Lane.cxx
@@ -165,7 +165,7 @@
   tick_ = std::make_unique<QTimer>();
   connect(tick_.get(), &QTimer::timeout, this, [this] {
     Run(core_->OnTick(ReadMonotonicClock()));
-    inProgress_ = exchanges_.size();
+    inProgress_ = exchanges_.size() + core_->UnwrittenOutcomes();
     drained_ = !front_->Listening() && front_->Connections() == 0 &&
                exchanges_.empty() && table_->InFlight() == 0 &&
                core_->UnwrittenOutcomes() == 0;
--- a/Source/Process/SideProcess.cxx
+++ b/Source/Process/SideProcess.cxx
@@ -55,6 +55,18 @@
   }
 };
 
+/** The JSON body of an upstream's goodbye; may be left out. */
+struct GoodbyeBody
+{
+  std::uint64_t incarnation_ = 0;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(cereal::make_nvp("incarnation", incarnation_));
+  }
+};
+
 /** Headers that belong to one connection and are not passed on. */
 bool
 IsHopHeader(std::string_view aName)
@@ -222,7 +234,9 @@
       "}\n";
   } else if (aExchange.Method() == "POST" &&
              aExchange.Path() == "/v1/goodbye") {
-    Run(core_.OnGoodbye(now));
+    const Result<GoodbyeBody> parsed = FromJson<GoodbyeBody>(aExchange.Body());
+    const auto* body = std::get_if<GoodbyeBody>(&parsed);
+    Run(core_.OnGoodbye(body == nullptr ? 0 : body->incarnation_, now));
     answer.body_ = "{}\n";
   } else if (aExchange.Method() == "GET" &&
              aExchange.Path() == "/v1/counters") {
