--- a/Source/Process/SchedulerCore.cxx
+++ b/Source/Process/SchedulerCore.cxx
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::size_t kMaxPlacementsPerWrite = 64;
+constexpr Millis kRepeatCommand{ 500 };
 constexpr std::array<const char*, 4> kPolled{ kWorkerPrefix,
                                               kCellPrefix,
                                               kJobPrefix,
@@ -65,6 +66,8 @@
   bool evict_ = false;
   /** Its end is in the journal. */
   bool noted_ = false;
+  /** No start or stop of it is repeated before. */
+  Instant commandAfter_;
 };
 
 struct JobView
@@ -225,7 +228,9 @@
                      CellView& aCell,
                      WorkerView& aWorker,
                      Instant aNow);
-  std::optional<WorkerCommand> NextStop(CellView& aCell, WorkerView& aWorker);
+  std::optional<WorkerCommand> NextStop(CellView& aCell,
+                                        WorkerView& aWorker,
+                                        Instant aNow);
   std::optional<WorkerCommand> NextStart(CellView& aCell,
                                          WorkerView& aWorker,
                                          Instant aNow);
@@ -256,6 +261,7 @@
   std::uint64_t announcement_ = 0;
   std::uint64_t announcements_ = 0;
   std::map<std::string, WorkerView> workers_;
+  std::map<std::string, std::uint64_t> workerRevisions_;
   std::map<std::string, std::unique_ptr<CellView>> cells_;
   std::map<std::string, JobView> jobs_;
   std::map<std::string, EntryView> entries_;
@@ -285,6 +291,11 @@
 SchedulerCore::Private::TakeWorkers(const std::vector<TableRow>& aRows)
 {
   for (const TableRow& row : aRows) {
+    std::uint64_t& known = workerRevisions_[row.key_];
+    if (row.revision_ <= known) {
+      continue;
+    }
+    known = row.revision_;
     const Result<WorkerRow> parsed = FromJson<WorkerRow>(row.value_);
     if (const auto* worker = std::get_if<WorkerRow>(&parsed)) {
       workers_[worker->id_].row_ = *worker;
@@ -310,9 +321,12 @@
 {
   const std::size_t prefix = std::string_view(kCellPrefix).size();
   for (const TableRow& row : aRows) {
+    CellView& cell = CellOf(row.key_.substr(prefix));
+    if (!aCertain && row.revision_ <= cell.lease_.Revision()) {
+      continue;
+    }
     const Result<CellRow> parsed = FromJson<CellRow>(row.value_);
     if (const auto* value = std::get_if<CellRow>(&parsed)) {
-      CellView& cell = CellOf(row.key_.substr(prefix));
       if (cell.lease_.Observe(*value, row.revision_, aCertain, aNow)) {
         cell.releasing_.clear();
         Sync(cell, nullptr, aNow);
@@ -581,12 +595,12 @@
         return TaskEnd::Lost;
     }
   }
+  // An owner that was frozen past its lease must not say "never started" or
+  // "lost" of what another entry runs since; it renews its lease first.
+  if (!aCell.lease_.MayAct(aNow)) {
+    return std::nullopt;
+  }
   if (!held.granted_) {
-    // An owner that was frozen past its lease must not say "never started" of
-    // what another entry has started since.
-    if (!aCell.lease_.MayAct(aNow)) {
-      return std::nullopt;
-    }
     const auto worker = workers_.find(aReservation.workerId_);
     const bool there =
       worker != workers_.end() && worker->second.IsUsable(timings_, aNow) &&
@@ -873,6 +887,9 @@
       actions_.emplace_back(NoteAction{ note });
     }
   }
+  if (cell.lease_.Owned()) {
+    CommandWorkers(aWrite.cell_, cell, aNow);
+  }
 }
 
 void
@@ -959,19 +976,22 @@
 }
 
 std::optional<WorkerCommand>
-SchedulerCore::Private::NextStop(CellView& aCell, WorkerView& aWorker)
+SchedulerCore::Private::NextStop(CellView& aCell,
+                                 WorkerView& aWorker,
+                                 Instant aNow)
 {
   for (const Reservation& reservation : aCell.lease_.Row().reservations_) {
     const TaskRef ref = RefOf(reservation);
-    const HeldTask& held = aCell.held_.at(ref);
+    HeldTask& held = aCell.held_.at(ref);
     if (reservation.workerId_ != aWorker.row_.id_ ||
         reservation.workerIncarnation_ != aWorker.Incarnation() ||
-        !WantsStopped(aCell, reservation, held)) {
+        aNow < held.commandAfter_ || !WantsStopped(aCell, reservation, held)) {
       continue;
     }
     const auto job = jobs_.find(reservation.jobId_);
     const bool cancelled =
       job != jobs_.end() && job->second.row_.wanted_ == Wanted::Cancelled;
+    held.commandAfter_ = aNow + kRepeatCommand;
     StopCommand stop;
     stop.task_ = ref;
     stop.checkpointFirst_ = !cancelled;
@@ -996,11 +1016,13 @@
     const auto job = jobs_.find(reservation.jobId_);
     if (reservation.workerId_ != aWorker.row_.id_ ||
         reservation.workerIncarnation_ != aWorker.Incarnation() ||
-        held.acknowledged_ || held.ended_.has_value() || held.evict_ ||
+        aNow < held.commandAfter_ || held.acknowledged_ ||
+        held.ended_.has_value() || held.evict_ ||
         aCell.releasing_.contains(ref) || job == jobs_.end() ||
         job->second.row_.wanted_ != Wanted::Run) {
       continue;
     }
+    held.commandAfter_ = aNow + kRepeatCommand;
     StartCommand start;
     start.task_ = ref;
     start.until_ = grant->until_;
@@ -1086,7 +1108,7 @@
   std::optional<WorkerCommand> command;
   if (fenced && aWorker.IsUsable(timings_, aNow) &&
       aNow < aWorker.renewDueAt_ + timings_.renewEvery_) {
-    command = NextStop(aCell, aWorker);
+    command = NextStop(aCell, aWorker, aNow);
     if (!command.has_value()) {
       command = NextStart(aCell, aWorker, aNow);
     }
@@ -1174,6 +1196,7 @@
       HearTask(cell, reservation, worker, aNow);
     }
   }
+  CommandWorkers(aCall.cell_, cell, aNow);
 }
 
 SchedulerCore::SchedulerCore(EntryIdentity aSelf,
--- a/Source/Version/WorkVerbs.cxx
+++ b/Source/Version/WorkVerbs.cxx
@@ -76,6 +76,10 @@
     aJob.Unpark();
   }
   outcome.changed_ = true;
+  if (before == aWanted) {
+    outcome.outcome_ = "Tasks of the job that may have run start again.";
+    return outcome;
+  }
   outcome.outcome_ = "The job is " + std::string(WantedText(aWanted)) +
                      " now; it was " + std::string(WantedText(before)) + ".";
   return outcome;
