Work: Leave the rows of entries to EntryPresence

Since the merge two writers kept 'entry/NAME', with different values: the scheduler now only reads them.

--- a/Source/Process/SchedulerCore.cxx
+++ b/Source/Process/SchedulerCore.cxx
@@ -22,13 +22,16 @@
                                               kJobPrefix,
                                               kEntryPrefix };
 
-/** FNV-1a: the same in every process, whatever library it was built with. */
+/** FNV-1a over both: the same in every process, however it was built. */
 std::uint64_t
-StableHash(std::string_view aText)
+StableHash(std::string_view aFirst, std::string_view aSecond)
 {
   std::uint64_t hash = 14695981039346656037ULL;
-  for (const char letter : aText) {
-    hash = (hash ^ static_cast<unsigned char>(letter)) * 1099511628211ULL;
+  for (const std::string_view text : { aFirst, aSecond }) {
+    for (const char letter : text) {
+      hash = (hash ^ static_cast<unsigned char>(letter)) * 1099511628211ULL;
+    }
+    hash *= 1099511628211ULL;
   }
   hash ^= hash >> 29U;
   hash *= 0xbf58476d1ce4e5b9ULL;
@@ -173,14 +176,13 @@
   void Sync(CellView& aCell, const std::vector<TaskRef>* aPlaced, Instant aNow);
 
   // Owning.
-  void Announce(Instant aNow);
   std::size_t RankFor(const std::string& aCell, Instant aNow) const;
   void StepCell(const std::string& aName, CellView& aCell, Instant aNow);
   void Take(const std::string& aName, CellView& aCell, Instant aNow);
   bool WantsHandOver(const std::string& aName, CellView& aCell, Instant aNow);
   void Write(const std::string& aName, CellView& aCell, Instant aNow);
   void Send(PendingWrite aWrite, CellView& aCell, Instant aNow);
-  void FinishWrite(PendingWrite aWrite,
+  void FinishWrite(const PendingWrite& aWrite,
                    const Result<TableOutcome>& aOutcome,
                    Instant aNow);
   void Apply(const PendingWrite& aWrite,
@@ -258,8 +260,6 @@
   std::map<std::uint64_t, PendingRead> reads_;
   std::map<std::uint64_t, PendingWrite> writes_;
   std::map<std::uint64_t, PendingCall> calls_;
-  std::uint64_t announcement_ = 0;
-  std::uint64_t announcements_ = 0;
   std::map<std::string, WorkerView> workers_;
   std::map<std::string, std::uint64_t> workerRevisions_;
   std::map<std::string, std::unique_ptr<CellView>> cells_;
@@ -268,7 +268,6 @@
   std::map<std::string, std::int64_t> quotas_;
   bool handingOver_ = false;
   Instant pollAt_;
-  Instant announceAt_;
   SchedulerCounts counts_;
 };
 
@@ -427,31 +426,16 @@
   }
 }
 
-void
-SchedulerCore::Private::Announce(Instant aNow)
-{
-  if (aNow < announceAt_ || announcement_ != 0 || handingOver_) {
-    return;
-  }
-  announceAt_ = aNow + timings_.beatEvery_;
-  announcement_ = nextToken_++;
-  const EntryRow row{ self_.name_, self_.incarnation_, ++announcements_ };
-  TableTransaction transaction;
-  transaction.puts_.push_back({ kEntryPrefix + self_.name_, ToJson(row) });
-  actions_.emplace_back(TransactAction{ announcement_, transaction });
-  ++counts_.tableWrites_;
-}
-
 /** How many live entries come before this one for the cell, by rendezvous
  * hashing: cells spread, and few move when an entry comes or goes. */
 std::size_t
 SchedulerCore::Private::RankFor(const std::string& aCell, Instant aNow) const
 {
-  const std::uint64_t mine = StableHash(self_.name_ + "|" + aCell);
+  const std::uint64_t mine = StableHash(self_.name_, aCell);
   std::size_t rank = 0;
   for (const auto& [name, entry] : entries_) {
     const bool live = aNow < entry.changedAt_ + timings_.entrySilence_;
-    if (live && name != self_.name_ && StableHash(name + "|" + aCell) > mine) {
+    if (live && name != self_.name_ && StableHash(name, aCell) > mine) {
       ++rank;
     }
   }
@@ -502,7 +486,7 @@
   }
   aCell.preferredHere_ = here;
   return !here &&
-         aNow >= aCell.preferredElsewhereSince_ + timings_.entrySilence_;
+         aNow >= aCell.preferredElsewhereSince_ + timings_.handOverAfter_;
 }
 
 void
@@ -687,7 +671,7 @@
   // owners seldom write the same job's row at once.
   const auto key = [this, &aCell](const std::string& aId) {
     const bool urgent = jobs_.at(aId).row_.spec_.kind_ == WorkKind::Service;
-    return std::pair(urgent ? 0 : 1, StableHash(aId + "|" + aCell));
+    return std::pair(urgent ? 0 : 1, StableHash(aId, aCell));
   };
   std::sort(
     ids.begin(), ids.end(), [&key](const auto& aLeft, const auto& aRight) {
@@ -893,7 +877,7 @@
 }
 
 void
-SchedulerCore::Private::FinishWrite(PendingWrite aWrite,
+SchedulerCore::Private::FinishWrite(const PendingWrite& aWrite,
                                     const Result<TableOutcome>& aOutcome,
                                     Instant aNow)
 {
@@ -1213,7 +1197,6 @@
 void
 SchedulerCore::Tick(Instant aNow)
 {
-  private_->Announce(aNow);
   private_->Poll(aNow);
   for (const auto& [name, cell] : private_->cells_) {
     private_->StepCell(name, *cell, aNow);
@@ -1254,17 +1237,13 @@
                           const Result<TableOutcome>& aOutcome,
                           Instant aNow)
 {
-  if (aToken == private_->announcement_) {
-    private_->announcement_ = 0;
-    return;
-  }
   const auto write = private_->writes_.find(aToken);
   if (write == private_->writes_.end()) {
     return;
   }
-  PendingWrite pending = std::move(write->second);
+  const PendingWrite pending = std::move(write->second);
   private_->writes_.erase(write);
-  private_->FinishWrite(std::move(pending), aOutcome, aNow);
+  private_->FinishWrite(pending, aOutcome, aNow);
 }
 
 void
--- a/Source/Version/WorkRows.h
+++ b/Source/Version/WorkRows.h
@@ -166,22 +166,6 @@
   }
 };
 
-/** An entry that takes part in owning cells. */
-struct EntryRow
-{
-  std::string name_;
-  std::uint64_t incarnation_ = 0;
-  std::uint64_t beat_ = 0;
-
-  template<class Archive>
-  void serialize(Archive& ar)
-  {
-    ar(cereal::make_nvp("name", name_),
-       cereal::make_nvp("incarnation", incarnation_),
-       cereal::make_nvp("beat", beat_));
-  }
-};
-
 /** "JOB.INDEX": how operators and workers name a task. */
 inline std::string
 TaskId(const std::string& aJobId, std::uint32_t aIndex)
--- a/Source/Version/WorkTimings.h
+++ b/Source/Version/WorkTimings.h
@@ -27,8 +27,11 @@
   Micros workerSilence_ = std::chrono::seconds(5);
   Micros callTimeout_ = std::chrono::seconds(2);
   Micros tableTimeout_ = std::chrono::seconds(2);
-  /** An entry whose row stands still for so long counts as gone. */
-  Micros entrySilence_ = std::chrono::seconds(10);
+  /** An entry whose row "entry/NAME" stands still for so long counts as gone;
+   * EntryPresence refreshes it every ten seconds. */
+  Micros entrySilence_ = std::chrono::seconds(35);
+  /** A cell goes to an entry that has been preferred for so long. */
+  Micros handOverAfter_ = std::chrono::seconds(10);
   /** What a less preferred entry waits, a rank, before it takes a cell. */
   Micros rankDelay_ = std::chrono::seconds(1);
 };
--- a/Source/Version/WorkerMessages.h
+++ b/Source/Version/WorkerMessages.h
@@ -60,7 +60,11 @@
   }
 
   bool operator==(const TaskRef&) const = default;
-  auto operator<=>(const TaskRef&) const = default;
+  bool operator<(const TaskRef& aOther) const
+  {
+    return taskId_ == aOther.taskId_ ? epoch_ < aOther.epoch_
+                                     : taskId_ < aOther.taskId_;
+  }
 };
 
 /** POST /v1/renew: these tasks may run until then; others keep what they have.
--- a/Tests/Golden/WorkWorld.h
+++ b/Tests/Golden/WorkWorld.h
@@ -136,6 +136,7 @@
     StartEntry(aName);
     const Micros64 phase = options_.seed_ == 0 ? 0 : Between(0, options_.tick_);
     At(now_ + phase, [this, aName] { TickEntry(aName); });
+    At(now_ + phase, [this, aName] { TickPresence(aName); });
   }
 
   void StartEntry(const std::string& aName)
@@ -360,6 +361,17 @@
     At(now_ + options_.tick_, [this, aName] { TickEntry(aName); });
   }
 
+  /** Takes the place of EntryPresence. */
+  void TickPresence(const std::string& aName)
+  {
+    const Entry& entry = entries_.at(aName);
+    if (entry.alive_ && !entry.frozen_ && tableMode_ != "down") {
+      Put(cactusrail::kEntryPrefix + aName, "{}");
+    }
+    const auto every = options_.timings_.entrySilence_.count() / 3;
+    At(now_ + every, [this, aName] { TickPresence(aName); });
+  }
+
   void TickWorker(const std::string& aId)
   {
     Worker& worker = workers_.at(aId);
@@ -611,9 +623,7 @@
       cellWrites_ += put.key_.starts_with(cactusrail::kCellPrefix) ? 1 : 0;
     }
     changingWrites_ += aWrite.puts_.size() > 1 ? 1 : 0;
-    if (!line.ends_with(cactusrail::kEntryPrefix + aWho)) {
-      Say(line);
-    }
+    Say(line);
     if (outcome.applied_) {
       for (const auto& put : aWrite.puts_) {
         outcome.rows_.push_back({ put.key_, Put(put.key_, put.value_), "" });
--- a/Tests/Unit/WorkSessionTest.cxx
+++ b/Tests/Unit/WorkSessionTest.cxx
@@ -148,7 +148,7 @@
 GoldenFolder()
 {
   std::filesystem::path folder = std::filesystem::current_path();
-  while (!std::filesystem::exists(folder / "Tests/Golden") &&
+  while (!std::filesystem::exists(folder / "Tests/Golden/WorkWorld.h") &&
          folder.has_relative_path()) {
     folder = folder.parent_path();
   }
