Security: Shared keys on links, datagrams and operators' addresses

Whoever reached a port could send work, announce sides or change the configuration. Now [security] keys (first signs, all verify, SIGHUP rereads them) guard three ways in: LinkSession proves both ends by challenge and response and tags each frame over session, direction and number; DatagramSeal tags each datagram; OperatorGuard wants requests signed over method, address, target, time, nonce and body. Bearer keys for operators were ruled out: without TLS the first reader of the network would hold them. A collector may have one, for /metrics only. Wrong ones are refused and counted. Without keys every address must be loopback.

Logs: Boost.Log with line or JSON form, floods of one event collapse into a count.

--- a/Source/Connection/Codec.h
+++ b/Source/Connection/Codec.h
@@ -16,8 +16,8 @@
 /** The largest frame on a connection, in bytes, header included. */
 constexpr std::size_t kMaxFrameBytes = 8U << 20U;
 
-/** The largest datagram, in bytes: one Ethernet frame. */
-constexpr std::size_t kMaxDatagramBytes = 1400;
+/** The largest datagram with its tag, in bytes: one Ethernet frame. */
+constexpr std::size_t kMaxDatagramBytes = 1432;
 
 /** Length (4), version (2), type (2): little endian, before each payload. */
 constexpr std::size_t kFrameHeaderBytes = 8;
--- a/Source/Connection/SideLink.cxx
+++ b/Source/Connection/SideLink.cxx
@@ -1,6 +1,7 @@
 #include "Connection/SideLink.h"
 
 #include "Connection/Codec.h"
+#include "Process/Metrics.h"
 
 #include <QHostAddress>
 #include <QTimer>
@@ -20,20 +21,21 @@
                    QObject* aParent)
   : QObject(aParent)
   , socket_(new QTcpSocket(this))
+  , session_(FrameDirection::FromOpener,
+             KeyHolder::OfProcess().Current(),
+             MakeNonce())
 {
   Connect();
-  QTimer::singleShot(kConnectTimeout, this, [this] {
-    if (!connected_) {
-      OnEnd(QStringLiteral("The connection was not made in time."));
-    }
-  });
   socket_->connectToHost(QHostAddress(QString::fromStdString(aAddress)), aPort);
 }
 
 SideLink::SideLink(QTcpSocket* aSocket, QObject* aParent)
   : QObject(aParent)
   , socket_(aSocket)
-  , connected_(true)
+  , session_(FrameDirection::FromAcceptor,
+             KeyHolder::OfProcess().Current(),
+             MakeNonce())
+  , connected_(session_.Established())
 {
   socket_->setParent(this);
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
@@ -43,13 +45,17 @@
 void
 SideLink::Connect()
 {
+  // Also for accepted links: a stranger who connects and proves nothing must
+  // not hold a connection for ever.
+  QTimer::singleShot(kConnectTimeout, this, [this] {
+    if (!connected_) {
+      OnEnd(QStringLiteral("The link was not made in time."));
+    }
+  });
   connect(socket_, &QTcpSocket::connected, this, [this] {
-    connected_ = true;
     socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    for (const std::string& frame : waiting_) {
-      socket_->write(frame.data(), static_cast<qint64>(frame.size()));
-    }
-    waiting_.clear();
+    Write(session_.Start());
+    OnEstablished();
   });
   connect(socket_, &QTcpSocket::readyRead, this, [this] { OnReadyRead(); });
   connect(socket_, &QTcpSocket::disconnected, this, [this] {
@@ -60,6 +66,25 @@
   });
 }
 
+void
+SideLink::Write(const std::string& aBytes)
+{
+  socket_->write(aBytes.data(), static_cast<qint64>(aBytes.size()));
+}
+
+void
+SideLink::OnEstablished()
+{
+  if (connected_ || !session_.Established()) {
+    return;
+  }
+  connected_ = true;
+  for (std::string& frame : waiting_) {
+    Write(session_.Seal(std::move(frame)));
+  }
+  waiting_.clear();
+}
+
 void
 SideLink::Send(const WireMessage& aMessage)
 {
@@ -71,7 +96,7 @@
     waiting_.push_back(std::move(frame));
     return;
   }
-  socket_->write(frame.data(), static_cast<qint64>(frame.size()));
+  Write(session_.Seal(std::move(frame)));
 }
 
 void
@@ -84,14 +109,19 @@
 SideLink::OnReadyRead()
 {
   const QByteArray bytes = socket_->readAll();
-  const Result<std::vector<WireMessage>> messages =
-    reader_.Take({ bytes.constData(), static_cast<std::size_t>(bytes.size()) });
-  if (const auto* failure = std::get_if<Failure>(&messages)) {
+  const Result<LinkInput> taken = session_.Take(
+    { bytes.constData(), static_cast<std::size_t>(bytes.size()) });
+  if (const auto* failure = std::get_if<Failure>(&taken)) {
+    Metrics::OfProcess().Count(failure->kind_ == FailureKind::Refused
+                                 ? Counter::UnauthenticLinks
+                                 : Counter::BadFrames);
     OnEnd(QString::fromStdString(failure->message_));
     return;
   }
-  for (const WireMessage& message :
-       std::get<std::vector<WireMessage>>(messages)) {
+  const auto& input = std::get<LinkInput>(taken);
+  Write(input.reply_);
+  OnEstablished();
+  for (const WireMessage& message : input.messages_) {
     if (ended_) {
       return;
     }
--- a/Source/Connection/SideLink.h
+++ b/Source/Connection/SideLink.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Connection/FrameReader.h"
+#include "Connection/LinkSession.h"
 #include "Connection/WireMessages.h"
 
 #include <QObject>
@@ -14,7 +14,8 @@
 
 /**
  * A connection between two of our own processes, opened or accepted. Lives in
- * one thread. Frames that are sent before the connection stands wait for it.
+ * one thread. Frames that are sent before the link stands wait for it; it
+ * stands once both ends have proved their key, see LinkSession.
  */
 class SideLink : public QObject
 {
@@ -39,12 +40,15 @@
 
 private:
   void Connect();
+  void Write(const std::string& aBytes);
+  void OnEstablished();
   void OnReadyRead();
   void OnEnd(const QString& aReason);
 
   QTcpSocket* socket_;
-  FrameReader reader_;
+  LinkSession session_;
   std::vector<std::string> waiting_;
+  /** The link stands: connected, and both ends have proved their key. */
   bool connected_ = false;
   bool ended_ = false;
 };
--- a/Source/Connection/TableClient.cxx
+++ b/Source/Connection/TableClient.cxx
@@ -1,6 +1,7 @@
 #include "Connection/TableClient.h"
 
 #include "Connection/HttpCaller.h"
+#include "Process/Metrics.h"
 #include "Version/JsonText.h"
 
 #include <QUrl>
@@ -14,6 +15,17 @@
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 
+/** Counts a call that has ended, and hands its result on. */
+template<typename Value>
+Result<Value>
+Counted(Result<Value> aResult)
+{
+  Metrics& metrics = Metrics::OfProcess();
+  metrics.Count(Counter::TableCalls);
+  metrics.Count(Counter::TableFailures, Succeeded(aResult) ? 0 : 1);
+  return aResult;
+}
+
 Failure
 UnexpectedStatus(const HttpReply& aReply)
 {
@@ -94,7 +106,7 @@
   private_->caller_.Start(
     std::move(call),
     [callback = std::move(aCallback)](const Result<HttpReply>& aReply) {
-      callback(ReadOutcome(aReply));
+      callback(Counted(ReadOutcome(aReply)));
     });
 }
 
@@ -112,7 +124,7 @@
   private_->caller_.Start(
     std::move(call),
     [callback = std::move(aCallback)](const Result<HttpReply>& aReply) {
-      callback(ReadRows(aReply));
+      callback(Counted(ReadRows(aReply)));
     });
 }
 
--- a/Source/Connection/WireMessages.h
+++ b/Source/Connection/WireMessages.h
@@ -213,6 +213,34 @@
   }
 };
 
+/** Opener to acceptor, first on a link: prove that you hold a key. */
+struct LinkHelloMessage
+{
+  /** Fresh random bytes. */
+  std::string nonce_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(nonce_);
+  }
+};
+
+/** The proof that a peer holds a shared key; see LinkSession. */
+struct LinkProofMessage
+{
+  std::string keyId_;
+  /** The acceptor's fresh random bytes; empty in the opener's proof. */
+  std::string nonce_;
+  std::string tag_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(keyId_, nonce_, tag_);
+  }
+};
+
 /** All messages. The index is the type's number on the wire: append only. */
 using WireMessage = std::variant<DispatchMessage,
                                  CancelMessage,
@@ -222,6 +250,8 @@
                                  ConfigRequestMessage,
                                  ConfigMessage,
                                  RecallMessage,
-                                 RecollectionMessage>;
+                                 RecollectionMessage,
+                                 LinkHelloMessage,
+                                 LinkProofMessage>;
 
 }
--- a/Source/Process/CommonSettings.cxx
+++ b/Source/Process/CommonSettings.cxx
@@ -42,7 +42,7 @@
     "empty: none may",
     {},
     {},
-    true },
+    false },
 } };
 
 }
--- a/Source/Process/EntryClient.cxx
+++ b/Source/Process/EntryClient.cxx
@@ -1,9 +1,12 @@
 #include "Process/EntryClient.h"
 
+#include "Connection/OperatorSignature.h"
+#include "Process/SettingsFile.h"
 #include "Version/JsonText.h"
 
 #include <QEventLoop>
 
+#include <cstdlib>
 #include <iostream>
 #include <optional>
 
@@ -11,6 +14,7 @@
 
 namespace {
 
+constexpr const char* kKeyVariable = "CACTUSRAIL_KEY_FILE";
 constexpr Millis kCallTimeout{ 5000 };
 
 /** The body of an entry's error. */
@@ -41,6 +45,29 @@
   return *std::move(result);
 }
 
+/** Puts the operator's key in force in this process, if one is named. */
+std::optional<Failure>
+LoadKey(const CommandLine& aLine)
+{
+  const char* variable = std::getenv(kKeyVariable);
+  const std::string path = aLine.Given("key-file") ? aLine.Text("key-file")
+                           : variable == nullptr   ? std::string()
+                                                   : variable;
+  if (path.empty()) {
+    return std::nullopt;
+  }
+  const Result<std::string> text = SettingsFile::ReadText(path);
+  if (!Succeeded(text)) {
+    return NotRun(FailureKind::BadInput, path + ": the key can't be read.");
+  }
+  Result<KeyRing> ring = KeyRing::Parse(std::get<std::string>(text));
+  if (const auto* failure = std::get_if<Failure>(&ring)) {
+    return NotRun(FailureKind::BadInput, path + ": " + failure->message_);
+  }
+  KeyHolder::OfProcess().Replace(std::move(std::get<KeyRing>(ring)));
+  return std::nullopt;
+}
+
 std::string
 ErrorText(const HttpReply& aReply)
 {
@@ -58,6 +85,10 @@
   if (const auto* failure = std::get_if<Failure>(&entries)) {
     return *failure;
   }
+  const std::optional<Failure> refused = LoadKey(aLine);
+  if (refused.has_value()) {
+    return *refused;
+  }
   EntryClient client;
   client.entries_ = std::move(std::get<std::vector<SocketAddress>>(entries));
   return client;
@@ -74,6 +105,7 @@
     call.method_ = aMethod;
     call.url_ = "http://" + entry.Text() + aTarget;
     call.body_ = aBody;
+    SignCall(call);
     call.deadline_ = ReadMonotonicClock() + kCallTimeout;
     Result<HttpReply> result = CallOne(std::move(call));
     const auto* failure = std::get_if<Failure>(&result);
--- a/Source/Process/EntryProcess.cxx
+++ b/Source/Process/EntryProcess.cxx
@@ -8,6 +8,8 @@
 #include "Process/Lane.h"
 #include "Process/Log.h"
 #include "Process/MembershipListener.h"
+#include "Process/Metrics.h"
+#include "Process/MetricsRoutes.h"
 #include "Process/OperatorRoutes.h"
 #include "Version/ConfigurationHolder.h"
 
@@ -44,6 +46,7 @@
   Result<bool> OpenMembership();
   Result<bool> OpenOperators();
   void AddHealthRoutes();
+  void RefreshGauges();
   void CheckStopped();
 
   EntrySettings settings_;
@@ -121,6 +124,7 @@
 EntryProcess::Private::OpenOperators()
 {
   AddHealthRoutes();
+  AddMetricsRoutes(routes_, [this] { RefreshGauges(); });
   keeper_.AddRoutes(routes_);
   membership_->AddRoutes(routes_);
   explainer_->AddRoutes(routes_);
@@ -133,6 +137,9 @@
     return *failure;
   }
   operators_ = std::move(std::get<std::unique_ptr<HttpFront>>(front));
+  routes_.Guard().SetAddress(settings_.operators_.ip_ + ":" +
+                             std::to_string(operators_->Port()));
+  routes_.Guard().SetCollector(settings_.common_.collectorSha256_);
   return true;
 }
 
@@ -153,6 +160,19 @@
   });
 }
 
+void
+EntryProcess::Private::RefreshGauges()
+{
+  Metrics& metrics = Metrics::OfProcess();
+  std::size_t open = 0;
+  for (const std::unique_ptr<Lane>& lane : lanes_) {
+    open += lane->InProgress();
+  }
+  metrics.Set(Gauge::RequestsInProgress, open);
+  metrics.Set(Gauge::ConfigurationVersion, configuration_.Current()->version_);
+  metrics.Set(Gauge::JournalRequests, journal_.Size());
+}
+
 void
 EntryProcess::Private::CheckStopped()
 {
--- a/Source/Process/Journal.cxx
+++ b/Source/Process/Journal.cxx
@@ -46,6 +46,17 @@
   }
 }
 
+std::size_t
+Journal::Size() const
+{
+  std::size_t size = 0;
+  for (const Shard& shard : shards_) {
+    const std::lock_guard lock(shard.mutex_);
+    size += shard.steps_.size();
+  }
+  return size;
+}
+
 std::vector<RequestStep>
 Journal::Recall(std::string_view aRequestId) const
 {
--- a/Source/Process/Journal.h
+++ b/Source/Process/Journal.h
@@ -25,6 +25,9 @@
   /** Adds a step, stamped with this host's name and wall clock. */
   void Add(RequestStep aStep);
 
+  /** How many requests it holds steps of. */
+  std::size_t Size() const;
+
   std::vector<RequestStep> Recall(std::string_view aRequestId) const;
 
 private:
--- a/Source/Process/Lane.cxx
+++ b/Source/Process/Lane.cxx
@@ -4,6 +4,7 @@
 #include "Connection/SideLink.h"
 #include "Connection/TableClient.h"
 #include "Process/Log.h"
+#include "Process/RequestMeter.h"
 #include "Request/EntryCore.h"
 #include "Version/JsonText.h"
 
@@ -140,6 +141,7 @@
   std::unique_ptr<HttpFront> front_;
   std::unique_ptr<TableClient> table_;
   std::unique_ptr<QTimer> tick_;
+  RequestMeter meter_{ Metrics::OfProcess() };
   std::map<std::string, SideLink*> links_;
   std::unordered_map<std::string, HttpExchange> exchanges_;
 };
@@ -168,6 +170,7 @@
   connect(tick_.get(), &QTimer::timeout, this, [this] {
     Run(core_->OnTick(ReadMonotonicClock()));
     inProgress_ = exchanges_.size();
+    meter_.Publish(front_->Counts());
   });
   tick_->start(kTick);
   return true;
@@ -255,6 +258,7 @@
   facts.deadline_ = now + Millis(service->timeoutMs_);
   const std::string id = facts.requestId_;
   exchanges_.emplace(id, aExchange);
+  meter_.Begin(id, facts.tenant_, ClassOf(*service), now);
   aExchange.OnCallerHungUp(
     [this, id] { Run(core_->OnCallerGone(id, ReadMonotonicClock())); });
   Run(core_->OnRequest(facts, now));
@@ -279,6 +283,7 @@
           this,
           [this, aSideId](const WireMessage& aMessage) {
             if (const auto* answer = std::get_if<AnswerMessage>(&aMessage)) {
+              meter_.Attempt(answer->requestId_, *answer);
               Run(core_->OnAnswer(aSideId, *answer, ReadMonotonicClock()));
             }
           });
@@ -324,6 +329,7 @@
 void
 Lane::Private::Do(const AnswerCaller& aAction)
 {
+  meter_.End(aAction.requestId_, aAction.verdict_, ReadMonotonicClock());
   const auto found = exchanges_.find(aAction.requestId_);
   if (found == exchanges_.end()) {
     return;
--- a/Source/Process/MembershipListener.cxx
+++ b/Source/Process/MembershipListener.cxx
@@ -1,6 +1,7 @@
 #include "Process/MembershipListener.h"
 
 #include "Connection/Codec.h"
+#include "Connection/DatagramSeal.h"
 #include "Process/Log.h"
 
 #include <QUdpSocket>
@@ -39,7 +40,7 @@
       continue;
     }
     const Result<WireMessage> message =
-      DecodeFrame({ bytes.constData(), static_cast<std::size_t>(size) });
+      OpenDatagram({ bytes.constData(), static_cast<std::size_t>(size) });
     const auto* decoded = std::get_if<WireMessage>(&message);
     const auto* heartbeat =
       decoded == nullptr ? nullptr : std::get_if<HeartbeatMessage>(decoded);
@@ -75,7 +76,7 @@
   ack.configVersion_ = configVersion_();
   ack.entries_.push_back(address_.ip_ + ":" +
                          std::to_string(socket_.localPort()));
-  const std::string frame = EncodeFrame(ack);
+  const std::string frame = SealDatagram(ack);
   socket_.writeDatagram(
     frame.data(), static_cast<qint64>(frame.size()), aFrom, aFromPort);
 }
--- /dev/null
+++ b/Source/Process/MetricsRoutes.cxx
@@ -0,0 +1,33 @@
+#include "Process/MetricsRoutes.h"
+
+#include "Process/Metrics.h"
+#include "Process/MetricsPage.h"
+#include "Version/JsonText.h"
+
+namespace cactusrail {
+
+HttpAnswer
+MetricsAnswer()
+{
+  HttpAnswer answer;
+  answer.contentType_ = kMetricsContentType;
+  answer.body_ = MetricsText(Metrics::OfProcess().Snapshot());
+  return answer;
+}
+
+void
+AddMetricsRoutes(OperatorRoutes& aRoutes, std::function<void()> aRefresh)
+{
+  aRoutes.Add("GET", "/metrics", [aRefresh](const HttpExchange& aExchange) {
+    aRefresh();
+    aExchange.Answer(MetricsAnswer());
+  });
+  aRoutes.Add("GET", "/v1/metrics", [aRefresh](const HttpExchange& aExchange) {
+    aRefresh();
+    HttpAnswer answer;
+    answer.body_ = ToJson(Metrics::OfProcess().Snapshot()) + "\n";
+    aExchange.Answer(answer);
+  });
+}
+
+}
--- a/Source/Process/OperatorRoutes.cxx
+++ b/Source/Process/OperatorRoutes.cxx
@@ -37,8 +37,11 @@
 }
 
 void
-OperatorRoutes::Handle(const HttpExchange& aExchange) const
+OperatorRoutes::Handle(const HttpExchange& aExchange)
 {
+  if (!guard_.Passes(aExchange)) {
+    return;
+  }
   const auto found = handlers_.find({ aExchange.Path(), aExchange.Method() });
   if (found != handlers_.end()) {
     found->second(aExchange);
--- a/Source/Process/OperatorRoutes.h
+++ b/Source/Process/OperatorRoutes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Connection/HttpFront.h"
+#include "Process/OperatorGuard.h"
 
 #include <functional>
 #include <map>
@@ -22,11 +23,14 @@
   /** A page is known by method and path together. */
   void Add(std::string aMethod, std::string aPath, Handler aHandler);
 
-  /** Hands the exchange to its page, or answers 404 or 405. */
-  void Handle(const HttpExchange& aExchange) const;
+  /** Hands the exchange to its page, or answers 401, 404 or 405. */
+  void Handle(const HttpExchange& aExchange);
+
+  OperatorGuard& Guard() { return guard_; }
 
 private:
   std::map<std::pair<std::string, std::string>, Handler> handlers_;
+  OperatorGuard guard_;
 };
 
 /** An answer in JSON: {"message": ...}, for errors of operators' pages. */
--- a/Source/Process/RequestMeter.cxx
+++ b/Source/Process/RequestMeter.cxx
@@ -17,11 +17,17 @@
 std::string
 ClassOf(const ServiceConfig& aService)
 {
-  const auto found = std::find_if(
-    aService.labels_.begin(), aService.labels_.end(), [](const auto& aLabel) {
+  return ClassOf(aService.labels_);
+}
+
+std::string
+ClassOf(const Labels& aLabels)
+{
+  const auto found =
+    std::find_if(aLabels.begin(), aLabels.end(), [](const auto& aLabel) {
       return aLabel.first == kClassLabel;
     });
-  return found == aService.labels_.end() ? kDefaultClass : found->second;
+  return found == aLabels.end() ? kDefaultClass : found->second;
 }
 
 RequestMeter::RequestMeter(Metrics& aMetrics)
@@ -39,9 +45,9 @@
 }
 
 void
-RequestMeter::Attempt(const AnswerMessage& aAnswer)
+RequestMeter::Attempt(const std::string& aId, const AnswerMessage& aAnswer)
 {
-  const auto found = open_.find(aAnswer.requestId_);
+  const auto found = open_.find(aId);
   if (found == open_.end()) {
     return;
   }
--- a/Source/Process/RequestMeter.h
+++ b/Source/Process/RequestMeter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Connection/GuardedSocket.h"
+#include "Connection/WireMessages.h"
 #include "Process/Instant.h"
 #include "Process/Metrics.h"
 
@@ -9,7 +10,6 @@
 
 namespace cactusrail {
 
-struct AnswerMessage;
 struct ServiceConfig;
 
 /** The class under which a service's requests are measured: its label "class",
@@ -17,9 +17,13 @@
 std::string
 ClassOf(const ServiceConfig& aService);
 
+/** The class that labels name; "urgent" if they name none. */
+std::string
+ClassOf(const Labels& aLabels);
+
 /**
- * Measures the requests of one lane and hands the results to the process's
- * metrics. Owned by the lane, used in its thread.
+ * Measures the requests of one lane, or the attempts of a side, and hands the
+ * results to the process's metrics. Owned by the lane, used in its thread.
  */
 class RequestMeter
 {
@@ -31,8 +35,8 @@
              const std::string& aClass,
              Instant aNow);
 
-  /** A side ended an attempt of the request. */
-  void Attempt(const AnswerMessage& aAnswer);
+  /** A side ended an attempt of what was begun under that id. */
+  void Attempt(const std::string& aId, const AnswerMessage& aAnswer);
 
   /** The request has its final answer, or nobody to give it to. */
   void End(const std::string& aRequestId, Verdict aVerdict, Instant aNow);
--- a/Source/Process/RoleCommands.cxx
+++ b/Source/Process/RoleCommands.cxx
@@ -3,10 +3,12 @@
 #include "Process/CommandTable.h"
 #include "Process/EntryProcess.h"
 #include "Process/Log.h"
+#include "Process/Metrics.h"
 #include "Process/SideProcess.h"
 #include "Process/StopSignal.h"
 
 #include <QCoreApplication>
+#include <QTimer>
 
 #include <cstdlib>
 #include <iostream>
@@ -15,6 +17,8 @@
 
 namespace {
 
+constexpr Millis kLogFlush{ 2000 };
+
 ExitCode
 Report(const Failure& aFailure, ExitCode aCode)
 {
@@ -22,13 +26,34 @@
   return aCode;
 }
 
+/**
+ * Puts the keys of the settings file in force. A file that is wrong changes
+ * nothing: a slip of the editor must not lock everybody out.
+ */
+template<typename Settings>
+void
+ReloadKeys(const std::string& aPath)
+{
+  const Result<Settings> loaded = Settings::Load(aPath);
+  if (const auto* failure = std::get_if<Failure>(&loaded)) {
+    LogProblem("settings-not-reloaded", { { "reason", failure->message_ } });
+    return;
+  }
+  const KeyRing& keys = std::get<Settings>(loaded).common_.keys_;
+  const std::string signer = keys.Empty() ? "none" : keys.Signer().id_;
+  KeyHolder::OfProcess().Replace(keys);
+  LogChange(
+    "keys-reloaded",
+    { { "signer", signer }, { "keys", std::to_string(keys.Keys().size()) } });
+}
+
 /**
  * Runs a role until it has stopped. The first signal begins a planned stop, a
  * second one ends the process at once.
  */
 template<typename Process, typename Settings>
 ExitCode
-RunRole(const CommandLine& aLine)
+RunRole(const CommandLine& aLine, const std::string& aRole)
 {
   StopSignal signal;
   const std::string path = aLine.Text("FILE");
@@ -37,7 +62,10 @@
     return Report(*failure, ExitCode::Usage);
   }
   const auto& settings = std::get<Settings>(loaded);
-  StartLog(settings.name_);
+  StartLog(settings.name_,
+           { settings.common_.logFormat_ == "json",
+             settings.common_.logLevel_ == "warning" });
+  Metrics::OfProcess().Describe(aRole, settings.name_);
   KeyHolder::OfProcess().Replace(settings.common_.keys_);
   Result<std::unique_ptr<Process>> started = Process::Start(settings);
   if (const auto* failure = std::get_if<Failure>(&started)) {
@@ -52,6 +80,12 @@
     }
     process->Stop([] { QCoreApplication::quit(); });
   });
+  QObject::connect(&signal, &StopSignal::ReloadAsked, &signal, [&path] {
+    ReloadKeys<Settings>(path);
+  });
+  QTimer flush;
+  QObject::connect(&flush, &QTimer::timeout, &flush, FlushCollapsedLog);
+  flush.start(kLogFlush);
   const int code = QCoreApplication::exec();
   return code == 0 ? ExitCode::Done : ExitCode::Other;
 }
@@ -68,7 +102,9 @@
                "cactusrail entry Examples/tagasi/entry.ini",
                {},
                false,
-               RunRole<EntryProcess, EntrySettings> });
+               [](const CommandLine& aLine) {
+                 return RunRole<EntryProcess, EntrySettings>(aLine, "entry");
+               } });
   aTable.Add({ "side",
                { "FILE" },
                "Runs a side: it serves one upstream. SIGTERM stops it once "
@@ -76,7 +112,9 @@
                "cactusrail side Examples/tagasi/side.ini",
                {},
                false,
-               RunRole<SideProcess, SideSettings> });
+               [](const CommandLine& aLine) {
+                 return RunRole<SideProcess, SideSettings>(aLine, "side");
+               } });
 }
 
 }
--- a/Source/Process/SideProcess.cxx
+++ b/Source/Process/SideProcess.cxx
@@ -1,11 +1,14 @@
 #include "Process/SideProcess.h"
 
 #include "Connection/Codec.h"
+#include "Connection/DatagramSeal.h"
 #include "Connection/HttpCaller.h"
 #include "Connection/HttpFront.h"
 #include "Connection/SideLink.h"
 #include "Process/Journal.h"
 #include "Process/Log.h"
+#include "Process/MetricsRoutes.h"
+#include "Process/RequestMeter.h"
 #include "Request/SideCore.h"
 #include "Version/JsonText.h"
 
@@ -110,6 +113,8 @@
   SideSettings settings_;
   std::uint64_t incarnation_;
   Journal journal_;
+  std::string class_;
+  RequestMeter meter_{ Metrics::OfProcess() };
   SideCore core_;
   HttpCaller caller_;
   std::unique_ptr<HttpFront> announceFront_;
@@ -180,6 +185,7 @@
     Announcement announcement;
     announcement.service_ = body.service_;
     announcement.labels_ = body.labels_;
+    class_ = ClassOf(body.labels_);
     announcement.address_ = body.address_;
     announcement.port_ = body.port_;
     announcement.slots_ = body.slots_;
@@ -193,6 +199,8 @@
              aExchange.Path() == "/v1/goodbye") {
     Run(core_.OnGoodbye(now));
     answer.body_ = "{}\n";
+  } else if (aExchange.Method() == "GET" && aExchange.Path() == "/metrics") {
+    answer = MetricsAnswer();
   } else {
     answer.status_ = 404;
     answer.body_ = "Use POST /v1/announce or POST /v1/goodbye.\n";
@@ -225,6 +233,7 @@
 {
   const Instant now = ReadMonotonicClock();
   if (const auto* dispatch = std::get_if<DispatchMessage>(&aMessage)) {
+    meter_.Begin(dispatch->attemptId_, dispatch->tenant_, class_, now);
     Run(core_.OnDispatch(aLink, *dispatch, now));
   } else if (const auto* cancel = std::get_if<CancelMessage>(&aMessage)) {
     Run(core_.OnCancel(aLink, *cancel, now));
@@ -249,7 +258,7 @@
       continue;
     }
     const Result<WireMessage> message =
-      DecodeFrame({ bytes.constData(), static_cast<std::size_t>(size) });
+      OpenDatagram({ bytes.constData(), static_cast<std::size_t>(size) });
     const auto* decoded = std::get_if<WireMessage>(&message);
     const auto* ack =
       decoded == nullptr ? nullptr : std::get_if<HeartbeatAckMessage>(decoded);
@@ -285,7 +294,7 @@
   heartbeat.dataCentre_ = settings_.dataCentre_;
   heartbeat.address_ = settings_.listen_.ip_;
   heartbeat.port_ = server_.serverPort();
-  const std::string frame = EncodeFrame(heartbeat);
+  const std::string frame = SealDatagram(heartbeat);
   for (const SocketAddress& entry : entries_) {
     datagrams_.writeDatagram(frame.data(),
                              static_cast<qint64>(frame.size()),
@@ -336,6 +345,9 @@
 void
 SideProcess::Private::Do(const SendAnswer& aAction)
 {
+  const AnswerMessage& answer = aAction.answer_;
+  meter_.Attempt(answer.attemptId_, answer);
+  meter_.End(answer.attemptId_, answer.verdict_, ReadMonotonicClock());
   const auto found = links_.find(aAction.link_);
   if (found != links_.end()) {
     found->second->Send(aAction.answer_);
--- a/Source/Process/StopSignal.cxx
+++ b/Source/Process/StopSignal.cxx
@@ -11,13 +11,16 @@
 
 namespace {
 
+constexpr char kStop = 1;
+constexpr char kReload = 2;
+
 /** The handler writes here: the only call it may safely make. */
 int gWakeDescriptor = -1;
 
 void
-HandleSignal(int)
+HandleSignal(int aSignal)
 {
-  const char byte = 1;
+  const char byte = aSignal == SIGHUP ? kReload : kStop;
   const auto written = ::write(gWakeDescriptor, &byte, sizeof(byte));
   static_cast<void>(written);
 }
@@ -45,6 +48,10 @@
   connect(private_->notifier_.get(), &QSocketNotifier::activated, this, [this] {
     char byte = 0;
     while (::read(private_->descriptors_[1], &byte, sizeof(byte)) == 1) {
+      if (byte == kReload) {
+        Q_EMIT ReloadAsked();
+        continue;
+      }
       ++private_->count_;
       Q_EMIT Arrived(private_->count_);
     }
@@ -55,12 +62,14 @@
   action.sa_flags = SA_RESTART;
   ::sigaction(SIGTERM, &action, nullptr);
   ::sigaction(SIGINT, &action, nullptr);
+  ::sigaction(SIGHUP, &action, nullptr);
 }
 
 StopSignal::~StopSignal()
 {
   std::signal(SIGTERM, SIG_DFL);
   std::signal(SIGINT, SIG_DFL);
+  std::signal(SIGHUP, SIG_DFL);
   private_->notifier_.reset();
   gWakeDescriptor = -1;
   ::close(private_->descriptors_[0]);
--- a/Source/Process/StopSignal.h
+++ b/Source/Process/StopSignal.h
@@ -7,9 +7,9 @@
 namespace cactusrail {
 
 /**
- * Turns SIGTERM and SIGINT into Qt signals, in the thread of the event loop.
- * One a process, owned by main. It works from its construction on, so a signal
- * during start-up is not lost.
+ * Turns SIGTERM, SIGINT and SIGHUP into Qt signals, in the thread of the event
+ * loop. One a process, owned by main. It works from its construction on, so a
+ * signal during start-up is not lost.
  */
 class StopSignal : public QObject
 {
@@ -22,6 +22,8 @@
 Q_SIGNALS:
   /** aCount is 1 for the first signal, 2 for the second... */
   void Arrived(int aCount);
+  /** SIGHUP: read the settings that can change without a restart. */
+  void ReloadAsked();
 
 private:
   class Private;
--- /dev/null
+++ b/Tests/Unit/LinkSessionTest.cxx
@@ -0,0 +1,186 @@
+#include "Connection/LinkSession.h"
+#include "Connection/Codec.h"
+#include "Connection/DatagramSeal.h"
+
+#include <criterion/criterion.h>
+
+using namespace cactusrail;
+
+namespace {
+
+std::shared_ptr<const KeyRing>
+Ring(const std::string& aText)
+{
+  return std::make_shared<KeyRing>(std::get<KeyRing>(KeyRing::Parse(aText)));
+}
+
+std::string
+Key(const std::string& aId, char aDigit)
+{
+  return aId + ":" + std::string(64, aDigit);
+}
+
+/** Both ends of one link, with nothing between them. */
+struct Pair
+{
+  Pair(const std::string& aOpenerKeys, const std::string& aAcceptorKeys)
+    : opener_(FrameDirection::FromOpener, Ring(aOpenerKeys), MakeNonce())
+    , acceptor_(FrameDirection::FromAcceptor, Ring(aAcceptorKeys), MakeNonce())
+  {
+  }
+
+  /** Runs the handshake; false as soon as one end refuses. */
+  bool Handshake()
+  {
+    std::string toAcceptor = opener_.Start();
+    while (!toAcceptor.empty()) {
+      const auto atAcceptor = acceptor_.Take(toAcceptor);
+      if (!Succeeded(atAcceptor)) {
+        return false;
+      }
+      const auto atOpener =
+        opener_.Take(std::get<LinkInput>(atAcceptor).reply_);
+      if (!Succeeded(atOpener)) {
+        return false;
+      }
+      toAcceptor = std::get<LinkInput>(atOpener).reply_;
+    }
+    return opener_.Established() && acceptor_.Established();
+  }
+
+  LinkSession opener_;
+  LinkSession acceptor_;
+};
+
+std::string
+CancelFrame(const std::string& aAttempt)
+{
+  return EncodeFrame(CancelMessage{ aAttempt });
+}
+
+/** What an acceptor makes of some bytes: the messages, or -1 if it refuses. */
+int
+MessagesOf(LinkSession& aSession, const std::string& aBytes)
+{
+  const auto taken = aSession.Take(aBytes);
+  const auto* input = std::get_if<LinkInput>(&taken);
+  return input == nullptr ? -1 : static_cast<int>(input->messages_.size());
+}
+
+}
+
+Test(LinkSession, EndsWithACommonKeyExchangeFrames)
+{
+  Pair pair(Key("a", '1'), Key("a", '1'));
+  cr_assert(pair.Handshake());
+  std::string two = pair.opener_.Seal(CancelFrame("x"));
+  two += pair.opener_.Seal(CancelFrame("y"));
+  const int early = MessagesOf(pair.acceptor_, two.substr(0, 60));
+  const int late = MessagesOf(pair.acceptor_, two.substr(60));
+  cr_assert(early == 1 && late == 1);
+  cr_assert(MessagesOf(pair.opener_, pair.acceptor_.Seal(CancelFrame("z"))) ==
+            1);
+}
+
+Test(LinkSession, WithoutKeysTheLinkStandsAtOnce)
+{
+  Pair pair("", "");
+  cr_assert(pair.opener_.Established() && pair.opener_.Start().empty());
+  cr_assert(MessagesOf(pair.acceptor_, CancelFrame("x")) == 1);
+}
+
+// Operators change the key host by host: first every host learns the new one,
+// then it signs, then the old one goes. No pair of hosts may lose its link in
+// between.
+Test(LinkSession, AKeyChangesHostByHost)
+{
+  const std::string oldKey = Key("a", '1');
+  const std::string newKey = Key("b", '2');
+  const std::vector<std::string> steps{
+    oldKey, oldKey + "," + newKey, newKey + "," + oldKey, newKey
+  };
+  for (std::size_t step = 0; step + 1 < steps.size(); ++step) {
+    cr_assert(Pair(steps[step], steps[step + 1]).Handshake());
+    cr_assert(Pair(steps[step + 1], steps[step]).Handshake());
+  }
+}
+
+// Somebody who can reach a side's port sends it work, with no key, with
+// another key under the right id, or with a frame before any proof.
+Test(LinkSession, AStrangerGetsNothingThrough)
+{
+  cr_assert(!Pair("", Key("a", '1')).Handshake());
+  cr_assert(!Pair(Key("a", '2'), Key("a", '1')).Handshake());
+  cr_assert(!Pair(Key("b", '1'), Key("a", '1')).Handshake());
+  Pair pair(Key("a", '1'), Key("a", '1'));
+  cr_assert(MessagesOf(pair.acceptor_, CancelFrame("x")) == -1);
+  Pair large(Key("a", '1'), Key("a", '1'));
+  CancelMessage flood;
+  flood.attemptId_ = std::string(100000, 'x');
+  cr_assert(MessagesOf(large.acceptor_, EncodeFrame(flood).substr(0, 64)) ==
+            -1);
+}
+
+// A stranger answers our hello with our own proof, or replays what he recorded
+// from another link: each link has nonces of its own.
+Test(LinkSession, RecordedFramesOfAnotherLinkAreRefused)
+{
+  Pair first(Key("a", '1'), Key("a", '1'));
+  cr_assert(first.Handshake());
+  const std::string recorded = first.opener_.Seal(CancelFrame("x"));
+  Pair second(Key("a", '1'), Key("a", '1'));
+  cr_assert(second.Handshake());
+  cr_assert(MessagesOf(second.acceptor_, recorded) == -1);
+}
+
+Test(LinkSession, ARepeatedDroppedOrReflectedFrameIsRefused)
+{
+  for (const char* fault : { "repeat", "drop", "reflect" }) {
+    Pair pair(Key("a", '1'), Key("a", '1'));
+    cr_assert(pair.Handshake());
+    const std::string first = pair.opener_.Seal(CancelFrame("x"));
+    const std::string second = pair.opener_.Seal(CancelFrame("y"));
+    const std::string name = fault;
+    if (name == "repeat") {
+      cr_assert(MessagesOf(pair.acceptor_, first) == 1);
+      cr_assert(MessagesOf(pair.acceptor_, first) == -1);
+    } else if (name == "drop") {
+      cr_assert(MessagesOf(pair.acceptor_, second) == -1);
+    } else {
+      cr_assert(MessagesOf(pair.opener_, first) == -1);
+    }
+  }
+}
+
+Test(LinkSession, EveryFlippedBitOfATaggedFrameIsRefused)
+{
+  const std::string probe = CancelFrame("x") + std::string(kTagBytes, ' ');
+  for (std::size_t bit = 0; bit < probe.size() * 8; ++bit) {
+    Pair pair(Key("a", '1'), Key("a", '1'));
+    cr_assert(pair.Handshake());
+    std::string sealed = pair.opener_.Seal(CancelFrame("x"));
+    sealed[bit / 8] = static_cast<char>(sealed[bit / 8] ^ (1 << (bit % 8)));
+    cr_assert(MessagesOf(pair.acceptor_, sealed) != 1);
+  }
+}
+
+// A stranger sends heartbeats for a side that does not exist, or changes the
+// address in a true one, and requests go to him.
+Test(DatagramSeal, OnlyTaggedDatagramsAreTaken)
+{
+  const auto ring = Ring(Key("a", '1') + "," + Key("b", '2'));
+  HeartbeatMessage heartbeat;
+  heartbeat.sideId_ = "s1";
+  const std::string good = SealDatagram(heartbeat, *ring);
+  cr_assert(Succeeded(OpenDatagram(good, *ring)));
+  cr_assert(Succeeded(
+    OpenDatagram(SealDatagram(heartbeat, *Ring(Key("b", '2'))), *ring)));
+  const std::string open = SealDatagram(heartbeat, KeyRing());
+  const auto untagged = OpenDatagram(open, *ring);
+  cr_assert(std::get<Failure>(untagged).kind_ == FailureKind::Refused);
+  for (std::size_t bit = 0; bit < good.size() * 8; ++bit) {
+    std::string flipped = good;
+    flipped[bit / 8] = static_cast<char>(flipped[bit / 8] ^ (1 << (bit % 8)));
+    cr_assert(!Succeeded(OpenDatagram(flipped, *ring)));
+  }
+}
