--- a/Source/Connection/SideLink.cxx
+++ b/Source/Connection/SideLink.cxx
@@ -105,6 +105,12 @@
   socket_->disconnectFromHost();
 }
 
+bool
+SideLink::Flushed() const
+{
+  return waiting_.empty() && socket_->bytesToWrite() == 0;
+}
+
 void
 SideLink::OnReadyRead()
 {
@@ -115,6 +121,7 @@
     Metrics::OfProcess().Count(failure->kind_ == FailureKind::Refused
                                  ? Counter::UnauthenticLinks
                                  : Counter::BadFrames);
+    broken_ = true;
     OnEnd(QString::fromStdString(failure->message_));
     return;
   }
--- a/Source/Process/EntryProcess.cxx
+++ b/Source/Process/EntryProcess.cxx
@@ -3,6 +3,7 @@
 #include "Connection/HttpFront.h"
 #include "Connection/TableClient.h"
 #include "Process/ConfigurationKeeper.h"
+#include "Process/EntryPresence.h"
 #include "Process/Explainer.h"
 #include "Process/Journal.h"
 #include "Process/Lane.h"
@@ -11,6 +12,8 @@
 #include "Process/Metrics.h"
 #include "Process/MetricsRoutes.h"
 #include "Process/OperatorRoutes.h"
+#include "Process/Scheduler.h"
+#include "Process/WorkPages.h"
 #include "Version/ConfigurationHolder.h"
 
 #include <QTimer>
@@ -37,7 +40,17 @@
     , journal_("entry/" + aSettings.name_,
                static_cast<std::size_t>(aSettings.journalRequests_))
     , table_("http://" + aSettings.table_.Text())
-    , keeper_(table_, configuration_)
+    , presence_(table_, aSettings.name_)
+    , keeper_(table_,
+              configuration_,
+              presence_.Directory(),
+              aSettings.name_ + "-" + std::to_string(incarnation_) + "-")
+    , scheduler_({ aSettings.name_, incarnation_ },
+                 table_,
+                 configuration_,
+                 journal_,
+                 MakeChooser(FirstFitPlacement()))
+    , workPages_(table_, configuration_, scheduler_)
   {
   }
 
@@ -54,7 +67,10 @@
   ConfigurationHolder configuration_;
   Journal journal_;
   TableClient table_;
+  EntryPresence presence_;
   ConfigurationKeeper keeper_;
+  Scheduler scheduler_;
+  WorkPages workPages_;
   OperatorRoutes routes_;
   std::vector<std::unique_ptr<Lane>> lanes_;
   std::unique_ptr<MembershipListener> membership_;
@@ -80,6 +96,15 @@
     }
   }
   keeper_.Start();
+  EntryRecord own;
+  own.name_ = settings_.name_;
+  own.incarnation_ = incarnation_;
+  own.operators_ =
+    settings_.operators_.ip_ + ":" + std::to_string(operators_->Port());
+  own.membership_ =
+    settings_.membership_.ip_ + ":" + std::to_string(membership_->Port());
+  presence_.Start(own);
+  scheduler_.Start();
   return true;
 }
 
@@ -106,7 +131,15 @@
     settings_.name_,
     settings_.membership_,
     [this] { return configuration_.Current()->version_; },
+    [this] {
+      std::vector<std::string> known;
+      for (const EntryRecord& entry : presence_.Directory().Others()) {
+        known.push_back(entry.membership_);
+      }
+      return known;
+    },
     [this](const HeartbeatMessage& aHeartbeat) {
+      keeper_.OnHeartbeat(aHeartbeat);
       for (const std::unique_ptr<Lane>& lane : lanes_) {
         lane->Observe(aHeartbeat);
       }
@@ -126,6 +159,7 @@
   AddHealthRoutes();
   AddMetricsRoutes(routes_, [this] { RefreshGauges(); });
   keeper_.AddRoutes(routes_);
+  workPages_.AddRoutes(routes_);
   membership_->AddRoutes(routes_);
   explainer_->AddRoutes(routes_);
   auto front = HttpFront::Listen(
@@ -185,10 +219,12 @@
     return;
   }
   std::size_t open = 0;
+  bool finished = !listening_;
   for (const std::unique_ptr<Lane>& lane : lanes_) {
     open += lane->InProgress();
+    finished = finished && lane->Drained();
   }
-  const bool finished = !listening_ && open == 0;
+  finished = finished && scheduler_.IsHandedOver();
   if (!finished && now < stopDeadline_) {
     return;
   }
@@ -224,7 +260,11 @@
   self->listenUntil_ = now + kBalancerNotice;
   self->stopDeadline_ = now + Millis(self->settings_.stopBoundMs_);
   self->stopped_ = std::move(aDone);
+  self->scheduler_.HandOver();
   LogChange("stopping", {});
+  for (const std::unique_ptr<Lane>& lane : self->lanes_) {
+    lane->CloseAfterAnswers();
+  }
   QObject::connect(&self->stopCheck_, &QTimer::timeout, self, [self] {
     self->CheckStopped();
   });
--- a/Source/Process/SideProcess.cxx
+++ b/Source/Process/SideProcess.cxx
@@ -10,6 +10,7 @@
 #include "Process/MetricsRoutes.h"
 #include "Process/RequestMeter.h"
 #include "Request/SideCore.h"
+#include "Version/ConfigurationHolder.h"
 #include "Version/JsonText.h"
 
 #include <QTcpServer>
@@ -30,6 +31,8 @@
 constexpr Millis kAnnouncementLife{ 3000 };
 /** Heartbeats that say "leaving" before the process ends. */
 constexpr Millis kLeavingNotice{ 1000 };
+/** A stopping side ends only after entries have sent nothing for this long. */
+constexpr Millis kQuietBeforeEnd{ 200 };
 
 /** The JSON body of an upstream's announcement. */
 struct AnnouncementBody
@@ -80,6 +83,20 @@
   return kept;
 }
 
+/** An entry that heartbeats go to. */
+struct KnownEntry
+{
+  SocketAddress address_;
+  /** Named by the settings: never forgotten. */
+  bool fromSettings_ = false;
+  /** When it was last heard or named by another. */
+  Instant heardAt_;
+};
+
+/** Entries come and go with their hosts; one that is silent is forgotten. */
+constexpr Millis kForgetEntryAfter{ 60000 };
+constexpr std::size_t kMaxEntries = 256;
+
 }
 
 class SideProcess::Private : public QObject
@@ -93,14 +110,18 @@
         static_cast<std::size_t>(aSettings.maxQueued_),
         Millis(200),
       })
-    , entries_(aSettings.entries_)
   {
+    for (const SocketAddress& entry : aSettings.entries_) {
+      entries_[entry.Text()] = { entry, true, Instant() };
+    }
   }
 
   Result<bool> Open();
   void OnAnnounceRequest(const HttpExchange& aExchange);
   void OnConnection();
   void OnMessage(LinkId aLink, const WireMessage& aMessage);
+  void TakeConfiguration(const std::string& aText);
+  void Hear(const std::string& aEntry, Instant aNow);
   void OnDatagram();
   void OnTick();
   void SendHeartbeat();
@@ -122,14 +143,19 @@
   QUdpSocket datagrams_;
   QTimer tick_;
   QTimer heartbeat_;
-  std::vector<SocketAddress> entries_;
+  std::map<std::string, KnownEntry> entries_;
+  ConfigurationHolder configuration_;
   std::map<LinkId, SideLink*> links_;
   LinkId nextLink_ = 1;
   std::uint64_t sequence_ = 0;
   std::uint64_t badDatagrams_ = 0;
+  /** Connections ended for what they sent. */
+  std::uint64_t badLinks_ = 0;
   SideState loggedState_ = SideState::NoUpstream;
   bool stopping_ = false;
   Instant stopEarliest_;
+  /** When an entry last sent something. */
+  Instant quietSince_;
   Instant stopDeadline_;
   std::function<void()> stopped_;
 };
@@ -201,9 +227,14 @@
     answer.body_ = "{}\n";
   } else if (aExchange.Method() == "GET" && aExchange.Path() == "/metrics") {
     answer = MetricsAnswer();
+  } else if (aExchange.Method() == "GET" &&
+             aExchange.Path() == "/v1/counters") {
+    answer.body_ = "{\"badDatagrams\":" + std::to_string(badDatagrams_) +
+                   ",\"badLinks\":" + std::to_string(badLinks_) + "}\n";
   } else {
     answer.status_ = 404;
-    answer.body_ = "Use POST /v1/announce or POST /v1/goodbye.\n";
+    answer.body_ = "Use POST /v1/announce, POST /v1/goodbye or GET "
+                   "/v1/counters.\n";
   }
   aExchange.Answer(answer);
   SendHeartbeat();
@@ -222,6 +253,7 @@
       });
     connect(link, &SideLink::Lost, this, [this, id, link] {
       links_.erase(id);
+      badLinks_ += link->Broken() ? 1 : 0;
       link->deleteLater();
       Run(core_.OnLinkLost(id, ReadMonotonicClock()));
     });
@@ -232,6 +264,7 @@
 SideProcess::Private::OnMessage(LinkId aLink, const WireMessage& aMessage)
 {
   const Instant now = ReadMonotonicClock();
+  quietSince_ = now;
   if (const auto* dispatch = std::get_if<DispatchMessage>(&aMessage)) {
     meter_.Begin(dispatch->attemptId_, dispatch->tenant_, class_, now);
     Run(core_.OnDispatch(aLink, *dispatch, now));
@@ -244,6 +277,40 @@
       recollection.steps_.push_back(ToJson(step));
     }
     links_.at(aLink)->Send(recollection);
+  } else if (const auto* offered = std::get_if<ConfigMessage>(&aMessage)) {
+    TakeConfiguration(offered->text_);
+  } else if (std::holds_alternative<ConfigRequestMessage>(aMessage)) {
+    const std::shared_ptr<const Configuration> held = configuration_.Current();
+    links_.at(aLink)->Send(
+      ConfigMessage{ held->version_, ConfigurationText(*held) });
+  }
+}
+
+/** Takes a higher and valid version; a side has no other way to learn one. */
+void
+SideProcess::Private::TakeConfiguration(const std::string& aText)
+{
+  const Result<Configuration> parsed = ParseConfiguration(aText);
+  const auto* offered = std::get_if<Configuration>(&parsed);
+  if (offered != nullptr &&
+      configuration_.Offer(std::make_shared<Configuration>(*offered))) {
+    LogChange("configuration",
+              { { "version", std::to_string(offered->version_) },
+                { "source", "entry" } });
+    SendHeartbeat();
+  }
+}
+
+void
+SideProcess::Private::Hear(const std::string& aEntry, Instant aNow)
+{
+  const Result<SocketAddress> parsed = ParseSocketAddress(aEntry);
+  const auto* address = std::get_if<SocketAddress>(&parsed);
+  const auto found = entries_.find(aEntry);
+  if (found != entries_.end()) {
+    found->second.heardAt_ = aNow;
+  } else if (address != nullptr && entries_.size() < kMaxEntries) {
+    entries_[aEntry] = { *address, false, aNow };
   }
 }
 
@@ -266,14 +333,8 @@
       ++badDatagrams_;
       continue;
     }
-    for (const std::string& text : ack->entries_) {
-      const Result<SocketAddress> parsed = ParseSocketAddress(text);
-      const auto* entry = std::get_if<SocketAddress>(&parsed);
-      if (entry != nullptr &&
-          std::find(entries_.begin(), entries_.end(), *entry) ==
-            entries_.end()) {
-        entries_.push_back(*entry);
-      }
+    for (const std::string& entry : ack->entries_) {
+      Hear(entry, ReadMonotonicClock());
     }
   }
 }
@@ -281,7 +342,7 @@
 void
 SideProcess::Private::SendHeartbeat()
 {
-  HeartbeatMessage heartbeat = core_.Heartbeat();
+  HeartbeatMessage heartbeat = core_.Heartbeat(ReadMonotonicClock());
   if (heartbeat.state_ != loggedState_) {
     loggedState_ = heartbeat.state_;
     LogChange("upstream-state",
@@ -294,8 +355,15 @@
   heartbeat.dataCentre_ = settings_.dataCentre_;
   heartbeat.address_ = settings_.listen_.ip_;
   heartbeat.port_ = server_.serverPort();
+  heartbeat.configVersion_ = configuration_.Current()->version_;
   const std::string frame = SealDatagram(heartbeat);
-  for (const SocketAddress& entry : entries_) {
+  const Instant now = ReadMonotonicClock();
+  std::erase_if(entries_, [now](const auto& aEntry) {
+    return !aEntry.second.fromSettings_ &&
+           aEntry.second.heardAt_ + kForgetEntryAfter < now;
+  });
+  for (const auto& [text, known] : entries_) {
+    const SocketAddress& entry = known.address_;
     datagrams_.writeDatagram(frame.data(),
                              static_cast<qint64>(frame.size()),
                              QHostAddress(QString::fromStdString(entry.ip_)),
@@ -367,7 +435,16 @@
     return;
   }
   const Instant now = ReadMonotonicClock();
-  const bool finished = core_.Idle() && now >= stopEarliest_;
+  // Failure guarded against: an answer that is still in this process's buffers
+  // when it ends never reaches the caller, and one that is on its way is lost
+  // if the connection is reset because a late dispatch arrived unread.
+  const bool quiet = now >= quietSince_ + kQuietBeforeEnd;
+  const bool flushed =
+    std::all_of(links_.begin(), links_.end(), [](const auto& aLink) {
+      return aLink.second->Flushed();
+    });
+  const bool finished =
+    core_.Idle() && flushed && quiet && now >= stopEarliest_;
   if (finished || now >= stopDeadline_) {
     LogChange("stopped", { { "in-flight-left", core_.Idle() ? "no" : "yes" } });
     std::exchange(stopped_, nullptr)();
