Operators: Commands on work in the table; keys tested on real processes

JobSummary is one type for the entry and the command. SecurityTest changes keys under slow calls (all 200) and lets strangers try (refused, counted).

--- a/Source/Process/AllCommands.cxx
+++ b/Source/Process/AllCommands.cxx
@@ -5,6 +5,7 @@
 #include "Process/ExplainCommand.h"
 #include "Process/RoleCommands.h"
 #include "Process/TopCommand.h"
+#include "Process/WorkCommands.h"
 
 #include <iostream>
 
@@ -57,6 +58,7 @@
   CommandTable table;
   AddRoleCommands(table);
   AddConfigCommands(table);
+  AddWorkCommands(table);
   AddExplainCommands(table);
   AddTopCommand(table);
   AddProgramCommands(table);
--- a/Source/Process/CommandLine.cxx
+++ b/Source/Process/CommandLine.cxx
@@ -173,6 +173,39 @@
   return values_.find(aName) != values_.end();
 }
 
+Result<std::int64_t>
+CommandLine::Number(const std::string& aName,
+                    std::int64_t aDefault,
+                    std::int64_t aMaximum) const
+{
+  if (!Given(aName)) {
+    return aDefault;
+  }
+  const Result<std::int64_t> number = ParseWholeNumber(Text(aName));
+  const auto* value = std::get_if<std::int64_t>(&number);
+  if (value == nullptr || *value < 0 || *value > aMaximum) {
+    return UsageError("The option --" + aName +
+                      " must be a whole number from 0 to " +
+                      std::to_string(aMaximum) + ".");
+  }
+  return *value;
+}
+
+Result<Labels>
+CommandLine::LabelList(const std::string& aName) const
+{
+  Labels labels;
+  for (const std::string& text : List(aName)) {
+    const std::size_t equals = text.find('=');
+    if (equals == std::string::npos || equals == 0) {
+      return UsageError("The option --" + aName + " must be NAME=VALUE, not '" +
+                        text + "'.");
+    }
+    labels.emplace_back(text.substr(0, equals), text.substr(equals + 1));
+  }
+  return labels;
+}
+
 OutputFormat
 CommandLine::Output() const
 {
--- a/Source/Process/CommandLine.h
+++ b/Source/Process/CommandLine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Connection/WireMessages.h"
 #include "Process/SettingsFile.h"
 #include "Request/Failure.h"
 
@@ -51,6 +52,13 @@
   std::vector<std::string> List(std::string_view aName) const;
   bool Given(std::string_view aName) const;
 
+  /** A whole number from 0 on, or its default if it was not given. */
+  Result<std::int64_t> Number(const std::string& aName,
+                              std::int64_t aDefault,
+                              std::int64_t aMaximum) const;
+  /** The NAME=VALUE pairs of a repeatable option. */
+  Result<Labels> LabelList(const std::string& aName) const;
+
   OutputFormat Output() const;
 
   /**
--- a/Source/Process/ConfigCommands.cxx
+++ b/Source/Process/ConfigCommands.cxx
@@ -231,35 +231,14 @@
   return PutConfiguration(aLine, client, configuration);
 }
 
-/** A whole number of an option, or its default if it was not given. */
-Result<std::int64_t>
-NumberOption(const CommandLine& aLine,
-             const std::string& aName,
-             std::int64_t aDefault,
-             std::int64_t aMaximum)
-{
-  if (!aLine.Given(aName)) {
-    return aDefault;
-  }
-  const Result<std::int64_t> number = ParseWholeNumber(aLine.Text(aName));
-  const auto* value = std::get_if<std::int64_t>(&number);
-  if (value == nullptr || *value < 0 || *value > aMaximum) {
-    return NotRun(FailureKind::BadInput,
-                  "The option --" + aName +
-                    " must be a whole number from 0 to " +
-                    std::to_string(aMaximum) + ".");
-  }
-  return *value;
-}
-
 ExitCode
 CreateTenant(const CommandLine& aLine)
 {
   constexpr std::int64_t kMaxShare = 1000000;
   constexpr std::int64_t kMaxQuota = 1000000000;
-  const Result<std::int64_t> share = NumberOption(aLine, "share", 1, kMaxShare);
+  const Result<std::int64_t> share = aLine.Number("share", 1, kMaxShare);
   const Result<std::int64_t> quota =
-    NumberOption(aLine, "quota-millicpus", 0, kMaxQuota);
+    aLine.Number("quota-millicpus", 0, kMaxQuota);
   for (const Result<std::int64_t>* number : { &share, &quota }) {
     if (const auto* failure = std::get_if<Failure>(number)) {
       return Report(*failure);
@@ -285,33 +264,17 @@
   });
 }
 
-Result<Labels>
-LabelOptions(const CommandLine& aLine)
-{
-  Labels labels;
-  for (const std::string& text : aLine.List("label")) {
-    const std::size_t equals = text.find('=');
-    if (equals == std::string::npos || equals == 0) {
-      return NotRun(FailureKind::BadInput,
-                    "The option --label must be NAME=VALUE, not '" + text +
-                      "'.");
-    }
-    labels.emplace_back(text.substr(0, equals), text.substr(equals + 1));
-  }
-  return labels;
-}
-
 ExitCode
 CreateService(const CommandLine& aLine)
 {
   constexpr std::int64_t kDefaultTimeoutMs = 10000;
   constexpr std::int64_t kMaxTimeoutMs = 3600000;
   const Result<std::int64_t> timeout =
-    NumberOption(aLine, "timeout-ms", kDefaultTimeoutMs, kMaxTimeoutMs);
+    aLine.Number("timeout-ms", kDefaultTimeoutMs, kMaxTimeoutMs);
   if (const auto* failure = std::get_if<Failure>(&timeout)) {
     return Report(*failure);
   }
-  const Result<Labels> labels = LabelOptions(aLine);
+  const Result<Labels> labels = aLine.LabelList("label");
   if (const auto* failure = std::get_if<Failure>(&labels)) {
     return Report(*failure);
   }
--- a/Source/Process/ExplainCommand.cxx
+++ b/Source/Process/ExplainCommand.cxx
@@ -3,6 +3,7 @@
 #include "Process/CommandTable.h"
 #include "Process/EntryClient.h"
 #include "Process/TextTable.h"
+#include "Request/ExplainVerdict.h"
 #include "Request/RequestStep.h"
 #include "Version/JsonText.h"
 
@@ -28,10 +29,11 @@
 };
 
 /** What explain prints for scripts. */
-struct Explanation
+struct ExplainOutput
 {
   std::string requestId_;
   std::string verdict_;
+  std::string reason_;
   std::vector<RequestStep> steps_;
 
   template<class Archive>
@@ -39,6 +41,7 @@
   {
     ar(cereal::make_nvp("requestId", requestId_),
        cereal::make_nvp("verdict", verdict_),
+       cereal::make_nvp("reason", reason_),
        cereal::make_nvp("steps", steps_));
   }
 };
@@ -51,20 +54,9 @@
     .toStdString();
 }
 
-Verdict
-VerdictOfSteps(std::span<const RequestStep> aSteps)
-{
-  Verdict verdict = Verdict::MayHaveRun;
-  for (const RequestStep& step : aSteps) {
-    if (step.conclusive_) {
-      verdict = step.verdict_;
-    }
-  }
-  return verdict;
-}
-
 void
-PrintSteps(const std::vector<RequestStep>& aSteps, Verdict aVerdict)
+PrintSteps(const std::vector<RequestStep>& aSteps,
+           const Explanation& aExplanation)
 {
   TextTable table;
   table.AddRow({ "TIME", "PROCESS", "STEP", "DETAIL" });
@@ -72,7 +64,9 @@
     table.AddRow(
       { ClockText(step.wallMicros_), step.host_, step.step_, step.detail_ });
   }
-  std::cout << table.Text() << "verdict: " << VerdictText(aVerdict) << '\n';
+  std::cout << table.Text() << "verdict: " << VerdictText(aExplanation.verdict_)
+            << '\n'
+            << aExplanation.reason_ << '\n';
 }
 
 /** Asks an entry for a page and returns its body, or reports why not. */
@@ -109,14 +103,15 @@
     return ExitCode::Other;
   }
   const auto& steps = std::get<StepList>(parsed).steps_;
-  const Verdict verdict = VerdictOfSteps(steps);
+  const Explanation explanation = ExplainVerdict(steps);
   if (aLine.Output() == OutputFormat::Json) {
-    const Explanation explanation{ id,
-                                   std::string(VerdictText(verdict)),
-                                   steps };
-    std::cout << ToJson(explanation) << '\n';
+    const ExplainOutput output{ id,
+                                std::string(VerdictText(explanation.verdict_)),
+                                explanation.reason_,
+                                steps };
+    std::cout << ToJson(output) << '\n';
   } else {
-    PrintSteps(steps, verdict);
+    PrintSteps(steps, explanation);
   }
   return ExitCode::Done;
 }
--- a/Source/Process/WorkCommands.cxx
+++ b/Source/Process/WorkCommands.cxx
@@ -1,80 +1,33 @@
 #include "Process/WorkCommands.h"
 
-#include "Connection/HttpCaller.h"
-#include "Process/Instant.h"
+#include "Process/CommandTable.h"
+#include "Process/Confirmation.h"
+#include "Process/EntryClient.h"
+#include "Process/JobSummary.h"
+#include "Process/Terminal.h"
+#include "Process/TextTable.h"
 #include "Version/JsonText.h"
 #include "Version/WorkVerbs.h"
 
-#include <QCoreApplication>
 #include <QUrl>
 #include <QUuid>
 
-#include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <iostream>
+#include <thread>
 
 namespace cactusrail {
 
-const char* const kWorkCommandsUsage =
-  "       cactusrail create-job ENTRY ID [KEY=VALUE ...]\n"
-  "         KEY: kind (batch|watcher|service), tenant, program, tasks,\n"
-  "         milli-cpus, memory-mb, accelerators, run-ms, idempotent (yes|no),\n"
-  "         label.NAME, operation\n"
-  "       cactusrail jobs ENTRY [SELECTOR]\n"
-  "       cactusrail inspect-job ENTRY ID\n"
-  "       cactusrail pause|resume|drain|stop|cancel ENTRY SELECTOR"
-  " [OPERATION]\n";
-
 namespace {
 
-constexpr int kExitUsage = 2;
-constexpr int kExitNotFound = 3;
-constexpr int kExitConflict = 4;
-constexpr int kExitUnreachable = 6;
-constexpr Millis kCallTimeout{ 60000 };
-constexpr std::array<std::string_view, 5> kVerbs{ "pause",
-                                                  "resume",
-                                                  "drain",
-                                                  "stop",
-                                                  "cancel" };
-
-int
-Call(const std::string& aMethod,
-     const std::string& aEntry,
-     const std::string& aTarget,
-     std::string aBody)
-{
-  HttpCaller caller;
-  HttpCall call;
-  call.method_ = aMethod;
-  call.url_ = "http://" + aEntry + aTarget;
-  call.body_ = std::move(aBody);
-  call.deadline_ = ReadMonotonicClock() + kCallTimeout;
-  Result<HttpReply> result = Failure{};
-  caller.Start(std::move(call), [&result](Result<HttpReply> aResult) {
-    result = std::move(aResult);
-    QCoreApplication::exit(0);
-  });
-  QCoreApplication::exec();
-  if (const auto* failure = std::get_if<Failure>(&result)) {
-    std::cerr << failure->message_ << '\n';
-    return kExitUnreachable;
-  }
-  const auto& reply = std::get<HttpReply>(result);
-  (reply.status_ == 200 ? std::cout : std::cerr) << reply.body_;
-  switch (reply.status_) {
-    case 200:
-      return 0;
-    case 400:
-      return kExitUsage;
-    case 404:
-      return kExitNotFound;
-    case 409:
-      return kExitConflict;
-    default:
-      return kExitUnreachable;
-  }
+constexpr Millis kWaitPoll{ 500 };
+constexpr std::int64_t kDefaultMilliCpus = 1000;
+
+ExitCode
+Report(const Failure& aFailure)
+{
+  std::cerr << aFailure.message_ << '\n';
+  return ExitCodeOfFailure(aFailure);
 }
 
 std::string
@@ -83,121 +36,375 @@
   return QUuid::createUuid().toString(QUuid::WithoutBraces).toStdString();
 }
 
-int
-SendVerb(const std::string& aEntry, const VerbRequest& aRequest)
+std::string
+Escaped(const std::string& aText)
+{
+  return QUrl::toPercentEncoding(QString::fromStdString(aText)).toStdString();
+}
+
+/** The jobs that a selector chooses; the failure is reported already. */
+std::optional<JobList>
+ReadJobs(const EntryClient& aClient,
+         const std::string& aSelector,
+         ExitCode& aCode)
+{
+  const std::optional<HttpReply> reply = aClient.CallOrReport(
+    "GET", "/v1/jobs?selector=" + Escaped(aSelector), "", aCode);
+  if (!reply.has_value()) {
+    return std::nullopt;
+  }
+  Result<JobList> parsed = FromJson<JobList>(reply->body_);
+  if (const auto* failure = std::get_if<Failure>(&parsed)) {
+    std::cerr << failure->message_ << '\n';
+    aCode = ExitCode::Other;
+    return std::nullopt;
+  }
+  return std::move(std::get<JobList>(parsed));
+}
+
+std::string
+JobTable(const JobList& aList)
+{
+  TextTable table;
+  table.AddRow({ "JOB",
+                 "TENANT",
+                 "STATE",
+                 "TASKS",
+                 "COMPLETED",
+                 "FAILED",
+                 "HELD",
+                 "WAITING",
+                 "MAY-HAVE-RUN" });
+  for (const JobSummary& job : aList.jobs_) {
+    table.AddRow({ job.id_,
+                   job.tenant_,
+                   job.wanted_,
+                   std::to_string(job.tasks_),
+                   std::to_string(job.completed_),
+                   std::to_string(job.failed_),
+                   std::to_string(job.held_),
+                   std::to_string(job.waiting_),
+                   std::to_string(job.parked_) });
+  }
+  return table.Text();
+}
+
+/** Sends a verb and prints its one outcome. */
+ExitCode
+SendVerb(const CommandLine& aLine,
+         const EntryClient& aClient,
+         const VerbRequest& aRequest)
 {
   // Without its id a lost answer could not be asked for again.
   std::cerr << "operation " << aRequest.operationId_ << '\n';
-  return Call("POST", aEntry, "/v1/work", ToJson(aRequest));
+  ExitCode code = ExitCode::Done;
+  const std::optional<HttpReply> reply =
+    aClient.CallOrReport("POST", "/v1/work", ToJson(aRequest), code);
+  if (!reply.has_value()) {
+    return code;
+  }
+  const Result<OperationRow> parsed = FromJson<OperationRow>(reply->body_);
+  const auto* operation = std::get_if<OperationRow>(&parsed);
+  if (aLine.Output() == OutputFormat::Json || operation == nullptr) {
+    std::cout << reply->body_;
+    return ExitCode::Done;
+  }
+  TextTable table;
+  table.AddRow({ "JOB", "CHANGED", "OUTCOME" });
+  for (const JobOutcome& job : operation->jobs_) {
+    table.AddRow({ job.jobId_, job.changed_ ? "yes" : "no", job.outcome_ });
+  }
+  std::cout << table.Text();
+  return ExitCode::Done;
 }
 
-bool
-TakeNumber(const std::string& aText, std::int64_t& aNumber)
+std::string
+OperationOf(const CommandLine& aLine)
 {
-  char* end = nullptr;
-  aNumber = std::strtoll(aText.c_str(), &end, 10);
-  return !aText.empty() && *end == '\0' && aNumber >= 0;
+  return aLine.Given("operation") ? aLine.Text("operation") : NewOperationId();
 }
 
+/** Reads an option into a number; false, with the fault, if it is wrong. */
+template<typename Number>
 bool
-TakeWord(VerbRequest& aRequest,
-         const std::string& aKey,
-         const std::string& aValue)
-{
-  JobSpec& spec = aRequest.spec_;
-  std::int64_t number = 0;
-  const bool isNumber = TakeNumber(aValue, number);
-  if (aKey == "kind") {
-    static const std::map<std::string, WorkKind> kKinds{
-      { "service", WorkKind::Service },
-      { "batch", WorkKind::Batch },
-      { "watcher", WorkKind::Watcher }
-    };
-    const auto kind = kKinds.find(aValue);
-    if (kind == kKinds.end()) {
-      return false;
-    }
-    spec.kind_ = kind->second;
-  } else if (aKey == "tenant") {
-    spec.tenant_ = aValue;
-  } else if (aKey == "program") {
-    spec.program_ = aValue;
-  } else if (aKey == "operation") {
-    aRequest.operationId_ = aValue;
-  } else if (aKey == "idempotent") {
-    spec.idempotent_ = aValue == "yes";
-    return aValue == "yes" || aValue == "no";
-  } else if (aKey.starts_with("label.")) {
-    spec.labels_.emplace_back(aKey.substr(6), aValue);
-  } else if (aKey == "tasks") {
-    spec.tasks_ = static_cast<std::uint32_t>(number);
-    return isNumber;
-  } else if (aKey == "milli-cpus") {
-    spec.declared_.milliCpus_ = number;
-    return isNumber;
-  } else if (aKey == "memory-mb") {
-    spec.declared_.memoryMb_ = number;
-    return isNumber;
-  } else if (aKey == "accelerators") {
-    spec.declared_.accelerators_ = number;
-    return isNumber;
-  } else if (aKey == "run-ms") {
-    spec.declaredRunMs_ = static_cast<std::uint64_t>(number);
-    return isNumber;
-  } else {
+ReadNumber(const CommandLine& aLine,
+           const std::string& aName,
+           Number& aNumber,
+           std::optional<Failure>& aFault)
+{
+  constexpr std::int64_t kMaximum = 1000000000;
+  const Result<std::int64_t> read =
+    aLine.Number(aName, static_cast<std::int64_t>(aNumber), kMaximum);
+  if (const auto* failure = std::get_if<Failure>(&read)) {
+    aFault = *failure;
     return false;
   }
+  aNumber = static_cast<Number>(std::get<std::int64_t>(read));
   return true;
 }
 
-int
-CreateJob(std::span<const std::string> aWords)
+Result<WorkKind>
+KindOf(const CommandLine& aLine)
 {
+  const std::string kind = aLine.Given("kind") ? aLine.Text("kind") : "batch";
+  if (kind == "batch") {
+    return WorkKind::Batch;
+  }
+  if (kind == "watcher") {
+    return WorkKind::Watcher;
+  }
+  if (kind == "service") {
+    return WorkKind::Service;
+  }
+  return NotRun(FailureKind::BadInput,
+                "The option --kind must be batch, watcher or service, not '" +
+                  kind + "'.");
+}
+
+Result<JobSpec>
+SpecOf(const CommandLine& aLine)
+{
+  const Result<WorkKind> kind = KindOf(aLine);
+  if (const auto* failure = std::get_if<Failure>(&kind)) {
+    return *failure;
+  }
+  const Result<Labels> labels = aLine.LabelList("label");
+  if (const auto* failure = std::get_if<Failure>(&labels)) {
+    return *failure;
+  }
+  JobSpec spec;
+  spec.id_ = aLine.Text("ID");
+  spec.kind_ = std::get<WorkKind>(kind);
+  spec.tenant_ = aLine.Text("tenant");
+  spec.program_ = aLine.Text("program");
+  spec.labels_ = std::get<Labels>(labels);
+  spec.idempotent_ = aLine.Given("idempotent");
+  spec.declared_.milliCpus_ = kDefaultMilliCpus;
+  std::optional<Failure> fault;
+  const bool read =
+    ReadNumber(aLine, "tasks", spec.tasks_, fault) &&
+    ReadNumber(aLine, "milli-cpus", spec.declared_.milliCpus_, fault) &&
+    ReadNumber(aLine, "memory-mb", spec.declared_.memoryMb_, fault) &&
+    ReadNumber(aLine, "accelerators", spec.declared_.accelerators_, fault) &&
+    ReadNumber(aLine, "run-ms", spec.declaredRunMs_, fault);
+  if (!read) {
+    return *fault;
+  }
+  return spec;
+}
+
+ExitCode
+CreateJob(const CommandLine& aLine)
+{
+  const Result<JobSpec> spec = SpecOf(aLine);
+  if (const auto* failure = std::get_if<Failure>(&spec)) {
+    return Report(*failure);
+  }
+  const Result<EntryClient> client = EntryClient::Make(aLine);
+  if (const auto* failure = std::get_if<Failure>(&client)) {
+    return Report(*failure);
+  }
   VerbRequest request;
   request.verb_ = "create";
-  request.operationId_ = NewOperationId();
-  request.spec_.id_ = aWords[2];
-  for (const std::string& word : aWords.subspan(3)) {
-    const std::size_t equals = word.find('=');
-    if (equals == std::string::npos ||
-        !TakeWord(request, word.substr(0, equals), word.substr(equals + 1))) {
-      std::cerr << "'" << word << "' is not understood.\n"
-                << kWorkCommandsUsage;
-      return kExitUsage;
-    }
+  request.operationId_ = OperationOf(aLine);
+  request.spec_ = std::get<JobSpec>(spec);
+  if (aLine.Given("dry-run")) {
+    std::cout << ToJson(request.spec_) << '\n';
+    return ExitCode::Done;
+  }
+  return SendVerb(aLine, std::get<EntryClient>(client), request);
+}
+
+ExitCode
+ListJobs(const CommandLine& aLine)
+{
+  const Result<EntryClient> client = EntryClient::Make(aLine);
+  if (const auto* failure = std::get_if<Failure>(&client)) {
+    return Report(*failure);
+  }
+  const std::string selector = aLine.Text("SELECTOR");
+  ExitCode code = ExitCode::Done;
+  const std::optional<JobList> list = ReadJobs(
+    std::get<EntryClient>(client), selector.empty() ? "*" : selector, code);
+  if (list.has_value()) {
+    std::cout << (aLine.Output() == OutputFormat::Json ? ToJson(*list) + "\n"
+                                                       : JobTable(*list));
   }
-  return SendVerb(aWords[1], request);
+  return code;
 }
 
+ExitCode
+InspectJob(const CommandLine& aLine)
+{
+  const Result<EntryClient> client = EntryClient::Make(aLine);
+  if (const auto* failure = std::get_if<Failure>(&client)) {
+    return Report(*failure);
+  }
+  ExitCode code = ExitCode::Done;
+  const std::optional<HttpReply> reply =
+    std::get<EntryClient>(client).CallOrReport(
+      "GET", "/v1/jobs/inspect?id=" + Escaped(aLine.Text("ID")), "", code);
+  if (reply.has_value()) {
+    std::cout << reply->body_;
+  }
+  return code;
+}
+
+/** Waits until no task of the selector's jobs is held by a worker any more. */
+ExitCode
+WaitUntilNoneHeld(const EntryClient& aClient, const std::string& aSelector)
+{
+  ProgressLine progress;
+  for (;;) {
+    ExitCode code = ExitCode::Done;
+    const std::optional<JobList> list = ReadJobs(aClient, aSelector, code);
+    if (!list.has_value()) {
+      return code;
+    }
+    std::uint64_t held = 0;
+    for (const JobSummary& job : list->jobs_) {
+      held += job.held_;
+    }
+    progress.Show(std::to_string(held) + " tasks are still on workers");
+    if (held == 0) {
+      return ExitCode::Done;
+    }
+    std::this_thread::sleep_for(kWaitPoll);
+  }
 }
 
-std::optional<int>
-RunWorkCommand(std::span<const std::string> aWords)
+ExitCode
+ChangeJobs(const CommandLine& aLine, const std::string& aVerb)
 {
-  const std::string verb = aWords.empty() ? "" : aWords[0];
-  if (verb == "create-job" && aWords.size() >= 3) {
-    return CreateJob(aWords);
+  const Result<EntryClient> made = EntryClient::Make(aLine);
+  if (const auto* failure = std::get_if<Failure>(&made)) {
+    return Report(*failure);
   }
-  if (verb == "jobs" && (aWords.size() == 2 || aWords.size() == 3)) {
-    const std::string selector = aWords.size() == 3 ? aWords[2] : "*";
-    const QByteArray encoded =
-      QUrl::toPercentEncoding(QString::fromStdString(selector));
-    return Call(
-      "GET", aWords[1], "/v1/jobs?selector=" + encoded.toStdString(), "");
+  const auto& client = std::get<EntryClient>(made);
+  const std::string selector = aLine.Text("SELECTOR");
+  ExitCode code = ExitCode::Done;
+  const std::optional<JobList> list = ReadJobs(client, selector, code);
+  if (!list.has_value()) {
+    return code;
+  }
+  std::vector<std::string> chosen;
+  for (const JobSummary& job : list->jobs_) {
+    if (!job.over_) {
+      chosen.push_back(job.id_);
+    }
   }
-  if (verb == "inspect-job" && aWords.size() == 3) {
-    return Call("GET", aWords[1], "/v1/jobs/inspect?id=" + aWords[2], "");
+  // A repeat of an operation is asked of the entry whatever is there by now:
+  // it answers with the first outcome.
+  if (chosen.empty() && !aLine.Given("operation")) {
+    std::cerr << "The selector chose no job that is not over.\n";
+    return ExitCode::NotFound;
   }
-  const bool isVerb =
-    std::find(kVerbs.begin(), kVerbs.end(), verb) != kVerbs.end();
-  if (isVerb && (aWords.size() == 3 || aWords.size() == 4)) {
-    VerbRequest request;
-    request.verb_ = verb;
-    request.selector_ = aWords[2];
-    request.operationId_ = aWords.size() == 4 ? aWords[3] : NewOperationId();
-    return SendVerb(aWords[1], request);
+  switch (ConfirmChoice(aLine, aVerb, chosen)) {
+    case ChoiceDecision::OnlyShow:
+      return ExitCode::Done;
+    case ChoiceDecision::Refuse:
+      return ExitCode::Refused;
+    case ChoiceDecision::Act:
+      break;
   }
-  return std::nullopt;
+  VerbRequest request;
+  request.verb_ = aVerb;
+  request.selector_ = selector;
+  request.operationId_ = OperationOf(aLine);
+  code = SendVerb(aLine, client, request);
+  if (code == ExitCode::Done && aLine.Given("wait")) {
+    return WaitUntilNoneHeld(client, selector);
+  }
+  return code;
+}
+
+void
+AddSelectorVerb(CommandTable& aTable,
+                const std::string& aVerb,
+                const std::string& aSummary)
+{
+  std::vector<CommandOption> options(ChoiceOptions().begin(),
+                                     ChoiceOptions().end());
+  options.push_back({ "operation",
+                      "ID",
+                      "a name for this operation; a repeat under the same name "
+                      "returns the first outcome" });
+  options.push_back(
+    { "wait", "", "wait until none of their tasks is on a worker" });
+  aTable.Add(
+    { aVerb,
+      { "SELECTOR" },
+      aSummary,
+      "cactusrail " + aVerb +
+        " team=vouchers,urgency!=high --yes --entry 127.0.0.1:7001",
+      options,
+      true,
+      [aVerb](const CommandLine& aLine) { return ChangeJobs(aLine, aVerb); } });
+}
+
+void
+AddCreateJob(CommandTable& aTable)
+{
+  aTable.Add(
+    { "create job",
+      { "ID" },
+      "Creates a batch job, watcher or service of equal tasks.",
+      "cactusrail create job payouts --tenant payouts --program payout "
+      "--tasks 6 --milli-cpus 4000 --label team=vouchers "
+      "--entry 127.0.0.1:7001",
+      { { "tenant", "NAME", "whose it is" },
+        { "program", "NAME", "what it runs" },
+        { "kind", "batch|watcher|service", "batch by default" },
+        { "tasks", "NUMBER", "how many tasks; 1" },
+        { "milli-cpus", "NUMBER", "thousandths of a processor a task; 1000" },
+        { "memory-mb", "NUMBER", "MB of memory a task; 0" },
+        { "accelerators", "NUMBER", "accelerators a task; 0" },
+        { "run-ms", "NUMBER", "expected run time of a task in ms; 0: open" },
+        { "idempotent", "", "a task may run more than once" },
+        { "label", "NAME=VALUE", "a label; repeatable", true },
+        { "operation", "ID", "a name for this operation; see pause" },
+        { "dry-run", "", "print the job and create nothing" } },
+      true,
+      CreateJob });
+}
+
+}
+
+void
+AddWorkCommands(CommandTable& aTable)
+{
+  AddCreateJob(aTable);
+  aTable.Add({ "list jobs",
+               { "[SELECTOR]" },
+               "Lists the jobs that a selector of labels chooses; all without "
+               "one.",
+               "cactusrail list jobs team=vouchers --entry 127.0.0.1:7001",
+               {},
+               true,
+               ListJobs });
+  aTable.Add({ "inspect job",
+               { "ID" },
+               "Prints all that is recorded of one job, as JSON.",
+               "cactusrail inspect job payouts --entry 127.0.0.1:7001",
+               {},
+               true,
+               InspectJob });
+  AddSelectorVerb(aTable,
+                  "pause",
+                  "Starts nothing more of these jobs until resume; what runs "
+                  "is checkpointed and stopped.");
+  AddSelectorVerb(aTable, "resume", "Ends a pause or a drain.");
+  AddSelectorVerb(aTable,
+                  "drain",
+                  "Starts nothing more of these jobs until resume; what runs "
+                  "goes on to its end.");
+  AddSelectorVerb(aTable,
+                  "stop",
+                  "Ends these jobs for good; what runs is checkpointed and "
+                  "stopped.");
+  AddSelectorVerb(aTable,
+                  "cancel",
+                  "Ends these jobs for good; what runs is stopped at once.");
 }
 
 }
--- a/Source/Process/WorkCommands.h
+++ b/Source/Process/WorkCommands.h
@@ -1,19 +1,14 @@
 #pragma once
 
-#include <optional>
-#include <span>
-#include <string>
-
 namespace cactusrail {
 
-/** What the commands on work take; a part of the usage text. */
-extern const char* const kWorkCommandsUsage;
+class CommandTable;
 
 /**
- * Runs an operator's command on work and returns the exit code; none if the
- * words are no such command.
+ * Adds the commands on work: create job, list jobs, inspect job, and pause,
+ * resume, drain, stop and cancel by selector.
  */
-std::optional<int>
-RunWorkCommand(std::span<const std::string> aWords);
+void
+AddWorkCommands(CommandTable& aTable);
 
 }
--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -1,5 +1,6 @@
 #include "Bench.h"
 
+#include "Connection/OperatorSignature.h"
 #include "Version/JsonText.h"
 
 #include <criterion/criterion.h>
@@ -159,6 +160,29 @@
   }
 }
 
+void
+Bench::ReplaceKeys(const std::string& aName, const std::string& aKeys)
+{
+  const std::string path = folder_.filePath("").toStdString() + aName + ".ini";
+  std::ifstream old(path);
+  std::string text(std::istreambuf_iterator<char>(old), {});
+  const std::size_t start = text.find("keys = ");
+  text.replace(start, text.find('\n', start) - start, "keys = " + aKeys);
+  WriteSettings(aName, text);
+  const auto reloads = [this, &aName] {
+    std::size_t count = 0;
+    const std::string& log = (*this)[aName].Log();
+    for (std::size_t at = log.find("keys-reloaded"); at != std::string::npos;
+         at = log.find("keys-reloaded", at + 1)) {
+      ++count;
+    }
+    return count;
+  };
+  const std::size_t before = reloads();
+  (*this)[aName].Signal(SIGHUP);
+  WaitUntil([&] { return reloads() > before; }, aName + " to take its keys");
+}
+
 Child&
 Bench::operator[](const std::string& aName)
 {
@@ -294,6 +318,7 @@
   call.url_ = aUrl;
   call.body_ = aBody;
   call.deadline_ = ReadMonotonicClock() + kCallBound;
+  SignCall(call);
   // Shared: the call may outlive a test that gave up waiting.
   auto result = std::make_shared<std::optional<Result<HttpReply>>>();
   caller_.Start(std::move(call),
--- a/Tests/Process/Bench.h
+++ b/Tests/Process/Bench.h
@@ -54,6 +54,12 @@
                    const std::string& aService = "once",
                    const QStringList& aExtra = {});
 
+  /**
+   * Puts other keys into a process's settings file, which must have some, and
+   * waits until it has taken them.
+   */
+  void ReplaceKeys(const std::string& aName, const std::string& aKeys);
+
   /** The process of that name: entry1, side1, upstream-side1, platform. */
   Child& operator[](const std::string& aName);
 
--- /dev/null
+++ b/Tests/Process/SecurityTest.cxx
@@ -0,0 +1,143 @@
+#include "Bench.h"
+
+#include "Connection/KeyRing.h"
+
+#include <criterion/criterion.h>
+
+#include <fstream>
+
+using namespace cactusrail;
+
+namespace {
+
+const std::string kOld = "old:" + std::string(64, '1');
+const std::string kNew = "new:" + std::string(64, '2');
+
+std::string
+KeySettings(const std::string& aKeys)
+{
+  return "[security]\nkeys = " + aKeys + "\n";
+}
+
+/** The keys with which this test asks as an operator. */
+void
+HoldKeys(const std::string& aKeys)
+{
+  KeyHolder::OfProcess().Replace(std::get<KeyRing>(KeyRing::Parse(aKeys)));
+}
+
+int
+StatusOf(const Result<HttpReply>& aResult)
+{
+  const auto* reply = std::get_if<HttpReply>(&aResult);
+  return reply == nullptr ? 0 : reply->status_;
+}
+
+/** The value of a counter on an entry's metrics page. */
+std::uint64_t
+CounterOf(Bench& aBench, const std::string& aEntry, const std::string& aName)
+{
+  const auto got = aBench.AskOperators(aEntry, "/metrics");
+  const std::string& page = std::get<HttpReply>(got).body_;
+  const std::size_t line = page.find("\ncactusrail_" + aName + "{");
+  cr_assert(line != std::string::npos, "no %s", aName.c_str());
+  return std::stoull(page.substr(page.find("} ", line) + 2));
+}
+
+}
+
+// A key has leaked. Operators replace it on every host while clerks go on
+// calling: first all learn the new key, then it signs, then the old one goes.
+// No call may fail, and at the end the old key opens nothing.
+Test(Security, KeysChangeWithoutCuttingACall)
+{
+  Bench bench;
+  HoldKeys(kOld);
+  bench.StartPlatform();
+  bench.StartEntry("entry1", KeySettings(kOld));
+  bench.StartSide("side1", KeySettings(kOld));
+  bench.StartUpstream("side1", "once");
+  bench.Configure("entry1");
+  bench.WaitForSide("entry1", "side1");
+  std::vector<std::size_t> calls;
+  const auto callOn = [&] {
+    CallPlan plan;
+    plan.query_ = "work=300";
+    calls.push_back(bench.Send("entry1", plan));
+  };
+  for (const std::string& keys :
+       { kOld + "," + kNew, kNew + "," + kOld, kNew }) {
+    callOn();
+    bench.ReplaceKeys("entry1", keys);
+    callOn();
+    bench.ReplaceKeys("side1", keys);
+    callOn();
+  }
+  bench.WaitForCalls();
+  for (const std::size_t call : calls) {
+    cr_assert(bench.Call(call).status_ == 200);
+  }
+  cr_assert(StatusOf(bench.AskOperators("entry1", "/v1/config")) == 401);
+  HoldKeys(kNew);
+  cr_assert(StatusOf(bench.AskOperators("entry1", "/v1/config")) == 200);
+  bench.WaitForSide("entry1", "side1");
+  // Explain opens a new link to the side, under the new key.
+  const auto steps =
+    bench.Explain("entry1", bench.Call(calls.front()).requestId_);
+  cr_assert(Bench::Conclude(steps) == Verdict::Ran);
+}
+
+// Somebody who reaches the ports starts a side of his own to get clerks'
+// requests, and asks an entry for its configuration to learn the tenants.
+Test(Security, AStrangersSideAndQuestionsAreRefusedAndCounted)
+{
+  Bench bench;
+  HoldKeys(kOld);
+  bench.StartPlatform();
+  bench.StartEntry("entry1", KeySettings(kOld));
+  bench.StartSide("foreign", KeySettings(kNew));
+  bench.StartSide("open");
+  bench.StartSide("own", KeySettings(kOld));
+  bench.StartUpstream("foreign", "once");
+  bench.StartUpstream("open", "once");
+  bench.StartUpstream("own", "once");
+  bench.Configure("entry1");
+  bench.WaitForSide("entry1", "own");
+  WaitUntil(
+    [&] {
+      return CounterOf(bench, "entry1", "unauthentic_datagrams_total") > 10;
+    },
+    "the strangers' heartbeats to be counted");
+  const auto sides = bench.AskOperators("entry1", "/v1/sides");
+  const std::string& table = std::get<HttpReply>(sides).body_;
+  cr_assert(table.find("foreign") == std::string::npos);
+  cr_assert(table.find("open") == std::string::npos);
+
+  HoldKeys("");
+  for (const char* page : { "/v1/config",
+                            "/v1/sides",
+                            "/metrics",
+                            "/v1/explain?id=x",
+                            "/no-such-page" }) {
+    cr_assert(StatusOf(bench.AskOperators("entry1", page)) == 401, "%s", page);
+  }
+  cr_assert(StatusOf(bench.AskOperators("entry1", "/healthz")) == 200);
+  HoldKeys(kOld);
+  cr_assert(CounterOf(bench, "entry1", "unauthentic_operators_total") == 5);
+}
+
+// Settings with a slip must start nothing, and say so to the script that
+// started them.
+Test(Security, OpenPortsOnTheNetworkAreNotStarted)
+{
+  Bench bench;
+  const QTemporaryDir folder;
+  const QString path = folder.filePath("side.ini");
+  std::ofstream(path.toStdString())
+    << "[side]\nname = s\ndata-centre = d\nlisten = 0.0.0.0:0\n"
+       "announce = 127.0.0.1:0\nentries = 127.0.0.1:7002\n";
+  constexpr int kUsage = 2;
+  cr_assert(QProcess::execute(CACTUSRAIL_PROGRAM, { "side", path }) == kUsage);
+  cr_assert(QProcess::execute(CACTUSRAIL_PROGRAM,
+                              { "config", "check", path }) == kUsage);
+}
--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -146,16 +146,16 @@
 $program explain "$id" --entry "${operators[1]}"
 
 step="running a batch job"
-echo "\$ cactusrail create-job ${operators[0]} payouts tasks=6 ..."
-wait_for $program create-job "${operators[0]}" payouts tenant=clerk \
-  program=payout tasks=6 milli-cpus=4000 memory-mb=1000 run-ms=1000 \
-  label.team=vouchers operation=demo-create
-echo "\$ cactusrail jobs ${operators[1]} team=vouchers"
+echo "\$ cactusrail create job payouts --tasks 6 ..."
+wait_for $program create job payouts --tenant clerk --program payout \
+  --tasks 6 --milli-cpus 4000 --memory-mb 1000 --run-ms 1000 \
+  --label team=vouchers --operation demo-create
+echo "\$ cactusrail list jobs team=vouchers"
 job_is_finished() {
-  $program jobs "${operators[1]}" team=vouchers | grep -q '"finished"'
+  $program list jobs team=vouchers --output json | grep -q '"finished"'
 }
 wait_for job_is_finished
-$program jobs "${operators[1]}" team=vouchers
+$program list jobs team=vouchers
 $program explain payouts.0 --entry "${operators[1]}"
 grep -hE '^(started|ended)' "$work"/worker*.out | sort | uniq -c
 
