--- a/Source/Process/ConfigurationPeers.cxx
+++ b/Source/Process/ConfigurationPeers.cxx
@@ -1,6 +1,7 @@
 #include "Process/ConfigurationPeers.h"
 
 #include "Connection/HttpCaller.h"
+#include "Connection/OperatorSignature.h"
 #include "Connection/SideLink.h"
 #include "Process/Instant.h"
 
@@ -93,6 +94,7 @@
   HttpCall call;
   call.method_ = "GET";
   call.url_ = "http://" + aEntry.operators_ + "/v1/config";
+  SignCall(call);
   call.deadline_ = ReadMonotonicClock() + kPeerTimeout;
   caller_.Start(std::move(call), [this](const Result<HttpReply>& aReply) {
     const auto* reply = std::get_if<HttpReply>(&aReply);
