Placement: Keep loud programs on a fifth of the workers; allow by load

Cause of the lost batch work: a loud program spread over all workers was throttled on all of them, stayed four times as long and filled the cluster.

--- a/Source/Request/Routing.cxx
+++ b/Source/Request/Routing.cxx
@@ -16,6 +16,7 @@
 constexpr Micros kHistoryStep{ 100000 };
 constexpr std::size_t kHistorySteps = 32;
 constexpr double kLatencySmoothing = 0.05;
+constexpr double kFleetSmoothing = 0.005;
 constexpr double kOthersSmoothing = 0.3;
 
 /** A small generator seeded by the caller's random number. */
@@ -89,6 +90,7 @@
   explicit Private(const Rules& aRules)
     : rules_(aRules)
     , outliers_(OutlierTracker::Rules{})
+    , fleetMicros_(static_cast<double>(aRules.expectedLatency_.count()))
   {
   }
 
@@ -101,6 +103,7 @@
   std::vector<Runner> free_;
   /** The runners that are present, in no order. */
   std::vector<Runner> present_;
+  double fleetMicros_ = 0;
 };
 
 double
@@ -111,7 +114,10 @@
   const double used = (load + 1) / aState.slots_;
   const double crossing =
     aState.sameDataCentre_ ? 0 : static_cast<double>(rules_.crossing_.count());
-  return aState.latencyMicros_ * (1 + wait + used * used) + crossing;
+  // Squared against the fleet: a request sent to a runner that is twice as slow
+  // is far likelier to end in the tail than two that are a little slow.
+  const double slow = aState.latencyMicros_ / fleetMicros_;
+  return aState.latencyMicros_ * slow * (1 + wait + used * used) + crossing;
 }
 
 void
@@ -247,6 +253,7 @@
   RunnerState& state = private_->runners_[aRunner];
   const auto micros = static_cast<double>(aLatency.count());
   state.latencyMicros_ += kLatencySmoothing * (micros - state.latencyMicros_);
+  private_->fleetMicros_ += kFleetSmoothing * (micros - private_->fleetMicros_);
   private_->outliers_.OnAnswer(aRunner, aLatency, aNow);
 }
 
--- a/Source/Version/PlacementEngine.cxx
+++ b/Source/Version/PlacementEngine.cxx
@@ -11,6 +11,7 @@
 constexpr Millis kReportSettle{ 300 };
 /** Load that a runner is taken to reach soon, whatever it reports now. */
 constexpr double kLeastLoad = 0.2;
+constexpr double kHalfLoad = 0.5;
 constexpr double kPackingWeight = 0.02;
 constexpr double kSameProgramPenalty = 1.0;
 
@@ -62,13 +63,15 @@
       taken += pending.resources_;
     }
   }
-  const auto limit = [this](std::int64_t aAll) {
-    return static_cast<double>(aAll) * rules_.fillLimit_;
+  const auto fits = [](std::int64_t aTaken, std::int64_t aAll, double aLimit) {
+    return static_cast<double>(aTaken) <= static_cast<double>(aAll) * aLimit;
   };
-  return static_cast<double>(taken.milliCpus_ + aExpected.milliCpus_) <=
-           limit(aWorker.capacity_.milliCpus_) &&
-         static_cast<double>(taken.memoryMb_ + aExpected.memoryMb_) <=
-           limit(aWorker.capacity_.memoryMb_);
+  taken += aExpected;
+  return fits(taken.milliCpus_,
+              aWorker.capacity_.milliCpus_,
+              rules_.processorLimit_) &&
+         fits(
+           taken.memoryMb_, aWorker.capacity_.memoryMb_, rules_.memoryLimit_);
 }
 
 double
@@ -95,6 +98,27 @@
          PartTaken(aWorker.reserved_, aWorker.capacity_);
 }
 
+bool
+PlacementEngine::MayShare(bool aLoud,
+                          bool aLoudWorker,
+                          double aCost,
+                          const WorkerFacts& aWorker,
+                          Instant aNow) const
+{
+  if (aLoudWorker) {
+    return aLoud || !loudRefusedAt_.has_value() ||
+           *loudRefusedAt_ + rules_.loudWaits_ < aNow;
+  }
+  if (!aLoud) {
+    return true;
+  }
+  double sum = aCost;
+  for (const std::string& program : aWorker.programs_) {
+    sum += interference_.Cost(victim_, interference_.Find(program), kHalfLoad);
+  }
+  return sum <= rules_.quietLimit_;
+}
+
 std::optional<std::size_t>
 PlacementEngine::Choose(const TaskFacts& aTask,
                         std::span<const WorkerFacts> aWorkers,
@@ -118,6 +142,10 @@
   const auto open = static_cast<std::size_t>(
     std::count_if(aWorkers.begin(), aWorkers.end(), isOpen));
   const InterferenceModel::Program program = interference_.Find(aTask.program_);
+  const double cost = interference_.Cost(victim_, program, kHalfLoad);
+  const bool loud = !urgent && cost > rules_.loudCost_;
+  const auto quietWorkers = static_cast<std::size_t>(
+    static_cast<double>(count) * (1 - rules_.loudPart_));
   const Resources expected =
     usage_.Expect(aTask.program_, aTask.declared_, 0).resources_;
   std::optional<std::size_t> best;
@@ -141,7 +169,8 @@
       if (closes && open <= rules_.workersKeptOpen_) {
         continue;
       }
-      if (!ExpectedToFit(expected, worker, aNow)) {
+      if (!MayShare(loud, index >= quietWorkers, cost, worker, aNow) ||
+          !ExpectedToFit(expected, worker, aNow)) {
         continue;
       }
     }
@@ -153,6 +182,9 @@
       bestScore = score;
     }
   }
+  if (loud && !best.has_value()) {
+    loudRefusedAt_ = aNow;
+  }
   if (best.has_value()) {
     pending_[aWorkers[*best].workerId_].push_back({ expected, aNow });
   }
--- a/Source/Version/PlacementEngine.h
+++ b/Source/Version/PlacementEngine.h
@@ -27,10 +27,20 @@
     std::size_t scored_ = 24;
     /** Workers on which batch work leaves room for one urgent task. */
     std::size_t workersKeptOpen_ = 2;
-    /** Expected use may fill this part of a worker. */
-    double fillLimit_ = 1.0;
+    /** Expected use of processors may fill this part of a worker. */
+    double processorLimit_ = 1.1;
+    /** The same for memory, where more than all of it kills a task. */
+    double memoryLimit_ = 1.0;
     /** Weight of harm to urgent work beside packing. */
     double harmWeight_ = 1.0;
+    /** A program that slows urgent work this much at half load is loud. */
+    double loudCost_ = 0.03;
+    /** Part of the workers that loud programs are sent to. */
+    double loudPart_ = 0.2;
+    /** Sum of costs up to which a loud task may go elsewhere. */
+    double quietLimit_ = 0.0;
+    /** Quiet tasks keep off the loud workers while a loud one waits. */
+    Millis loudWaits_{ 3000 };
   };
 
   PlacementEngine(const Rules& aRules,
@@ -58,6 +68,11 @@
                InterferenceModel::Program aProgram,
                const WorkerFacts& aWorker) const;
   double ServiceScore(const TaskFacts& aTask, const WorkerFacts& aWorker) const;
+  bool MayShare(bool aLoud,
+                bool aLoudWorker,
+                double aCost,
+                const WorkerFacts& aWorker,
+                Instant aNow) const;
   std::uint64_t NextRandom();
 
   Rules rules_;
@@ -65,6 +80,8 @@
   const InterferenceModel& interference_;
   InterferenceModel::Program victim_;
   std::uint64_t random_;
+  /** When a loud task last found no room among the loud workers. */
+  std::optional<Instant> loudRefusedAt_;
   /** The largest urgent task seen. */
   Resources urgentSize_;
   std::unordered_map<std::string, std::vector<Pending>> pending_;
--- a/Source/Version/Reaction.cxx
+++ b/Source/Version/Reaction.cxx
@@ -11,6 +11,8 @@
 constexpr double kSlowdownSmoothing = 0.4;
 /** Below this a report says too little to act on. */
 constexpr double kFewSamples = 5;
+constexpr double kLeastLoad = 0.1;
+constexpr double kMostLoad = 0.95;
 /** A task's relief is not worth a step below this. */
 constexpr double kLeastCost = 0.002;
 /** Price of a move, as part of an eviction's. */
@@ -49,6 +51,13 @@
   return true;
 }
 
+double
+Reaction::AllowedAt(double aLoad) const
+{
+  const double load = std::clamp(aLoad, kLeastLoad, kMostLoad);
+  return rules_.allowedSlowdown_ * (1 - load) / load;
+}
+
 void
 Reaction::Observe(WorkerMemory& aMemory,
                   const PressedWorker& aWorker,
@@ -98,29 +107,18 @@
               });
     // The model knows at once what was placed or throttled; the measurement
     // knows waves that the model doesn't. Their mean reacts to both.
-    const double slowdown = (predicted + memory.slowdown_) / 2;
-    if (slowdown <= rules_.allowedSlowdown_) {
+    const double excess = (predicted + memory.slowdown_) / 2 - 1;
+    const double allowed = AllowedAt(worker.urgentLoad_);
+    if (excess <= allowed) {
       memory.pressedSince_.reset();
     }
     if (aNow < memory.settledAt_ || worker.setAside_) {
       continue;
     }
-    if (slowdown > rules_.allowedSlowdown_) {
-      Relieve(steps,
-              index,
-              worker,
-              candidates,
-              slowdown - rules_.allowedSlowdown_,
-              memory,
-              aNow);
-    } else if (slowdown < rules_.releaseSlowdown_) {
-      Release(steps,
-              index,
-              worker,
-              candidates,
-              rules_.allowedSlowdown_ - slowdown,
-              memory,
-              aNow);
+    if (excess > allowed) {
+      Relieve(steps, index, worker, candidates, excess - allowed, memory, aNow);
+    } else if (excess < allowed * rules_.releasePart_) {
+      Release(steps, index, worker, candidates, allowed - excess, memory, aNow);
     }
   }
   return steps;
--- a/Source/Version/Reaction.h
+++ b/Source/Version/Reaction.h
@@ -79,10 +79,13 @@
 public:
   struct Rules
   {
-    /** Urgent work may be slowed this much before anything is done. */
-    double allowedSlowdown_ = 1.06;
-    /** Throttles are released only when below this; the gap is hysteresis. */
-    double releaseSlowdown_ = 1.03;
+    /**
+     * Urgent work may be slowed this much at half load. At other loads it is
+     * what queueing makes of it: less on a busy runner, more on an idle one.
+     */
+    double allowedSlowdown_ = 0.15;
+    /** Throttles are released below this part of it; the gap is hysteresis. */
+    double releasePart_ = 0.7;
     double deepestThrottle_ = 0.25;
     /** A worker is left alone this long after a step, as reports are late. */
     Millis settle_{ 1500 };
@@ -124,6 +127,8 @@
 
   double PriceOfLoss(const RunningTask& aTask) const;
   bool TakeEviction(Instant aNow);
+  /** Slowdown beyond 1 that is allowed at this load. */
+  double AllowedAt(double aLoad) const;
   void Observe(WorkerMemory& aMemory,
                const PressedWorker& aWorker,
                const InterferenceModel& aModel,
