Reaction: Take the allowed slowdown from the deployment's weights

It is now 0.8 at half load, times batch weight over tail weight; and the expected use of processors may reach 1.15 with the whole reserve counted (a runner at its mean load uses 0.4 of it, so that this is the whole worker).

--- a/Source/Version/PlacementEngine.h
+++ b/Source/Version/PlacementEngine.h
@@ -28,7 +28,7 @@
     /** Workers on which batch work leaves room for one urgent task. */
     std::size_t workersKeptOpen_ = 2;
     /** Expected use of processors may fill this part of a worker. */
-    double processorLimit_ = 1.1;
+    double processorLimit_ = 1.15;
     /** The same for memory, where more than all of it kills a task. */
     double memoryLimit_ = 1.0;
     /** Weight of harm to urgent work beside packing. */
--- a/Source/Version/Reaction.cxx
+++ b/Source/Version/Reaction.cxx
@@ -55,7 +55,8 @@
 Reaction::AllowedAt(double aLoad) const
 {
   const double load = std::clamp(aLoad, kLeastLoad, kMostLoad);
-  return rules_.allowedSlowdown_ * (1 - load) / load;
+  const double tolerance = weights_.batchThroughput_ / weights_.tailLatency_;
+  return rules_.allowedSlowdown_ * tolerance * (1 - load) / load;
 }
 
 void
--- a/Source/Version/Reaction.h
+++ b/Source/Version/Reaction.h
@@ -80,10 +80,12 @@
   struct Rules
   {
     /**
-     * Urgent work may be slowed this much at half load. At other loads it is
-     * what queueing makes of it: less on a busy runner, more on an idle one.
+     * Urgent work may be slowed this much at half load if tail latency and
+     * batch work weigh the same; less the more tail latency weighs. At other
+     * loads it is what queueing makes of it: less on a busy runner, more on an
+     * idle one.
      */
-    double allowedSlowdown_ = 0.15;
+    double allowedSlowdown_ = 0.8;
     /** Throttles are released below this part of it; the gap is hysteresis. */
     double releasePart_ = 0.7;
     double deepestThrottle_ = 0.25;
