Reaction: Throttle by relief for each processor

Cause: the task that hurts most was throttled first, though a large task that hurts a little more than a small one costs far more batch work.

--- a/Source/Version/Reaction.cxx
+++ b/Source/Version/Reaction.cxx
@@ -97,14 +97,17 @@
         aModel.Cost(aVictim, aModel.Find(running.program_), worker.urgentLoad_);
       predicted += cost * running.throttle_;
       if (!running.leaving_) {
-        candidates.push_back({ task, cost });
+        const double cores =
+          static_cast<double>(running.declared_.milliCpus_) / 1000;
+        candidates.push_back({ task, cost, cost / std::max(0.1, cores) });
       }
     }
     std::sort(candidates.begin(),
               candidates.end(),
               [](const Candidate& aLeft, const Candidate& aRight) {
-                return aLeft.cost_ != aRight.cost_ ? aLeft.cost_ > aRight.cost_
-                                                   : aLeft.task_ < aRight.task_;
+                return aLeft.density_ != aRight.density_
+                         ? aLeft.density_ > aRight.density_
+                         : aLeft.task_ < aRight.task_;
               });
     // The model knows at once what was placed or throttled; the measurement
     // knows waves that the model doesn't. Their mean reacts to both.
@@ -136,9 +139,12 @@
 {
   double left = aExcess;
   for (const Candidate& candidate : aCandidates) {
-    if (left <= 0 || candidate.cost_ < kLeastCost) {
+    if (left <= 0) {
       break;
     }
+    if (candidate.cost_ < kLeastCost) {
+      continue;
+    }
     const double now = aWorker.tasks_[candidate.task_].throttle_;
     const double wanted = std::max(rules_.deepestThrottle_, now / 2);
     if (wanted < now) {
@@ -173,7 +179,7 @@
   for (const Candidate& candidate : aCandidates) {
     const RunningTask& task = aWorker.tasks_[candidate.task_];
     if (candidate.cost_ < kLeastCost) {
-      return;
+      continue;
     }
     ReactionKind kind = ReactionKind::Move;
     double price = weights_.evictions_ * kMovePart;
--- a/Source/Version/Reaction.h
+++ b/Source/Version/Reaction.h
@@ -124,7 +124,10 @@
   struct Candidate
   {
     std::size_t task_ = 0;
+    /** Slowdown that it adds unthrottled. */
     double cost_ = 0;
+    /** The same for each of its processors: relief beside work lost. */
+    double density_ = 0;
   };
 
   double PriceOfLoss(const RunningTask& aTask) const;
