Reaction: Take the cheapest removal, payouts last

Cause, found by reading: the first candidate by relief whose price was below the harm was removed, so under great harm a payout batch that had not checkpointed could be evicted while another task could be moved; and a refused eviction budget was half spent before it said no.

--- a/Source/Version/Reaction.cxx
+++ b/Source/Version/Reaction.cxx
@@ -31,24 +31,35 @@
 }
 
 double
-Reaction::PriceOfLoss(const RunningTask& aTask) const
+Reaction::PriceOfRemoval(const RunningTask& aTask) const
 {
+  if (aTask.canCheckpoint_) {
+    return weights_.evictions_ * kMovePart;
+  }
   const bool atRisk = aTask.payout_ && !aTask.checkpointed_;
   return weights_.evictions_ * (atRisk ? kPayoutFactor : 1);
 }
 
-bool
-Reaction::TakeEviction(Instant aNow)
+ReactionStep
+Reaction::RemovalOf(std::size_t aWorker,
+                    std::size_t aIndex,
+                    const RunningTask& aTask)
+{
+  const ReactionKind kind =
+    aTask.canCheckpoint_ ? ReactionKind::Move : ReactionKind::Evict;
+  return { kind, aWorker, aIndex, aTask.throttle_ };
+}
+
+std::size_t
+Reaction::EvictionsLeft(Instant aNow)
 {
   while (!evictions_.empty() &&
          evictions_.front() + rules_.evictionPeriod_ <= aNow) {
     evictions_.pop_front();
   }
-  if (evictions_.size() >= rules_.evictionsPerPeriod_) {
-    return false;
-  }
-  evictions_.push_back(aNow);
-  return true;
+  const std::size_t taken = evictions_.size();
+  return rules_.evictionsPerPeriod_ -
+         std::min(taken, rules_.evictionsPerPeriod_);
 }
 
 double
@@ -176,28 +187,31 @@
 {
   const double harm =
     weights_.tailLatency_ * aExcess * aWorker.urgentLoad_ * kHarmFactor;
+  // The cheapest step that is worth it. A payout that has not checkpointed is
+  // priced above all else, so it goes only where nothing gentler is open.
+  std::optional<ReactionStep> best;
+  double bestPrice = harm;
   for (const Candidate& candidate : aCandidates) {
     const RunningTask& task = aWorker.tasks_[candidate.task_];
     if (candidate.cost_ < kLeastCost) {
       continue;
     }
-    ReactionKind kind = ReactionKind::Move;
-    double price = weights_.evictions_ * kMovePart;
-    if (!task.canCheckpoint_) {
-      kind = ReactionKind::Evict;
-      price = PriceOfLoss(task);
-    }
-    if (price > harm) {
-      continue;
-    }
-    if (kind == ReactionKind::Evict && !TakeEviction(aNow)) {
-      continue;
+    const double price = PriceOfRemoval(task);
+    const bool cheaper = best.has_value() ? price < bestPrice : price <= harm;
+    if (cheaper && (task.canCheckpoint_ || EvictionsLeft(aNow) > 0)) {
+      best = RemovalOf(aIndex, candidate.task_, task);
+      bestPrice = price;
     }
-    aSteps.push_back({ kind, aIndex, candidate.task_, task.throttle_ });
-    aMemory.settledAt_ = aNow + rules_.settle_;
-    aMemory.pressedSince_.reset();
+  }
+  if (!best.has_value()) {
     return;
   }
+  if (best->kind_ == ReactionKind::Evict) {
+    evictions_.push_back(aNow);
+  }
+  aSteps.push_back(*best);
+  aMemory.settledAt_ = aNow + rules_.settle_;
+  aMemory.pressedSince_.reset();
 }
 
 void
@@ -251,10 +265,7 @@
       if (running.leaving_) {
         free(running);
       } else if (!running.urgent_) {
-        const double price = running.canCheckpoint_
-                               ? weights_.evictions_ * kMovePart
-                               : PriceOfLoss(running);
-        priced.emplace_back(price, task);
+        priced.emplace_back(PriceOfRemoval(running), task);
       }
     }
     std::sort(priced.begin(), priced.end());
@@ -267,23 +278,19 @@
       }
       const RunningTask& running = worker.tasks_[task];
       free(running);
-      const ReactionKind kind =
-        running.canCheckpoint_ ? ReactionKind::Move : ReactionKind::Evict;
-      evictions += kind == ReactionKind::Evict ? 1 : 0;
-      steps.push_back({ kind, index, task, running.throttle_ });
+      steps.push_back(RemovalOf(index, task, running));
+      evictions += running.canCheckpoint_ ? 0 : 1;
       price += cost;
     }
-    if (aSize.FitsIn(worker.capacity_, reserved) && price < bestPrice) {
+    const bool affordable = evictions <= EvictionsLeft(aNow);
+    if (affordable && aSize.FitsIn(worker.capacity_, reserved) &&
+        price < bestPrice) {
       best = std::move(steps);
       bestPrice = price;
       bestEvictions = evictions;
     }
   }
-  for (std::size_t taken = 0; taken < bestEvictions; ++taken) {
-    if (!TakeEviction(aNow)) {
-      return {};
-    }
-  }
+  evictions_.insert(evictions_.end(), bestEvictions, aNow);
   return best;
 }
 
--- a/Source/Version/Reaction.h
+++ b/Source/Version/Reaction.h
@@ -130,8 +130,11 @@
     double density_ = 0;
   };
 
-  double PriceOfLoss(const RunningTask& aTask) const;
-  bool TakeEviction(Instant aNow);
+  double PriceOfRemoval(const RunningTask& aTask) const;
+  static ReactionStep RemovalOf(std::size_t aWorker,
+                                std::size_t aIndex,
+                                const RunningTask& aTask);
+  std::size_t EvictionsLeft(Instant aNow);
   /** Slowdown beyond 1 that is allowed at this load. */
   double AllowedAt(double aLoad) const;
   void Observe(WorkerMemory& aMemory,
