--- a/Source/Version/Reaction.cxx
+++ b/Source/Version/Reaction.cxx
@@ -11,6 +11,8 @@
 constexpr double kSlowdownSmoothing = 0.4;
 /** Below this a report says too little to act on. */
 constexpr double kFewSamples = 5;
+constexpr double kLeastLoad = 0.1;
+constexpr double kMostLoad = 0.95;
 /** A task's relief is not worth a step below this. */
 constexpr double kLeastCost = 0.002;
 /** Price of a move, as part of an eviction's. */
@@ -29,24 +31,43 @@
 }
 
 double
-Reaction::PriceOfLoss(const RunningTask& aTask) const
+Reaction::PriceOfRemoval(const RunningTask& aTask) const
 {
+  if (aTask.canCheckpoint_) {
+    return weights_.evictions_ * kMovePart;
+  }
   const bool atRisk = aTask.payout_ && !aTask.checkpointed_;
   return weights_.evictions_ * (atRisk ? kPayoutFactor : 1);
 }
 
-bool
-Reaction::TakeEviction(Instant aNow)
+ReactionStep
+Reaction::RemovalOf(std::size_t aWorker,
+                    std::size_t aIndex,
+                    const RunningTask& aTask)
+{
+  const ReactionKind kind =
+    aTask.canCheckpoint_ ? ReactionKind::Move : ReactionKind::Evict;
+  return { kind, aWorker, aIndex, aTask.throttle_ };
+}
+
+std::size_t
+Reaction::EvictionsLeft(Instant aNow)
 {
   while (!evictions_.empty() &&
          evictions_.front() + rules_.evictionPeriod_ <= aNow) {
     evictions_.pop_front();
   }
-  if (evictions_.size() >= rules_.evictionsPerPeriod_) {
-    return false;
-  }
-  evictions_.push_back(aNow);
-  return true;
+  const std::size_t taken = evictions_.size();
+  return rules_.evictionsPerPeriod_ -
+         std::min(taken, rules_.evictionsPerPeriod_);
+}
+
+double
+Reaction::AllowedAt(double aLoad) const
+{
+  const double load = std::clamp(aLoad, kLeastLoad, kMostLoad);
+  const double tolerance = weights_.batchThroughput_ / weights_.tailLatency_;
+  return rules_.allowedSlowdown_ * tolerance * (1 - load) / load;
 }
 
 void
@@ -87,40 +108,32 @@
         aModel.Cost(aVictim, aModel.Find(running.program_), worker.urgentLoad_);
       predicted += cost * running.throttle_;
       if (!running.leaving_) {
-        candidates.push_back({ task, cost });
+        const double cores =
+          static_cast<double>(running.declared_.milliCpus_) / 1000;
+        candidates.push_back({ task, cost, cost / std::max(0.1, cores) });
       }
     }
     std::sort(candidates.begin(),
               candidates.end(),
               [](const Candidate& aLeft, const Candidate& aRight) {
-                return aLeft.cost_ != aRight.cost_ ? aLeft.cost_ > aRight.cost_
-                                                   : aLeft.task_ < aRight.task_;
+                return aLeft.density_ != aRight.density_
+                         ? aLeft.density_ > aRight.density_
+                         : aLeft.task_ < aRight.task_;
               });
     // The model knows at once what was placed or throttled; the measurement
     // knows waves that the model doesn't. Their mean reacts to both.
-    const double slowdown = (predicted + memory.slowdown_) / 2;
-    if (slowdown <= rules_.allowedSlowdown_) {
+    const double excess = (predicted + memory.slowdown_) / 2 - 1;
+    const double allowed = AllowedAt(worker.urgentLoad_);
+    if (excess <= allowed) {
       memory.pressedSince_.reset();
     }
     if (aNow < memory.settledAt_ || worker.setAside_) {
       continue;
     }
-    if (slowdown > rules_.allowedSlowdown_) {
-      Relieve(steps,
-              index,
-              worker,
-              candidates,
-              slowdown - rules_.allowedSlowdown_,
-              memory,
-              aNow);
-    } else if (slowdown < rules_.releaseSlowdown_) {
-      Release(steps,
-              index,
-              worker,
-              candidates,
-              rules_.allowedSlowdown_ - slowdown,
-              memory,
-              aNow);
+    if (excess > allowed) {
+      Relieve(steps, index, worker, candidates, excess - allowed, memory, aNow);
+    } else if (excess < allowed * rules_.releasePart_) {
+      Release(steps, index, worker, candidates, allowed - excess, memory, aNow);
     }
   }
   return steps;
@@ -137,9 +150,12 @@
 {
   double left = aExcess;
   for (const Candidate& candidate : aCandidates) {
-    if (left <= 0 || candidate.cost_ < kLeastCost) {
+    if (left <= 0) {
       break;
     }
+    if (candidate.cost_ < kLeastCost) {
+      continue;
+    }
     const double now = aWorker.tasks_[candidate.task_].throttle_;
     const double wanted = std::max(rules_.deepestThrottle_, now / 2);
     if (wanted < now) {
@@ -171,28 +187,31 @@
 {
   const double harm =
     weights_.tailLatency_ * aExcess * aWorker.urgentLoad_ * kHarmFactor;
+  // The cheapest step that is worth it. A payout that has not checkpointed is
+  // priced above all else, so it goes only where nothing gentler is open.
+  std::optional<ReactionStep> best;
+  double bestPrice = harm;
   for (const Candidate& candidate : aCandidates) {
     const RunningTask& task = aWorker.tasks_[candidate.task_];
     if (candidate.cost_ < kLeastCost) {
-      return;
-    }
-    ReactionKind kind = ReactionKind::Move;
-    double price = weights_.evictions_ * kMovePart;
-    if (!task.canCheckpoint_) {
-      kind = ReactionKind::Evict;
-      price = PriceOfLoss(task);
-    }
-    if (price > harm) {
       continue;
     }
-    if (kind == ReactionKind::Evict && !TakeEviction(aNow)) {
-      continue;
+    const double price = PriceOfRemoval(task);
+    const bool cheaper = best.has_value() ? price < bestPrice : price <= harm;
+    if (cheaper && (task.canCheckpoint_ || EvictionsLeft(aNow) > 0)) {
+      best = RemovalOf(aIndex, candidate.task_, task);
+      bestPrice = price;
     }
-    aSteps.push_back({ kind, aIndex, candidate.task_, task.throttle_ });
-    aMemory.settledAt_ = aNow + rules_.settle_;
-    aMemory.pressedSince_.reset();
+  }
+  if (!best.has_value()) {
     return;
   }
+  if (best->kind_ == ReactionKind::Evict) {
+    evictions_.push_back(aNow);
+  }
+  aSteps.push_back(*best);
+  aMemory.settledAt_ = aNow + rules_.settle_;
+  aMemory.pressedSince_.reset();
 }
 
 void
@@ -246,10 +265,7 @@
       if (running.leaving_) {
         free(running);
       } else if (!running.urgent_) {
-        const double price = running.canCheckpoint_
-                               ? weights_.evictions_ * kMovePart
-                               : PriceOfLoss(running);
-        priced.emplace_back(price, task);
+        priced.emplace_back(PriceOfRemoval(running), task);
       }
     }
     std::sort(priced.begin(), priced.end());
@@ -262,23 +278,19 @@
       }
       const RunningTask& running = worker.tasks_[task];
       free(running);
-      const ReactionKind kind =
-        running.canCheckpoint_ ? ReactionKind::Move : ReactionKind::Evict;
-      evictions += kind == ReactionKind::Evict ? 1 : 0;
-      steps.push_back({ kind, index, task, running.throttle_ });
+      steps.push_back(RemovalOf(index, task, running));
+      evictions += running.canCheckpoint_ ? 0 : 1;
       price += cost;
     }
-    if (aSize.FitsIn(worker.capacity_, reserved) && price < bestPrice) {
+    const bool affordable = evictions <= EvictionsLeft(aNow);
+    if (affordable && aSize.FitsIn(worker.capacity_, reserved) &&
+        price < bestPrice) {
       best = std::move(steps);
       bestPrice = price;
       bestEvictions = evictions;
     }
   }
-  for (std::size_t taken = 0; taken < bestEvictions; ++taken) {
-    if (!TakeEviction(aNow)) {
-      return {};
-    }
-  }
+  evictions_.insert(evictions_.end(), bestEvictions, aNow);
   return best;
 }
 
