--- a/Source/Process/EntryProcess.cxx
+++ b/Source/Process/EntryProcess.cxx
@@ -143,10 +143,10 @@
       }
       return known;
     },
-    [this](const HeartbeatMessage& aHeartbeat) {
+    [this](const HeartbeatMessage& aHeartbeat, Instant aHeardAt) {
       keeper_.OnHeartbeat(aHeartbeat);
       for (const std::unique_ptr<Lane>& lane : lanes_) {
-        lane->Observe(aHeartbeat);
+        lane->Observe(aHeartbeat, aHeardAt);
       }
     });
   if (const auto* failure = std::get_if<Failure>(&opened)) {
--- a/Source/Process/Lane.cxx
+++ b/Source/Process/Lane.cxx
@@ -439,13 +439,13 @@
 }
 
 void
-Lane::Observe(const HeartbeatMessage& aHeartbeat)
+Lane::Observe(const HeartbeatMessage& aHeartbeat, Instant aHeardAt)
 {
   Private* raw = private_.get();
   QMetaObject::invokeMethod(
     raw,
-    [raw, aHeartbeat] {
-      raw->core_->OnHeartbeat(aHeartbeat, ReadMonotonicClock());
+    [raw, aHeartbeat, aHeardAt] {
+      raw->core_->OnHeartbeat(aHeartbeat, aHeardAt);
     },
     Qt::QueuedConnection);
 }
--- a/Source/Process/Lane.h
+++ b/Source/Process/Lane.h
@@ -2,6 +2,7 @@
 
 #include "Connection/WireMessages.h"
 #include "Process/EntrySettings.h"
+#include "Process/Instant.h"
 #include "Process/Journal.h"
 #include "Request/Failure.h"
 #include "Version/ConfigurationHolder.h"
@@ -33,8 +34,11 @@
 
   std::uint16_t Port() const;
 
-  /** Hands on a heartbeat; returns at once. */
-  void Observe(const HeartbeatMessage& aHeartbeat);
+  /**
+   * Hands on a heartbeat; returns at once. It counts from when this process
+   * heard it: a busy lane must not believe longer in a silent side.
+   */
+  void Observe(const HeartbeatMessage& aHeartbeat, Instant aHeardAt);
 
   /** A planned stop is near: connections close after their next answer. */
   void CloseAfterAnswers();
--- a/Source/Process/MembershipListener.cxx
+++ b/Source/Process/MembershipListener.cxx
@@ -65,8 +65,8 @@
                                   const QHostAddress& aFrom,
                                   quint16 aFromPort)
 {
-  const MembershipChange change =
-    view_.Observe(aHeartbeat, ReadMonotonicClock());
+  const Instant now = ReadMonotonicClock();
+  const MembershipChange change = view_.Observe(aHeartbeat, now);
   if (change == MembershipChange::Stale) {
     return;
   }
@@ -77,7 +77,7 @@
         { "service", aHeartbeat.service_ },
         { "state", std::to_string(static_cast<int>(aHeartbeat.state_)) } });
   }
-  onHeartbeat_(aHeartbeat);
+  onHeartbeat_(aHeartbeat, now);
   HeartbeatAckMessage ack;
   ack.entryId_ = entryName_;
   ack.sequence_ = aHeartbeat.sequence_;
--- a/Source/Process/MembershipListener.h
+++ b/Source/Process/MembershipListener.h
@@ -19,7 +19,8 @@
 class MembershipListener
 {
 public:
-  using OnHeartbeat = std::function<void(const HeartbeatMessage&)>;
+  using OnHeartbeat =
+    std::function<void(const HeartbeatMessage&, Instant aHeardAt)>;
   using ConfigVersion = std::function<std::uint64_t()>;
   /** "IP:port" of the other entries' membership sockets. */
   using KnownEntries = std::function<std::vector<std::string>()>;
--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -170,8 +170,7 @@
 void
 Bench::ReplaceKeys(const std::string& aName, const std::string& aKeys)
 {
-  const std::string path = folder_.filePath("").toStdString() + aName + ".ini";
-  std::ifstream old(path);
+  std::ifstream old(SettingsPath(aName));
   std::string text(std::istreambuf_iterator<char>(old), {});
   const std::size_t start = text.find("keys = ");
   text.replace(start, text.find('\n', start) - start, "keys = " + aKeys);
--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -152,7 +152,7 @@
   --label team=vouchers --operation demo-create
 echo "\$ cactusrail list jobs team=vouchers"
 job_is_finished() {
-  $program list jobs team=vouchers --output json | grep -q '"finished"'
+  $program list jobs team=vouchers --output json | grep '"finished"' >/dev/null
 }
 wait_for job_is_finished
 $program list jobs team=vouchers
