Explain: Keep the steps in the object store and ask every entry

Entries write one object each 2 s of work, sides one each 30 s; a request's id names its entry, the entry's start and the slot of time, so that the segments of a host that is gone are read without a search. A side's slots are found by the time of the step that names it. Steps are sorted and repeated ones removed.

Writes: at most 0.5 a second an entry, 1/30 a second a side. Touches SideSettings (platform.table, optional), which is another part's file.

--- a/Source/Connection/TableClient.cxx
+++ b/Source/Connection/TableClient.cxx
@@ -12,8 +12,16 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 
+std::string
+ObjectUrl(const std::string& aBase, const std::string& aName)
+{
+  return aBase + "/v1/objects?name=" +
+         QUrl::toPercentEncoding(QString::fromStdString(aName)).toStdString();
+}
+
 Failure
 UnexpectedStatus(const HttpReply& aReply)
 {
@@ -122,4 +130,55 @@
     });
 }
 
+void
+TableClient::PutObject(const std::string& aName,
+                       std::string aBytes,
+                       Instant aDeadline,
+                       std::function<void(Result<bool>)> aCallback)
+{
+  HttpCall call;
+  call.method_ = "PUT";
+  call.url_ = ObjectUrl(private_->base_, aName);
+  call.body_ = std::move(aBytes);
+  call.deadline_ = aDeadline;
+  private_->caller_.Start(
+    std::move(call),
+    [callback = std::move(aCallback)](const Result<HttpReply>& aReply) {
+      const auto* reply = std::get_if<HttpReply>(&aReply);
+      if (reply == nullptr) {
+        callback(std::get<Failure>(aReply));
+      } else if (reply->status_ != kOk) {
+        callback(UnexpectedStatus(*reply));
+      } else {
+        callback(true);
+      }
+    });
+}
+
+void
+TableClient::GetObject(
+  const std::string& aName,
+  Instant aDeadline,
+  std::function<void(Result<std::optional<std::string>>)> aCallback)
+{
+  HttpCall call;
+  call.method_ = "GET";
+  call.url_ = ObjectUrl(private_->base_, aName);
+  call.deadline_ = aDeadline;
+  private_->caller_.Start(
+    std::move(call),
+    [callback = std::move(aCallback)](const Result<HttpReply>& aReply) {
+      const auto* reply = std::get_if<HttpReply>(&aReply);
+      if (reply == nullptr) {
+        callback(std::get<Failure>(aReply));
+      } else if (reply->status_ == kNotFound) {
+        callback(std::optional<std::string>());
+      } else if (reply->status_ != kOk) {
+        callback(UnexpectedStatus(*reply));
+      } else {
+        callback(std::optional(reply->body_));
+      }
+    });
+}
+
 }
--- a/Source/Connection/TableClient.h
+++ b/Source/Connection/TableClient.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,18 @@
             Instant aDeadline,
             std::function<void(Result<std::vector<TableRow>>)> aCallback);
 
+  /** Writes an object whole; true if the store has it. */
+  void PutObject(const std::string& aName,
+                 std::string aBytes,
+                 Instant aDeadline,
+                 std::function<void(Result<bool>)> aCallback);
+
+  /** Reads an object; nothing if there is none of that name. */
+  void GetObject(
+    const std::string& aName,
+    Instant aDeadline,
+    std::function<void(Result<std::optional<std::string>>)> aCallback);
+
   /** Calls that have not called back yet. */
   std::size_t InFlight() const;
 
--- a/Source/Process/EntryProcess.cxx
+++ b/Source/Process/EntryProcess.cxx
@@ -6,11 +6,13 @@
 #include "Process/EntryPresence.h"
 #include "Process/Explainer.h"
 #include "Process/Journal.h"
+#include "Process/JournalStore.h"
 #include "Process/Lane.h"
 #include "Process/Log.h"
 #include "Process/MembershipListener.h"
 #include "Process/OperatorRoutes.h"
 #include "Process/Scheduler.h"
+#include "Process/StepSegments.h"
 #include "Process/WorkPages.h"
 #include "Version/ConfigurationHolder.h"
 
@@ -40,6 +42,16 @@
     , journal_("entry/" + aSettings.name_,
                static_cast<std::size_t>(aSettings.journalRequests_))
     , table_("http://" + aSettings.table_.Text())
+    , journalStore_(
+        journal_,
+        table_,
+        SegmentPlan{ incarnation_,
+                     kEntrySlot,
+                     [name = aSettings.name_,
+                      incarnation = incarnation_](std::uint64_t aSlot) {
+                       return EntrySegmentName({ name, incarnation, aSlot });
+                     },
+                     false })
     , presence_(table_, aSettings.name_)
     , keeper_(table_,
               configuration_,
@@ -66,6 +78,7 @@
   ConfigurationHolder configuration_;
   Journal journal_;
   TableClient table_;
+  JournalStore journalStore_;
   EntryPresence presence_;
   ConfigurationKeeper keeper_;
   Scheduler scheduler_;
@@ -98,6 +111,7 @@
     }
   }
   keeper_.Start();
+  journalStore_.Start();
   EntryRecord own;
   own.name_ = settings_.name_;
   own.incarnation_ = incarnation_;
@@ -151,7 +165,8 @@
   }
   membership_ =
     std::move(std::get<std::unique_ptr<MembershipListener>>(opened));
-  explainer_ = std::make_unique<Explainer>(journal_, *membership_);
+  explainer_ = std::make_unique<Explainer>(
+    journal_, *membership_, presence_.Directory(), table_);
   return true;
 }
 
@@ -183,6 +198,16 @@
     answer.body_ = "{\"healthy\":true}\n";
     aExchange.Answer(answer);
   });
+  routes_.Add("GET", "/v1/journal", [this](const HttpExchange& aExchange) {
+    const JournalStoreCounts& counts = journalStore_.Counts();
+    HttpAnswer answer;
+    answer.body_ =
+      std::string("{\"stored\":") + (journalStore_.Idle() ? "true" : "false") +
+      ",\"written\":" + std::to_string(counts.written_) +
+      ",\"failed\":" + std::to_string(counts.failed_) +
+      ",\"droppedSteps\":" + std::to_string(counts.droppedSteps_) + "}\n";
+    aExchange.Answer(answer);
+  });
   routes_.Add("GET", "/readyz", [this](const HttpExchange& aExchange) {
     const bool ready = !stopping_ && configuration_.Current()->version_ > 0;
     HttpAnswer answer;
@@ -210,6 +235,10 @@
     finished = finished && lane->Drained();
   }
   finished = finished && scheduler_.IsHandedOver();
+  if (finished) {
+    journalStore_.WriteAll();
+    finished = journalStore_.Idle();
+  }
   if (!finished && now >= stopDeadline_ && !gaveUp_) {
     gaveUp_ = true;
     givenUp_ = open;
--- a/Source/Process/Explainer.cxx
+++ b/Source/Process/Explainer.cxx
@@ -1,14 +1,22 @@
 #include "Process/Explainer.h"
 
+#include "Connection/HttpCaller.h"
 #include "Connection/SideLink.h"
+#include "Connection/TableClient.h"
 #include "Process/Journal.h"
 #include "Process/MembershipListener.h"
+#include "Process/StepSegments.h"
+#include "Request/ExplainVerdict.h"
 #include "Version/JsonText.h"
 
 #include <QTimer>
+#include <QUrl>
 
 #include <algorithm>
+#include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cactusrail {
@@ -16,8 +24,17 @@
 namespace {
 
 constexpr Millis kRecallTimeout{ 1000 };
+constexpr Millis kStoreTimeout{ 3000 };
+/** Slots of a lost entry that are read together, and how often at most. */
+constexpr std::uint64_t kSlotsAtOnce = 8;
+constexpr std::uint64_t kMaxWindows = 4;
+/** Slots of a lost side from the step that names it on. */
+constexpr std::uint64_t kSideSlotsRead = 2;
+/** If no step names a side, so many are asked; more would be a flood. */
+constexpr std::size_t kMaxSidesAsked = 64;
+constexpr std::string_view kSidePrefix = "side/";
 
-/** The steps of one request, as operators read them. */
+/** The steps of one request, as operators and other entries read them. */
 struct StepList
 {
   std::vector<RequestStep> steps_;
@@ -33,85 +50,219 @@
 struct Question
 {
   HttpExchange exchange_;
-  StepList list_;
-  std::size_t open_ = 1;
+  std::string id_;
+  std::vector<RequestStep> steps_;
+  std::size_t open_ = 0;
+  std::uint64_t windows_ = 0;
+  /** What to do when all that is open now has come back. */
+  std::function<void()> next_;
 
   void Done()
   {
-    if (--open_ != 0) {
-      return;
+    if (--open_ == 0) {
+      std::exchange(next_, nullptr)();
     }
-    std::stable_sort(list_.steps_.begin(),
-                     list_.steps_.end(),
-                     [](const RequestStep& aLeft, const RequestStep& aRight) {
-                       return aLeft.wallMicros_ < aRight.wallMicros_;
-                     });
-    HttpAnswer answer;
-    answer.status_ = list_.steps_.empty() ? 404 : 200;
-    answer.body_ = ToJson(list_) + "\n";
-    exchange_.Answer(answer);
   }
 
-  void Take(const RecollectionMessage& aMemory)
+  void Take(const std::vector<RequestStep>& aSteps)
   {
-    for (const std::string& text : aMemory.steps_) {
-      const Result<RequestStep> step = FromJson<RequestStep>(text);
-      if (const auto* parsed = std::get_if<RequestStep>(&step)) {
-        list_.steps_.push_back(*parsed);
-      }
-    }
+    std::copy_if(
+      aSteps.begin(),
+      aSteps.end(),
+      std::back_inserter(steps_),
+      [this](const RequestStep& aStep) { return aStep.requestId_ == id_; });
+  }
+
+  bool IsConcluded() const
+  {
+    return ExplainVerdict(steps_).verdict_ != Verdict::MayHaveRun;
   }
 };
 
+using SharedQuestion = std::shared_ptr<Question>;
+
+/** The side that a step's detail ends with; empty if it names none. */
+std::string
+NamedSide(const RequestStep& aStep)
+{
+  const std::size_t at = aStep.detail_.rfind(kSidePrefix);
+  if (at == std::string::npos) {
+    return {};
+  }
+  std::string name = aStep.detail_.substr(at + kSidePrefix.size());
+  return name.find(' ') == std::string::npos ? name : std::string();
+}
+
 }
 
 class Explainer::Private : public QObject
 {
 public:
-  Private(const Journal& aJournal, const MembershipListener& aMembership)
+  Private(const Journal& aJournal,
+          const MembershipListener& aMembership,
+          const EntryDirectory& aDirectory,
+          TableClient& aStore)
     : journal_(aJournal)
     , membership_(aMembership)
+    , directory_(aDirectory)
+    , store_(aStore)
   {
   }
 
   void Explain(const HttpExchange& aExchange);
-  void Ask(const HeartbeatMessage& aSide,
-           const std::string& aRequestId,
-           const std::shared_ptr<Question>& aQuestion);
+  void Recall(const HttpExchange& aExchange) const;
+  void AskEntries(const SharedQuestion& aQuestion);
+  void ReadLostEntry(const SharedQuestion& aQuestion);
+  void AskSides(const SharedQuestion& aQuestion);
+  void ReadLostSides(const SharedQuestion& aQuestion);
+  static void Answer(const SharedQuestion& aQuestion);
+  void AskEntry(const EntryRecord& aEntry, const SharedQuestion& aQuestion);
+  void AskSide(const HeartbeatMessage& aSide, const SharedQuestion& aQuestion);
+  void ReadSegment(const std::string& aName, const SharedQuestion& aQuestion);
 
   const Journal& journal_;
   const MembershipListener& membership_;
+  const EntryDirectory& directory_;
+  TableClient& store_;
+  HttpCaller caller_;
 };
 
 void
 Explainer::Private::Explain(const HttpExchange& aExchange)
 {
-  const std::string id = aExchange.Query("id");
-  auto question = std::make_shared<Question>(Question{ aExchange, {}, 1 });
-  question->list_.steps_ = journal_.Recall(id);
-  const std::vector<RequestStep> own = question->list_.steps_;
+  auto question = std::make_shared<Question>(
+    Question{ aExchange, aExchange.Query("id"), {}, 0, 0, nullptr });
+  question->steps_ = journal_.Recall(question->id_);
+  AskEntries(question);
+}
+
+void
+Explainer::Private::Recall(const HttpExchange& aExchange) const
+{
+  HttpAnswer answer;
+  answer.body_ =
+    ToJson(StepList{ journal_.Recall(aExchange.Query("id")) }) + "\n";
+  aExchange.Answer(answer);
+}
+
+void
+Explainer::Private::AskEntries(const SharedQuestion& aQuestion)
+{
+  aQuestion->open_ = 1;
+  aQuestion->next_ = [this, aQuestion] { ReadLostEntry(aQuestion); };
+  for (const EntryRecord& entry : directory_.Others()) {
+    AskEntry(entry, aQuestion);
+  }
+  aQuestion->Done();
+}
+
+void
+Explainer::Private::AskEntry(const EntryRecord& aEntry,
+                             const SharedQuestion& aQuestion)
+{
+  ++aQuestion->open_;
+  HttpCall call;
+  call.method_ = "GET";
+  call.url_ = "http://" + aEntry.operators_ + "/v1/recall?id=" +
+              QUrl::toPercentEncoding(QString::fromStdString(aQuestion->id_))
+                .toStdString();
+  call.deadline_ = ReadMonotonicClock() + kRecallTimeout;
+  caller_.Start(std::move(call), [aQuestion](const Result<HttpReply>& aReply) {
+    const auto* reply = std::get_if<HttpReply>(&aReply);
+    if (reply != nullptr) {
+      const auto read = FromJson<StepList>(reply->body_);
+      const auto* list = std::get_if<StepList>(&read);
+      aQuestion->Take(list == nullptr ? std::vector<RequestStep>()
+                                      : list->steps_);
+    }
+    aQuestion->Done();
+  });
+}
+
+/**
+ * If no live entry remembers what the request's own entry saw, its segments are
+ * read, from the slot that the id names on, until they conclude.
+ */
+void
+Explainer::Private::ReadLostEntry(const SharedQuestion& aQuestion)
+{
+  aQuestion->open_ = 1;
+  aQuestion->next_ = [this, aQuestion] { AskSides(aQuestion); };
+  std::optional<RequestOrigin> origin = ReadRequestId(aQuestion->id_);
+  const bool isRemembered =
+    origin.has_value() && aQuestion->windows_ == 0 &&
+    std::any_of(aQuestion->steps_.begin(),
+                aQuestion->steps_.end(),
+                [&origin](const RequestStep& aStep) {
+                  return aStep.host_ == "entry/" + origin->entry_;
+                });
+  const bool hasWindows = aQuestion->windows_ < kMaxWindows;
+  if (!origin.has_value() || isRemembered || !hasWindows ||
+      aQuestion->IsConcluded()) {
+    aQuestion->Done();
+    return;
+  }
+  aQuestion->next_ = [this, aQuestion] { ReadLostEntry(aQuestion); };
+  origin->slot_ += aQuestion->windows_ * kSlotsAtOnce;
+  ++aQuestion->windows_;
+  const std::uint64_t now =
+    SlotOf(ReadWallClock(), origin->incarnation_, kEntrySlot);
+  for (std::uint64_t i = 0; i < kSlotsAtOnce && origin->slot_ <= now; ++i) {
+    ReadSegment(EntrySegmentName(*origin), aQuestion);
+    ++origin->slot_;
+  }
+  if (origin->slot_ > now) {
+    aQuestion->windows_ = kMaxWindows;
+  }
+  aQuestion->Done();
+}
+
+void
+Explainer::Private::ReadSegment(const std::string& aName,
+                                const SharedQuestion& aQuestion)
+{
+  ++aQuestion->open_;
+  store_.GetObject(
+    aName,
+    ReadMonotonicClock() + kStoreTimeout,
+    [aQuestion](const Result<std::optional<std::string>>& aResult) {
+      const auto* found = std::get_if<std::optional<std::string>>(&aResult);
+      if (found != nullptr && found->has_value()) {
+        aQuestion->Take(cactusrail::ReadSegment(**found));
+      }
+      aQuestion->Done();
+    });
+}
+
+void
+Explainer::Private::AskSides(const SharedQuestion& aQuestion)
+{
+  aQuestion->open_ = 1;
+  aQuestion->next_ = [this, aQuestion] { ReadLostSides(aQuestion); };
+  std::set<std::string> named;
+  for (const RequestStep& step : aQuestion->steps_) {
+    named.insert(NamedSide(step));
+  }
+  named.erase("");
+  std::size_t asked = 0;
   for (const SideView& side : membership_.View().All()) {
-    const std::string name = "side/" + side.heartbeat_.sideId_;
-    const bool named =
-      std::any_of(own.begin(), own.end(), [&name](const RequestStep& aStep) {
-        return aStep.detail_.ends_with(name);
-      });
-    if (named) {
-      Ask(side.heartbeat_, id, question);
+    const bool wanted =
+      named.empty() || named.contains(side.heartbeat_.sideId_);
+    if (wanted && asked++ < kMaxSidesAsked) {
+      AskSide(side.heartbeat_, aQuestion);
     }
   }
-  question->Done();
+  aQuestion->Done();
 }
 
 void
-Explainer::Private::Ask(const HeartbeatMessage& aSide,
-                        const std::string& aRequestId,
-                        const std::shared_ptr<Question>& aQuestion)
+Explainer::Private::AskSide(const HeartbeatMessage& aSide,
+                            const SharedQuestion& aQuestion)
 {
   ++aQuestion->open_;
   auto* link = new SideLink(aSide.address_, aSide.port_, this);
   RecallMessage recall;
-  recall.requestId_ = aRequestId;
+  recall.requestId_ = aQuestion->id_;
   link->Send(recall);
   auto* timer = new QTimer(link);
   timer->setSingleShot(true);
@@ -128,17 +279,62 @@
           this,
           [aQuestion, finish](const WireMessage& aMessage) {
             const auto* memory = std::get_if<RecollectionMessage>(&aMessage);
-            if (memory != nullptr) {
-              aQuestion->Take(*memory);
-              finish();
+            if (memory == nullptr) {
+              return;
             }
+            for (const std::string& text : memory->steps_) {
+              aQuestion->Take(cactusrail::ReadSegment(text));
+            }
+            finish();
           });
   timer->start(kRecallTimeout);
 }
 
+/** A side that is named and has told nothing is gone, or was started anew. */
+void
+Explainer::Private::ReadLostSides(const SharedQuestion& aQuestion)
+{
+  aQuestion->open_ = 1;
+  aQuestion->next_ = [aQuestion] { Answer(aQuestion); };
+  std::set<std::string> heard;
+  for (const RequestStep& step : aQuestion->steps_) {
+    heard.insert(step.host_);
+  }
+  const std::uint64_t now = SlotOf(ReadWallClock(), 0, kSideSlot);
+  std::set<std::string> objects;
+  for (const RequestStep& step : aQuestion->steps_) {
+    const std::string side = NamedSide(step);
+    if (side.empty() || heard.contains(std::string(kSidePrefix) + side)) {
+      continue;
+    }
+    const std::uint64_t first = SlotOf(step.wallMicros_, 0, kSideSlot);
+    const std::uint64_t end = std::min(now + 1, first + kSideSlotsRead);
+    for (std::uint64_t slot = first; slot < end; ++slot) {
+      objects.insert(SideSegmentName(side, slot));
+    }
+  }
+  for (const std::string& object : objects) {
+    ReadSegment(object, aQuestion);
+  }
+  aQuestion->Done();
+}
+
+void
+Explainer::Private::Answer(const SharedQuestion& aQuestion)
+{
+  StepList list{ SortedSteps(std::move(aQuestion->steps_)) };
+  HttpAnswer answer;
+  answer.status_ = list.steps_.empty() ? 404 : 200;
+  answer.body_ = ToJson(list) + "\n";
+  aQuestion->exchange_.Answer(answer);
+}
+
 Explainer::Explainer(const Journal& aJournal,
-                     const MembershipListener& aMembership)
-  : private_(std::make_unique<Private>(aJournal, aMembership))
+                     const MembershipListener& aMembership,
+                     const EntryDirectory& aDirectory,
+                     TableClient& aStore)
+  : private_(
+      std::make_unique<Private>(aJournal, aMembership, aDirectory, aStore))
 {
 }
 
@@ -151,6 +347,9 @@
   aRoutes.Add("GET", "/v1/explain", [self](const HttpExchange& aExchange) {
     self->Explain(aExchange);
   });
+  aRoutes.Add("GET", "/v1/recall", [self](const HttpExchange& aExchange) {
+    self->Recall(aExchange);
+  });
 }
 
 }
--- a/Source/Process/Journal.cxx
+++ b/Source/Process/Journal.cxx
@@ -2,7 +2,9 @@
 
 #include "Process/Instant.h"
 
+#include <algorithm>
 #include <functional>
+#include <iterator>
 
 namespace cactusrail {
 
@@ -28,9 +30,14 @@
 Journal::Add(RequestStep aStep)
 {
   aStep.host_ = host_;
-  aStep.wallMicros_ = ReadWallClock();
   Shard& shard = ShardOf(aStep.requestId_);
   const std::lock_guard lock(shard.mutex_);
+  // Stamped under the lock: after TakeNew() of a time, no step from before it
+  // can come.
+  aStep.wallMicros_ = ReadWallClock();
+  if (keepNew_ && shard.new_.size() < kMaxNew) {
+    shard.new_.push_back(aStep);
+  }
   auto [place, isNew] = shard.steps_.try_emplace(aStep.requestId_);
   if (isNew) {
     shard.order_.push_back(aStep.requestId_);
@@ -46,6 +53,41 @@
   }
 }
 
+void
+Journal::KeepNew()
+{
+  keepNew_ = true;
+}
+
+std::vector<RequestStep>
+Journal::TakeNew(std::int64_t aBeforeWallMicros)
+{
+  std::vector<RequestStep> taken;
+  for (Shard& shard : shards_) {
+    const std::lock_guard lock(shard.mutex_);
+    const auto end =
+      std::partition_point(shard.new_.begin(),
+                           shard.new_.end(),
+                           [aBeforeWallMicros](const RequestStep& aStep) {
+                             return aStep.wallMicros_ < aBeforeWallMicros;
+                           });
+    std::move(shard.new_.begin(), end, std::back_inserter(taken));
+    shard.new_.erase(shard.new_.begin(), end);
+  }
+  return taken;
+}
+
+std::size_t
+Journal::NewSteps() const
+{
+  std::size_t steps = 0;
+  for (const Shard& shard : shards_) {
+    const std::lock_guard lock(shard.mutex_);
+    steps += shard.new_.size();
+  }
+  return steps;
+}
+
 std::vector<RequestStep>
 Journal::Recall(std::string_view aRequestId) const
 {
--- a/Source/Process/Journal.h
+++ b/Source/Process/Journal.h
@@ -3,6 +3,7 @@
 #include "Request/RequestStep.h"
 
 #include <array>
+#include <atomic>
 #include <cstddef>
 #include <deque>
 #include <mutex>
@@ -25,6 +26,15 @@
   /** Adds a step, stamped with this host's name and wall clock. */
   void Add(RequestStep aStep);
 
+  /** From now on steps are kept for TakeNew(), within a bound. */
+  void KeepNew();
+
+  /** The steps from before a wall-clock time that were not taken yet. */
+  std::vector<RequestStep> TakeNew(std::int64_t aBeforeWallMicros);
+
+  /** Steps that were not taken yet. */
+  std::size_t NewSteps() const;
+
   std::vector<RequestStep> Recall(std::string_view aRequestId) const;
 
 private:
@@ -33,9 +43,12 @@
     mutable std::mutex mutex_;
     std::unordered_map<std::string, std::vector<RequestStep>> steps_;
     std::deque<std::string> order_;
+    std::vector<RequestStep> new_;
   };
 
   static constexpr std::size_t kShards = 16;
+  /** Steps of a shard that wait for TakeNew(); the rest are not kept. */
+  static constexpr std::size_t kMaxNew = 8192;
   /** A request's later steps beyond this are dropped. */
   static constexpr std::size_t kMaxSteps = 64;
 
@@ -43,6 +56,7 @@
   const Shard& ShardOf(std::string_view aRequestId) const;
 
   std::string host_;
+  std::atomic<bool> keepNew_{ false };
   std::size_t maxRequestsPerShard_;
   std::array<Shard, kShards> shards_;
 };
--- a/Source/Process/Lane.cxx
+++ b/Source/Process/Lane.cxx
@@ -4,6 +4,7 @@
 #include "Connection/SideLink.h"
 #include "Connection/TableClient.h"
 #include "Process/Log.h"
+#include "Process/StepSegments.h"
 #include "Request/EntryCore.h"
 #include "Version/JsonText.h"
 
@@ -96,12 +97,14 @@
 public:
   Private(const EntrySettings& aSettings,
           std::uint16_t aPort,
-          std::string aIdPrefix,
+          RequestOrigin aOrigin,
+          std::int64_t aLaneNumber,
           ConfigurationHolder& aConfiguration,
           Journal& aJournal)
     : settings_(aSettings)
     , port_(aPort)
-    , idPrefix_(std::move(aIdPrefix))
+    , origin_(std::move(aOrigin))
+    , laneNumber_(aLaneNumber)
     , configuration_(aConfiguration)
     , journal_(aJournal)
   {
@@ -125,7 +128,9 @@
 
   EntrySettings settings_;
   std::uint16_t port_;
-  std::string idPrefix_;
+  /** Request ids are unique over entries, restarts and lanes. */
+  RequestOrigin origin_;
+  std::int64_t laneNumber_;
   ConfigurationHolder& configuration_;
   Journal& journal_;
   QThread thread_;
@@ -234,7 +239,8 @@
   }
   const Instant now = ReadMonotonicClock();
   RequestFacts facts;
-  facts.requestId_ = idPrefix_ + std::to_string(nextRequest_++);
+  origin_.slot_ = SlotOf(ReadWallClock(), origin_.incarnation_, kEntrySlot);
+  facts.requestId_ = MakeRequestId(origin_, laneNumber_, nextRequest_++);
   facts.tenant_ = tenant->name_;
   facts.service_ = name;
   facts.method_ = aExchange.Method();
@@ -396,12 +402,13 @@
             ConfigurationHolder& aConfiguration,
             Journal& aJournal)
 {
-  // Request ids are unique over entries, restarts and lanes.
-  std::string idPrefix = aSettings.name_ + "-" +
-                         QString::number(aIncarnation, 36).toStdString() + "-" +
-                         std::to_string(aLaneNumber) + "-";
-  auto self = std::make_unique<Private>(
-    aSettings, aPort, std::move(idPrefix), aConfiguration, aJournal);
+  auto self =
+    std::make_unique<Private>(aSettings,
+                              aPort,
+                              RequestOrigin{ aSettings.name_, aIncarnation, 0 },
+                              aLaneNumber,
+                              aConfiguration,
+                              aJournal);
   Private* raw = self.get();
   raw->moveToThread(&raw->thread_);
   raw->thread_.start();
--- a/Source/Process/SideProcess.cxx
+++ b/Source/Process/SideProcess.cxx
@@ -4,8 +4,11 @@
 #include "Connection/HttpCaller.h"
 #include "Connection/HttpFront.h"
 #include "Connection/SideLink.h"
+#include "Connection/TableClient.h"
 #include "Process/Journal.h"
+#include "Process/JournalStore.h"
 #include "Process/Log.h"
+#include "Process/StepSegments.h"
 #include "Request/SideCore.h"
 #include "Version/ConfigurationHolder.h"
 #include "Version/JsonText.h"
@@ -110,6 +113,18 @@
         Millis(200),
       })
   {
+    if (!aSettings.store_.empty()) {
+      store_ = std::make_unique<TableClient>("http://" +
+                                             aSettings.store_.front().Text());
+      SegmentPlan plan;
+      plan.slotLength_ = kSideSlot;
+      plan.mergesFirst_ = true;
+      plan.name_ = [name = aSettings.name_](std::uint64_t aSlot) {
+        return SideSegmentName(name, aSlot);
+      };
+      journalStore_ =
+        std::make_unique<JournalStore>(journal_, *store_, std::move(plan));
+    }
     for (const SocketAddress& entry : aSettings.entries_) {
       entries_[entry.Text()] = { entry, true, Instant() };
     }
@@ -133,6 +148,9 @@
   SideSettings settings_;
   std::uint64_t incarnation_;
   Journal journal_;
+  /** Null if the settings name no store. */
+  std::unique_ptr<TableClient> store_;
+  std::unique_ptr<JournalStore> journalStore_;
   SideCore core_;
   HttpCaller caller_;
   std::unique_ptr<HttpFront> announceFront_;
@@ -189,6 +207,9 @@
   connect(&tick_, &QTimer::timeout, this, [this] { OnTick(); });
   connect(&heartbeat_, &QTimer::timeout, this, [this] { SendHeartbeat(); });
   tick_.start(kTick);
+  if (journalStore_ != nullptr) {
+    journalStore_->Start();
+  }
   heartbeat_.start(Millis(settings_.heartbeatMs_));
   return true;
 }
@@ -436,8 +457,12 @@
     std::all_of(links_.begin(), links_.end(), [](const auto& aLink) {
       return aLink.second->Flushed();
     });
+  const bool served = core_.Idle() && flushed && quiet && now >= stopEarliest_;
+  if (served && journalStore_ != nullptr) {
+    journalStore_->WriteAll();
+  }
   const bool finished =
-    core_.Idle() && flushed && quiet && now >= stopEarliest_;
+    served && (journalStore_ == nullptr || journalStore_->Idle());
   if (!finished && now >= stopDeadline_ && !gaveUp_) {
     gaveUp_ = true;
     leftOver_ = !core_.Idle();
--- a/Source/Process/SideSettings.cxx
+++ b/Source/Process/SideSettings.cxx
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::array<SettingSpec, 8> kSpecs{ {
+constexpr std::array<SettingSpec, 9> kSpecs{ {
   RequiredSetting("side.name", SettingKind::Text, "this side's unique name"),
   RequiredSetting("side.data-centre",
                   SettingKind::Text,
@@ -38,6 +38,13 @@
                 600000,
                 "ms",
                 "time that a planned stop may take"),
+  SettingSpec{ "platform.table",
+               SettingKind::AddressList,
+               "",
+               0,
+               0,
+               "IP:PORT of the platform's service, where steps for explain "
+               "are kept; empty to keep them in memory alone" },
 } };
 
 }
@@ -70,6 +77,7 @@
   settings.listen_ = file.Address("side.listen");
   settings.announce_ = file.Address("side.announce");
   settings.entries_ = file.AddressList("side.entries");
+  settings.store_ = file.AddressList("platform.table");
   settings.heartbeatMs_ = file.Number("side.heartbeat-ms");
   settings.maxQueued_ = file.Number("side.max-queued");
   settings.stopBoundMs_ = file.Number("side.stop-bound-ms");
--- a/Source/Process/SideSettings.h
+++ b/Source/Process/SideSettings.h
@@ -19,6 +19,8 @@
   SocketAddress announce_;
   /** Membership addresses of entries to start with. */
   std::vector<SocketAddress> entries_;
+  /** The platform's object store, for the journal; at most one. */
+  std::vector<SocketAddress> store_;
   std::int64_t heartbeatMs_ = 0;
   std::int64_t maxQueued_ = 0;
   std::int64_t stopBoundMs_ = 0;
--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -118,7 +118,8 @@
     "[side]\nname = " + aName +
       "\ndata-centre = dc1\nlisten = 127.0.0.1:0\nannounce = 127.0.0.1:0\n"
       "heartbeat-ms = 100\nentries = " +
-      entries + "\n" + aExtra);
+      entries + "\n" + aExtra +
+      "\n[platform]\ntable = " + (*this)["platform"].Value("http") + "\n");
   return Add(
     aName, CACTUSRAIL_PROGRAM, { "side", QString::fromStdString(path) });
 }
@@ -356,6 +357,24 @@
   return found == runs.end() ? 0 : found->second;
 }
 
+std::string
+Bench::RanIdOf(const std::string& aMark) const
+{
+  for (const auto& [name, child] : children_) {
+    for (const std::string& line : child->Lines("ran ")) {
+      std::istringstream words(line);
+      std::string ran;
+      std::string id;
+      std::string mark;
+      words >> ran >> id >> mark;
+      if (mark == aMark) {
+        return id;
+      }
+    }
+  }
+  return {};
+}
+
 std::vector<RequestStep>
 Bench::Explain(const std::string& aEntry, const std::string& aRequestId)
 {
--- a/Tests/Process/Bench.h
+++ b/Tests/Process/Bench.h
@@ -93,6 +93,8 @@
   /** Lines "ran ..." of all upstreams, by mark or by request id. */
   std::map<std::string, std::size_t> Runs(bool aById = false) const;
   std::size_t RunsOf(const std::string& aMark) const;
+  /** The request id under which the mark ran, for calls without an answer. */
+  std::string RanIdOf(const std::string& aMark) const;
 
   /** The steps that an entry explains a request with. */
   std::vector<cactusrail::RequestStep> Explain(const std::string& aEntry,
--- /dev/null
+++ b/Tests/Unit/StepSegmentsTest.cxx
@@ -0,0 +1,56 @@
+#include "Process/StepSegments.h"
+#include "Process/Journal.h"
+
+#include <criterion/criterion.h>
+
+#include <limits>
+
+using namespace cactusrail;
+
+Test(StepSegments, AnIdLeadsToItsSegment)
+{
+  const RequestOrigin origin{ "entry-a-7", 1764700000000000, 4321 };
+  const std::string id = MakeRequestId(origin, 3, 99);
+  const auto read = ReadRequestId(id);
+  cr_assert(read.has_value());
+  cr_assert(read->entry_ == origin.entry_);
+  cr_assert(read->incarnation_ == origin.incarnation_);
+  cr_assert(read->slot_ == origin.slot_);
+  cr_assert(EntrySegmentName(*read) == EntrySegmentName(origin));
+}
+
+Test(StepSegments, RefusesWhatIsNoId)
+{
+  for (const char* text :
+       { "", "-", "----", "a-b", "e-!-0-1-1", "-1-0-1-1", "e-1-0-~-1" }) {
+    cr_assert(!ReadRequestId(text).has_value(), "accepted: %s", text);
+  }
+}
+
+Test(StepSegments, LinesThatCannotBeReadAreLeftOut)
+{
+  RequestStep step;
+  step.requestId_ = "r1";
+  step.step_ = "received";
+  const std::string text = SegmentText({ &step, 1 });
+  const auto read = ReadSegment(text + "{\"requestId\":\n" + text);
+  cr_assert(read.size() == 2);
+  cr_assert(SortedSteps(read).size() == 1);
+}
+
+Test(Journal, GivesEachNewStepOnce)
+{
+  Journal journal("entry/e", 100);
+  RequestStep step;
+  step.requestId_ = "r0";
+  journal.Add(step);
+  cr_assert(journal.NewSteps() == 0);
+  journal.KeepNew();
+  step.requestId_ = "r1";
+  journal.Add(step);
+  constexpr auto kForever = std::numeric_limits<std::int64_t>::max();
+  cr_assert(journal.TakeNew(0).empty());
+  cr_assert(journal.TakeNew(kForever).size() == 1);
+  cr_assert(journal.TakeNew(kForever).empty());
+  cr_assert(journal.Recall("r0").size() == 1);
+}
