--- a/Tests/Process/FailureTest.cxx
+++ b/Tests/Process/FailureTest.cxx
@@ -187,9 +187,13 @@
   bench.WaitForSide("entry1", "side2");
   bench.SendAndWait("entry1", CallPlan{ .service_ = "brief" });
   bench["upstream-side2"].Signal(SIGSTOP);
+  const Instant frozen = ReadMonotonicClock();
   const auto calls =
     SendMany(bench, "entry1", 10, CallPlan{ .service_ = "brief" });
   bench.WaitForSide("entry1", "side2", false);
+  std::cerr << "frozen-to-unusable: "
+            << (ReadMonotonicClock() - frozen).count() / 1000 << " ms"
+            << std::endl;
   bench.WaitForCalls();
   cr_assert(CountVerdict(bench, calls, "ran") == 0);
   bench["upstream-side2"].Signal(SIGCONT);
@@ -305,11 +309,11 @@
         return upstream.Lines("ran ").size() > 20;
       },
       "traffic");
-    bench.Ask("POST",
-              "http://" + bench["side1"].Value("announce") + "/v1/goodbye");
     const Instant goodbye = ReadMonotonicClock();
     Instant last = goodbye;
     std::size_t ran = upstream.Lines("ran ").size();
+    bench.Ask("POST",
+              "http://" + bench["side1"].Value("announce") + "/v1/goodbye");
     const std::size_t others = bench["upstream-side2"].Lines("ran ").size();
     WaitUntil(
       [&] {
