--- a/Source/Process/SideProcess.cxx
+++ b/Source/Process/SideProcess.cxx
@@ -5,10 +5,13 @@
 #include "Connection/HttpCaller.h"
 #include "Connection/HttpFront.h"
 #include "Connection/SideLink.h"
+#include "Connection/TableClient.h"
 #include "Process/Journal.h"
+#include "Process/JournalStore.h"
 #include "Process/Log.h"
 #include "Process/MetricsRoutes.h"
 #include "Process/RequestMeter.h"
+#include "Process/StepSegments.h"
 #include "Request/SideCore.h"
 #include "Version/ConfigurationHolder.h"
 #include "Version/JsonText.h"
@@ -125,6 +128,18 @@
         Millis(200),
       })
   {
+    if (!aSettings.store_.empty()) {
+      store_ = std::make_unique<TableClient>("http://" +
+                                             aSettings.store_.front().Text());
+      SegmentPlan plan;
+      plan.slotLength_ = kSideSlot;
+      plan.mergesFirst_ = true;
+      plan.name_ = [name = aSettings.name_](std::uint64_t aSlot) {
+        return SideSegmentName(name, aSlot);
+      };
+      journalStore_ =
+        std::make_unique<JournalStore>(journal_, *store_, std::move(plan));
+    }
     for (const SocketAddress& entry : aSettings.entries_) {
       entries_[entry.Text()] = { entry, true, Instant() };
     }
@@ -150,6 +165,9 @@
   Journal journal_;
   std::string class_;
   RequestMeter meter_{ Metrics::OfProcess() };
+  /** Null if the settings name no store. */
+  std::unique_ptr<TableClient> store_;
+  std::unique_ptr<JournalStore> journalStore_;
   SideCore core_;
   HttpCaller caller_;
   std::unique_ptr<HttpFront> announceFront_;
@@ -206,6 +224,9 @@
   connect(&tick_, &QTimer::timeout, this, [this] { OnTick(); });
   connect(&heartbeat_, &QTimer::timeout, this, [this] { SendHeartbeat(); });
   tick_.start(kTick);
+  if (journalStore_ != nullptr) {
+    journalStore_->Start();
+  }
   heartbeat_.start(Millis(settings_.heartbeatMs_));
   return true;
 }
@@ -462,8 +483,12 @@
     std::all_of(links_.begin(), links_.end(), [](const auto& aLink) {
       return aLink.second->Flushed();
     });
+  const bool served = core_.Idle() && flushed && quiet && now >= stopEarliest_;
+  if (served && journalStore_ != nullptr) {
+    journalStore_->WriteAll();
+  }
   const bool finished =
-    core_.Idle() && flushed && quiet && now >= stopEarliest_;
+    served && (journalStore_ == nullptr || journalStore_->Idle());
   if (!finished && now >= stopDeadline_ && !gaveUp_) {
     gaveUp_ = true;
     leftOver_ = !core_.Idle();
