Work: Explain a task from any entry, and the verbs in the command table

Explain asks the other entries and ends with what the job's row records, so it holds when the entry that owned the task's cell is gone; before, entry2 answered with no steps for a task of entry1's cell. Other files: Main, AllCommands (verbs moved into the table), ExplainCommand (page for tasks), EntryProcess (two arguments).

--- a/Source/Process/AllCommands.cxx
+++ b/Source/Process/AllCommands.cxx
@@ -5,6 +5,7 @@
 #include "Process/ExplainCommand.h"
 #include "Process/RoleCommands.h"
 #include "Process/TopCommand.h"
+#include "Process/WorkCommands.h"
 
 #include <iostream>
 
@@ -59,6 +60,7 @@
   AddConfigCommands(table);
   AddExplainCommands(table);
   AddTopCommand(table);
+  AddWorkCommands(table);
   AddProgramCommands(table);
   return table;
 }
--- a/Source/Process/EntryProcess.cxx
+++ b/Source/Process/EntryProcess.cxx
@@ -48,7 +48,11 @@
                  configuration_,
                  journal_,
                  MakeChooser(FirstFitPlacement()))
-    , workPages_(table_, configuration_, scheduler_)
+    , workPages_(table_,
+                 configuration_,
+                 scheduler_,
+                 journal_,
+                 presence_.Directory())
   {
   }
 
--- a/Source/Process/ExplainCommand.cxx
+++ b/Source/Process/ExplainCommand.cxx
@@ -5,6 +5,7 @@
 #include "Process/TextTable.h"
 #include "Request/RequestStep.h"
 #include "Version/JsonText.h"
+#include "Version/TaskStanding.h"
 
 #include <QDateTime>
 #include <QUrl>
@@ -91,6 +92,14 @@
                            : std::nullopt;
 }
 
+/** Tasks are named JOB.INDEX; a request's id never ends so. */
+std::string
+ExplainPage(const std::string& aId)
+{
+  const bool task = ParseTaskName(aId).has_value();
+  return task ? "/v1/tasks/explain" : "/v1/explain";
+}
+
 ExitCode
 Explain(const CommandLine& aLine)
 {
@@ -99,7 +108,7 @@
     QUrl::toPercentEncoding(QString::fromStdString(id)).toStdString();
   ExitCode code = ExitCode::Done;
   const std::optional<std::string> body =
-    AskPage(aLine, "/v1/explain?id=" + escaped, code);
+    AskPage(aLine, ExplainPage(id) + "?id=" + escaped, code);
   if (!body.has_value()) {
     return code;
   }
@@ -137,13 +146,14 @@
 void
 AddExplainCommands(CommandTable& aTable)
 {
-  aTable.Add({ "explain",
-               { "ID" },
-               "Says what became of one request: its steps and its verdict.",
-               "cactusrail explain entry1-k3-0-17 --entry 127.0.0.1:7001",
-               {},
-               true,
-               Explain });
+  aTable.Add(
+    { "explain",
+      { "ID" },
+      "Says what became of one request or task: its steps and its verdict.",
+      "cactusrail explain entry1-k3-0-17 --entry 127.0.0.1:7001",
+      {},
+      true,
+      Explain });
   aTable.Add({ "list sides",
                {},
                "Prints the sides that an entry hears of, as that entry does.",
--- a/Source/Process/Main.cxx
+++ b/Source/Process/Main.cxx
@@ -1,5 +1,4 @@
 #include "Process/AllCommands.h"
-#include "Process/WorkCommands.h"
 
 #include <QCoreApplication>
 
@@ -11,9 +10,6 @@
 {
   const QCoreApplication application(argc, argv);
   const std::vector<std::string> words(argv + 1, argv + argc);
-  if (const std::optional<int> code = cactusrail::RunWorkCommand(words)) {
-    return *code;
-  }
   const cactusrail::ExitCode code = cactusrail::AllCommands().Run(words);
   return static_cast<int>(code);
 }
--- a/Source/Process/SchedulerCore.cxx
+++ b/Source/Process/SchedulerCore.cxx
@@ -198,7 +198,7 @@
                const Reservation& aReservation,
                TaskEnd aEnd,
                const std::string& aCheckpoint,
-               Verdict aEarlier,
+               Verdict aVerdict,
                CellView& aCell);
   std::optional<TaskEnd> EndOf(const CellView& aCell,
                                const Reservation& aReservation,
@@ -626,13 +626,19 @@
     const TaskRecord* before = job.Find(reservation.index_);
     const Verdict earlier =
       before == nullptr ? Verdict::DidNotRun : before->verdict_;
-    job.End(reservation.index_, reservation.epoch_, *end, checkpoint);
+    const Verdict verdict = EndVerdict(*end, held.acknowledged_);
+    job.End(reservation.index_, reservation.epoch_, *end, verdict, checkpoint);
     aLedger.Release(reservation.jobId_, reservation.index_, reservation.epoch_);
     aWrite.jobs_[reservation.jobId_] = job.Row();
     aCell.releasing_.insert(ref);
     ++aWrite.releases_;
     aWrite.losses_ += *end == TaskEnd::Lost ? 1 : 0;
-    NoteEnd(ref, reservation, *end, checkpoint, earlier, aCell);
+    NoteEnd(ref,
+            reservation,
+            *end,
+            checkpoint,
+            CombineVerdicts(earlier, verdict),
+            aCell);
   }
 }
 
@@ -641,7 +647,7 @@
                                 const Reservation& aReservation,
                                 TaskEnd aEnd,
                                 const std::string& aCheckpoint,
-                                Verdict aEarlier,
+                                Verdict aVerdict,
                                 CellView& aCell)
 {
   // Noted before the write, while nobody can have started the task elsewhere:
@@ -653,9 +659,8 @@
   if (!aCheckpoint.empty()) {
     detail += ", checkpoint " + aCheckpoint;
   }
-  const Verdict verdict = CombineVerdicts(aEarlier, EndVerdict(aEnd));
   actions_.emplace_back(NoteAction{
-    MakeNote(aRef, std::string(TaskEndText(aEnd)), verdict, detail) });
+    MakeNote(aRef, std::string(TaskEndText(aEnd)), aVerdict, detail) });
 }
 
 std::vector<std::string>
@@ -1016,10 +1021,14 @@
     start.checkpoint_ = reservation.checkpoint_;
     held.ownGrantOver_ = std::max(held.ownGrantOver_, grant->overBy_);
     if (!std::exchange(held.granted_, true)) {
+      const JobLedger ledger(job->second.row_);
+      const TaskRecord* task = ledger.Find(reservation.index_);
+      const Verdict earlier =
+        task == nullptr ? Verdict::MayHaveRun : task->verdict_;
       actions_.emplace_back(
         NoteAction{ MakeNote(ref,
                              "start sent",
-                             Verdict::MayHaveRun,
+                             CombineVerdicts(earlier, Verdict::MayHaveRun),
                              "worker " + reservation.workerId_) });
     }
     return start;
--- a/Source/Process/WorkPages.cxx
+++ b/Source/Process/WorkPages.cxx
@@ -1,14 +1,19 @@
 #include "Process/WorkPages.h"
 
+#include "Connection/HttpCaller.h"
 #include "Connection/TableClient.h"
+#include "Process/EntryDirectory.h"
+#include "Process/Journal.h"
 #include "Process/Scheduler.h"
-#include "Version/JobLedger.h"
+#include "Version/JobSummary.h"
 #include "Version/JsonText.h"
 #include "Version/Selector.h"
+#include "Version/TaskStanding.h"
 #include "Version/WorkVerbs.h"
 
 #include <QUrl>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -17,73 +22,54 @@
 namespace {
 
 constexpr Millis kTableTimeout{ 2000 };
+constexpr Millis kRecallTimeout{ 1000 };
 constexpr int kUnavailable = 503;
 
-/** One line of the list of jobs. */
-struct JobSummary
+/** The steps of a task, as /v1/explain answers those of a request. */
+struct TaskSteps
 {
-  std::string id_;
-  std::string tenant_;
-  std::string wanted_;
-  bool over_ = false;
-  std::uint32_t tasks_ = 0;
-  std::uint32_t completed_ = 0;
-  std::uint32_t failed_ = 0;
-  std::uint32_t ended_ = 0;
-  std::uint32_t held_ = 0;
-  std::uint32_t waiting_ = 0;
-  /** May have run and is not started again without an operator. */
-  std::uint32_t parked_ = 0;
+  std::vector<RequestStep> steps_;
 
   template<class Archive>
   void serialize(Archive& ar)
   {
-    ar(cereal::make_nvp("id", id_),
-       cereal::make_nvp("tenant", tenant_),
-       cereal::make_nvp("state", wanted_),
-       cereal::make_nvp("over", over_),
-       cereal::make_nvp("tasks", tasks_),
-       cereal::make_nvp("completed", completed_),
-       cereal::make_nvp("failed", failed_),
-       cereal::make_nvp("ended", ended_),
-       cereal::make_nvp("held", held_),
-       cereal::make_nvp("waiting", waiting_),
-       cereal::make_nvp("mayHaveRun", parked_));
+    ar(cereal::make_nvp("steps", steps_));
   }
 };
 
-struct JobList
+/** What is known of a task so far, while entries and the table are asked. */
+struct TaskQuestion
 {
-  std::vector<JobSummary> jobs_;
+  HttpExchange exchange_;
+  std::string id_;
+  TaskSteps known_;
+  std::optional<RequestStep> standing_;
+  std::size_t open_ = 0;
 
-  template<class Archive>
-  void serialize(Archive& ar)
-  {
-    ar(cereal::make_nvp("jobs", jobs_));
-  }
+  void Done();
 };
 
-JobSummary
-Summarize(const JobRow& aJob, bool aOver)
+void
+TaskQuestion::Done()
 {
-  JobSummary summary;
-  summary.id_ = aJob.spec_.id_;
-  summary.tenant_ = aJob.spec_.tenant_;
-  const bool finished = aOver && aJob.wanted_ != Wanted::Stopped &&
-                        aJob.wanted_ != Wanted::Cancelled;
-  summary.wanted_ = finished ? "finished" : WantedText(aJob.wanted_);
-  summary.over_ = aOver;
-  summary.tasks_ = aJob.spec_.tasks_;
-  summary.completed_ = aJob.completed_;
-  summary.failed_ = aJob.failed_;
-  summary.ended_ = aJob.ended_;
-  summary.waiting_ = aJob.spec_.tasks_ - aJob.fresh_;
-  for (const TaskRecord& task : aJob.open_) {
-    summary.held_ += task.state_ == TaskState::Held ? 1 : 0;
-    summary.waiting_ += task.state_ == TaskState::Pending ? 1 : 0;
-    summary.parked_ += task.state_ == TaskState::Parked ? 1 : 0;
+  if (--open_ > 0) {
+    return;
+  }
+  auto& steps = known_.steps_;
+  std::stable_sort(
+    steps.begin(), steps.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.wallMicros_ < aRight.wallMicros_;
+    });
+  if (standing_.has_value()) {
+    standing_->wallMicros_ = ReadWallClock();
+    standing_->host_ = "table";
+    steps.push_back(*standing_);
   }
-  return summary;
+  HttpAnswer answer;
+  answer.body_ = ToJson(known_) + "\n";
+  exchange_.Answer(steps.empty()
+                     ? OperatorError(404, "There is no task '" + id_ + "'.")
+                     : answer);
 }
 
 HttpAnswer
@@ -108,10 +94,14 @@
 public:
   Private(TableClient& aTable,
           ConfigurationHolder& aConfiguration,
-          Scheduler& aScheduler)
+          Scheduler& aScheduler,
+          const Journal& aJournal,
+          const EntryDirectory& aDirectory)
     : table_(aTable)
     , configuration_(aConfiguration)
     , scheduler_(aScheduler)
+    , journal_(aJournal)
+    , directory_(aDirectory)
   {
   }
 
@@ -125,6 +115,11 @@
   void Inspect(const HttpExchange& aExchange);
   void Cells(const HttpExchange& aExchange);
   void Evict(const HttpExchange& aExchange);
+  void ExplainTask(const HttpExchange& aExchange);
+  void AskEntry(const EntryRecord& aEntry,
+                const std::shared_ptr<TaskQuestion>& aQuestion);
+  void AskTable(const TaskName& aName,
+                const std::shared_ptr<TaskQuestion>& aQuestion);
   void ReadBoth(const std::string& aId,
                 const HttpExchange& aExchange,
                 std::function<void(const std::vector<TableRow>&)> aCallback);
@@ -132,6 +127,9 @@
   TableClient& table_;
   ConfigurationHolder& configuration_;
   Scheduler& scheduler_;
+  const Journal& journal_;
+  const EntryDirectory& directory_;
+  HttpCaller caller_;
 };
 
 void
@@ -292,10 +290,89 @@
   aExchange.Answer(JsonAnswer(R"({"evicting":true})"));
 }
 
+void
+WorkPages::Private::ExplainTask(const HttpExchange& aExchange)
+{
+  const std::string id = aExchange.Query("id");
+  const std::optional<TaskName> name = ParseTaskName(id);
+  if (!name.has_value()) {
+    aExchange.Answer(
+      OperatorError(400, "'" + id + "' is not the id of a task, JOB.INDEX."));
+    return;
+  }
+  auto question =
+    std::make_shared<TaskQuestion>(TaskQuestion{ aExchange, id, {}, {}, 2 });
+  question->known_.steps_ = journal_.Recall(id);
+  // Whichever entry owned the task's cell has its steps, while it lives.
+  for (const EntryRecord& entry : directory_.Others()) {
+    ++question->open_;
+    AskEntry(entry, question);
+  }
+  AskTable(*name, question);
+  question->Done();
+}
+
+void
+WorkPages::Private::AskEntry(const EntryRecord& aEntry,
+                             const std::shared_ptr<TaskQuestion>& aQuestion)
+{
+  HttpCall call;
+  call.method_ = "GET";
+  call.url_ =
+    "http://" + aEntry.operators_ + "/v1/explain?id=" + aQuestion->id_;
+  call.deadline_ = ReadMonotonicClock() + kRecallTimeout;
+  caller_.Start(std::move(call), [aQuestion](const auto& aReply) {
+    if (const auto* reply = std::get_if<HttpReply>(&aReply)) {
+      const Result<TaskSteps> parsed = FromJson<TaskSteps>(reply->body_);
+      if (const auto* steps = std::get_if<TaskSteps>(&parsed)) {
+        auto& known = aQuestion->known_.steps_;
+        known.insert(known.end(), steps->steps_.begin(), steps->steps_.end());
+      }
+    }
+    aQuestion->Done();
+  });
+}
+
+void
+WorkPages::Private::AskTable(const TaskName& aName,
+                             const std::shared_ptr<TaskQuestion>& aQuestion)
+{
+  const auto take = [aName, aQuestion](const auto& aRows, bool aOver) {
+    const auto* rows = std::get_if<std::vector<TableRow>>(&aRows);
+    const std::string key = (aOver ? kDonePrefix : kJobPrefix) + aName.jobId_;
+    for (const TableRow& row :
+         rows == nullptr ? std::vector<TableRow>() : *rows) {
+      const Result<JobRow> job = FromJson<JobRow>(row.value_);
+      if (row.key_ == key && Succeeded(job)) {
+        aQuestion->standing_ =
+          StandingOf(std::get<JobRow>(job), aOver, aName.index_);
+      }
+    }
+  };
+  const Instant deadline = ReadMonotonicClock() + kTableTimeout;
+  table_.Read(kJobPrefix + aName.jobId_,
+              deadline,
+              [this, take, aName, aQuestion, deadline](const auto& aOpen) {
+                take(aOpen, false);
+                table_.Read(kDonePrefix + aName.jobId_,
+                            deadline,
+                            [take, aQuestion](const auto& aDone) {
+                              take(aDone, true);
+                              aQuestion->Done();
+                            });
+              });
+}
+
 WorkPages::WorkPages(TableClient& aTable,
                      ConfigurationHolder& aConfiguration,
-                     Scheduler& aScheduler)
-  : private_(std::make_unique<Private>(aTable, aConfiguration, aScheduler))
+                     Scheduler& aScheduler,
+                     const Journal& aJournal,
+                     const EntryDirectory& aDirectory)
+  : private_(std::make_unique<Private>(aTable,
+                                       aConfiguration,
+                                       aScheduler,
+                                       aJournal,
+                                       aDirectory))
 {
 }
 
@@ -316,6 +393,7 @@
   add("GET", "/v1/jobs/inspect", &Private::Inspect);
   add("GET", "/v1/cells", &Private::Cells);
   add("POST", "/v1/evict", &Private::Evict);
+  add("GET", "/v1/tasks/explain", &Private::ExplainTask);
 }
 
 }
--- a/Source/Version/JobLedger.cxx
+++ b/Source/Version/JobLedger.cxx
@@ -13,13 +13,13 @@
 }
 
 Verdict
-EndVerdict(TaskEnd aEnd)
+EndVerdict(TaskEnd aEnd, bool aSeenRunning)
 {
   switch (aEnd) {
     case TaskEnd::NeverStarted:
       return Verdict::DidNotRun;
     case TaskEnd::Lost:
-      return Verdict::MayHaveRun;
+      return aSeenRunning ? Verdict::Ran : Verdict::MayHaveRun;
     default:
       return Verdict::Ran;
   }
@@ -141,6 +141,7 @@
 JobLedger::End(std::uint32_t aIndex,
                std::uint64_t aEpoch,
                TaskEnd aEnd,
+               Verdict aVerdict,
                const std::string& aCheckpoint)
 {
   TaskRecord* task = FindOpen(aIndex);
@@ -163,16 +164,16 @@
       return true;
     }
   }
-  if (IsFinal() && aEnd != TaskEnd::Lost) {
+  // A task that never began stays in the row, so that explain can go on saying
+  // so; the closed ones all ran.
+  if (IsFinal() && aEnd == TaskEnd::Stopped) {
     ++row_.ended_;
     Close(aIndex);
     return true;
   }
   task->state_ =
     MayRunAgain(aEnd, aCheckpoint) ? TaskState::Pending : TaskState::Parked;
-  task->verdict_ = task->verdict_ == Verdict::Ran
-                     ? Verdict::Ran
-                     : CombineVerdicts(task->verdict_, EndVerdict(aEnd));
+  task->verdict_ = CombineVerdicts(task->verdict_, aVerdict);
   task->cell_.clear();
   ++task->epoch_;
   if (!aCheckpoint.empty()) {
--- a/Source/Version/JobLedger.h
+++ b/Source/Version/JobLedger.h
@@ -26,9 +26,10 @@
 std::string_view
 TaskEndText(TaskEnd aEnd);
 
-/** What the end of a start says of the task. */
+/** What the end of a start says of the task; aSeenRunning if its worker once
+ * said that it ran. */
 Verdict
-EndVerdict(TaskEnd aEnd);
+EndVerdict(TaskEnd aEnd, bool aSeenRunning);
 
 std::string_view
 WantedText(Wanted aWanted);
@@ -65,6 +66,7 @@
   bool End(std::uint32_t aIndex,
            std::uint64_t aEpoch,
            TaskEnd aEnd,
+           Verdict aVerdict,
            const std::string& aCheckpoint);
 
   /** Lets parked tasks start again, as an operator decided. */
--- a/Tests/Golden/WorkWorld.h
+++ b/Tests/Golden/WorkWorld.h
@@ -4,6 +4,7 @@
 #include "Process/SchedulerCore.h"
 #include "Version/JobLedger.h"
 #include "Version/JsonText.h"
+#include "Version/TaskStanding.h"
 #include "Version/WorkVerbs.h"
 
 #include <algorithm>
@@ -299,6 +300,34 @@
     }
   }
 
+  /** What explain says of each task from its row alone, beside the truth. */
+  void CheckStandings()
+  {
+    for (const auto& [key, row] : rows_) {
+      const bool over = key.starts_with(cactusrail::kDonePrefix);
+      if (!over && !key.starts_with(cactusrail::kJobPrefix)) {
+        continue;
+      }
+      const auto job = Parse<cactusrail::JobRow>(row);
+      for (std::uint32_t index = 0; index < job.spec_.tasks_; ++index) {
+        const auto step = cactusrail::StandingOf(job, over, index);
+        const bool ran = history_[step->requestId_].starts_ > 0;
+        ++standings_[step->verdict_];
+        if (step->verdict_ ==
+            (ran ? cactusrail::Verdict::DidNotRun : cactusrail::Verdict::Ran)) {
+          Break("of task " + step->requestId_ + " explain says: " +
+                std::string(cactusrail::VerdictText(step->verdict_)));
+        }
+      }
+    }
+  }
+
+  /** How often explain gave each verdict. */
+  const std::map<cactusrail::Verdict, std::uint64_t>& Standings() const
+  {
+    return standings_;
+  }
+
   template<typename Record>
   static Record Parse(const cactusrail::TableRow& aRow)
   {
@@ -858,6 +887,7 @@
   std::map<std::string, Run_> running_;
   std::map<std::string, History> history_;
   std::map<std::string, std::string> answers_;
+  std::map<cactusrail::Verdict, std::uint64_t> standings_;
   std::vector<std::string> broken_;
   std::string transcript_;
   std::uint64_t starts_ = 0;
--- a/Tests/Unit/WorkRandomTest.cxx
+++ b/Tests/Unit/WorkRandomTest.cxx
@@ -149,6 +149,7 @@
   std::uint64_t sessions_ = 0;
   std::uint64_t starts_ = 0;
   std::uint64_t broken_ = 0;
+  std::map<Verdict, std::uint64_t> standings_;
 };
 
 void
@@ -174,6 +175,10 @@
   Heal(world);
   world.Run(75 * kSecond);
   world.CheckSettled();
+  world.CheckStandings();
+  for (const auto& [verdict, count] : world.Standings()) {
+    aTotals.standings_[verdict] += count;
+  }
   std::cerr << world.Transcript();
   ++aTotals.sessions_;
   aTotals.starts_ += world.Starts();
@@ -196,7 +201,11 @@
     }
   }
   std::cerr << "sessions=" << totals.sessions_ << " starts=" << totals.starts_
-            << " broken=" << totals.broken_ << '\n';
+            << " broken=" << totals.broken_ << " tasks:";
+  for (const auto& [verdict, count] : totals.standings_) {
+    std::cerr << " '" << VerdictText(verdict) << "' " << count;
+  }
+  std::cerr << '\n';
   cr_assert(totals.starts_ > 0);
   cr_assert(totals.broken_ == 0);
 }
--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -146,17 +146,22 @@
 $program explain "$id" --entry "${operators[1]}"
 
 step="running a batch job"
-echo "\$ cactusrail create-job ${operators[0]} payouts tasks=6 ..."
-wait_for $program create-job "${operators[0]}" payouts tenant=clerk \
-  program=payout tasks=6 milli-cpus=4000 memory-mb=1000 run-ms=1000 \
-  label.team=vouchers operation=demo-create
-echo "\$ cactusrail jobs ${operators[1]} team=vouchers"
+create=(create job payouts --tenant clerk --program payout --tasks 6
+  --millicpus 4000 --memory-mb 1000 --run-ms 1000 --label team=vouchers
+  --operation demo-create)
+echo "\$ cactusrail ${create[*]}"
+wait_for $program "${create[@]}"
 job_is_finished() {
-  $program jobs "${operators[1]}" team=vouchers | grep -q '"finished"'
+  $program list jobs team=vouchers --output json | grep -q '"finished"'
 }
 wait_for job_is_finished
-$program jobs "${operators[1]}" team=vouchers
-$program explain payouts.0 --entry "${operators[1]}"
+echo "\$ cactusrail list jobs team=vouchers --entry ${operators[1]}"
+$program list jobs team=vouchers --entry "${operators[1]}"
+for entry in "${operators[@]}"; do
+  echo "\$ cactusrail explain payouts.0 --entry $entry"
+  $program explain payouts.0 --entry "$entry" | tee "$work/explained"
+  grep -q "verdict: ran" "$work/explained"
+done
 grep -hE '^(started|ended)' "$work"/worker*.out | sort | uniq -c
 
 if [ $hold = yes ]; then
