--- a/Source/Process/AllCommands.cxx
+++ b/Source/Process/AllCommands.cxx
@@ -61,6 +61,7 @@
   AddWorkCommands(table);
   AddExplainCommands(table);
   AddTopCommand(table);
+  AddWorkCommands(table);
   AddProgramCommands(table);
   return table;
 }
--- a/Source/Process/WorkCommands.cxx
+++ b/Source/Process/WorkCommands.cxx
@@ -3,9 +3,10 @@
 #include "Process/CommandTable.h"
 #include "Process/Confirmation.h"
 #include "Process/EntryClient.h"
-#include "Process/JobSummary.h"
+
 #include "Process/Terminal.h"
 #include "Process/TextTable.h"
+#include "Version/JobSummary.h"
 #include "Version/JsonText.h"
 #include "Version/WorkVerbs.h"
 
--- a/Source/Process/JobSummary.h
+++ b/Source/Version/JobSummary.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Version/WorkRows.h"
+
 #include <cereal/cereal.hpp>
 
 #include <cstdint>
@@ -8,7 +10,7 @@
 
 namespace cactusrail {
 
-/** One line of the list of jobs, from an entry to an operator. */
+/** One line of the list of jobs. */
 struct JobSummary
 {
   std::string id_;
@@ -41,7 +43,7 @@
   }
 };
 
-/** The jobs that a selector chose. */
+/** The answer to GET /v1/jobs. */
 struct JobList
 {
   std::vector<JobSummary> jobs_;
@@ -53,4 +55,8 @@
   }
 };
 
+/** aOver: the row is under "done/". */
+JobSummary
+Summarize(const JobRow& aJob, bool aOver);
+
 }
