--- a/Source/Process/SchedulerCore.cxx
+++ b/Source/Process/SchedulerCore.cxx
@@ -1086,7 +1086,7 @@
 {
   const TaskRef ref = RefOf(aReservation);
   HeldTask& held = aCell.held_.at(ref);
-  if (const RunningTask* running = aWorker.FindRunning(ref)) {
+  if (const ReportedTask* running = aWorker.FindRunning(ref)) {
     if (!held.acknowledged_) {
       actions_.emplace_back(NoteAction{ MakeNote(
         ref, "running", Verdict::Ran, "worker " + aReservation.workerId_) });
--- a/Source/Process/SchedulerWorkers.cxx
+++ b/Source/Process/SchedulerWorkers.cxx
@@ -71,7 +71,7 @@
   callAfter_ = aNow;
 }
 
-const RunningTask*
+const ReportedTask*
 WorkerView::FindRunning(const TaskRef& aTask) const
 {
   if (!report_.has_value()) {
@@ -79,7 +79,7 @@
   }
   const auto& running = report_->running_;
   const auto found = std::find_if(
-    running.begin(), running.end(), [&aTask](const RunningTask& aOther) {
+    running.begin(), running.end(), [&aTask](const ReportedTask& aOther) {
       return aOther.task_ == aTask;
     });
   return found == running.end() ? nullptr : &*found;
--- a/Source/Process/SchedulerWorkers.h
+++ b/Source/Process/SchedulerWorkers.h
@@ -57,7 +57,7 @@
   void CallFailed(Instant aNow);
   void Heard(const WorkerReport& aReport, Instant aNow);
 
-  const RunningTask* FindRunning(const TaskRef& aTask) const;
+  const ReportedTask* FindRunning(const TaskRef& aTask) const;
   const EndedTask* FindEnded(const TaskRef& aTask) const;
 };
 
--- a/Source/Version/WorkerMessages.h
+++ b/Source/Version/WorkerMessages.h
@@ -132,7 +132,7 @@
 using WorkerCommand = std::variant<RenewCommand, StartCommand, StopCommand>;
 
 /** A task that the worker runs. */
-struct RunningTask
+struct ReportedTask
 {
   TaskRef task_;
   std::int64_t until_ = 0;
@@ -178,7 +178,7 @@
   Resources capacity_;
   /** Lags behind what runs. */
   Resources used_;
-  std::vector<RunningTask> running_;
+  std::vector<ReportedTask> running_;
   std::vector<EndedTask> ended_;
 
   template<class Archive>
