--- a/Source/Process/CommandLine.cxx
+++ b/Source/Process/CommandLine.cxx
@@ -198,8 +198,9 @@
   for (const std::string& text : List(aName)) {
     const std::size_t equals = text.find('=');
     if (equals == std::string::npos || equals == 0) {
-      return UsageError("The option --" + aName + " must be NAME=VALUE, not '" +
-                        text + "'.");
+      std::string fault = "The option --" + aName;
+      fault += " must be NAME=VALUE, not '" + text + "'.";
+      return UsageError(std::move(fault));
     }
     labels.emplace_back(text.substr(0, equals), text.substr(equals + 1));
   }
--- a/Source/Process/Metrics.cxx
+++ b/Source/Process/Metrics.cxx
@@ -13,7 +13,7 @@
 /** Two and a half buckets a decade on the pages. */
 constexpr std::size_t kBinsABucket = 20;
 
-constexpr std::array<MetricName, std::size_t(Counter::kCount)> kCounterNames{ {
+constexpr std::array<MetricName, kCounterCount> kCounterNames{ {
   { "retries", "attempts after the first one of a request" },
   { "refusals", "requests that this process answered as not run" },
   { "heads_too_large", "connections ended for a request head over the limit" },
@@ -33,7 +33,7 @@
   { "series_overflows", "values counted under 'other' for lack of room" },
 } };
 
-constexpr std::array<MetricName, std::size_t(Gauge::kCount)> kGaugeNames{ {
+constexpr std::array<MetricName, kGaugeCount> kGaugeNames{ {
   { "configuration_version", "version of the configuration in force" },
   { "journal_requests", "requests whose steps are remembered" },
   { "requests_in_progress", "requests without their final answer" },
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -37,18 +37,22 @@
   Evictions,
   LogLinesCollapsed,
   SeriesOverflows,
-  kCount,
 };
 
+constexpr std::size_t kCounterCount =
+  static_cast<std::size_t>(Counter::SeriesOverflows) + 1;
+
 /** A value that goes up and down; the order is that of kGaugeNames. */
 enum class Gauge : std::uint8_t
 {
   ConfigurationVersion,
   JournalRequests,
   RequestsInProgress,
-  kCount,
 };
 
+constexpr std::size_t kGaugeCount =
+  static_cast<std::size_t>(Gauge::RequestsInProgress) + 1;
+
 /** The name of a counter or gauge, "table_calls", and what it means. */
 struct MetricName
 {
@@ -177,9 +181,8 @@
   std::string process_;
   std::vector<std::unique_ptr<Shard>> shards_;
   std::unique_ptr<Shard> overflow_;
-  std::array<std::atomic<std::uint64_t>, std::size_t(Counter::kCount)>
-    counters_{};
-  std::array<std::atomic<std::uint64_t>, std::size_t(Gauge::kCount)> gauges_{};
+  std::array<std::atomic<std::uint64_t>, kCounterCount> counters_{};
+  std::array<std::atomic<std::uint64_t>, kGaugeCount> gauges_{};
 };
 
 }
--- a/Source/Process/MetricsRoutes.cxx
+++ b/Source/Process/MetricsRoutes.cxx
@@ -17,7 +17,7 @@
 }
 
 void
-AddMetricsRoutes(OperatorRoutes& aRoutes, std::function<void()> aRefresh)
+AddMetricsRoutes(OperatorRoutes& aRoutes, const std::function<void()>& aRefresh)
 {
   aRoutes.Add("GET", "/metrics", [aRefresh](const HttpExchange& aExchange) {
     aRefresh();
--- a/Source/Process/MetricsRoutes.h
+++ b/Source/Process/MetricsRoutes.h
@@ -12,7 +12,8 @@
  * reading.
  */
 void
-AddMetricsRoutes(OperatorRoutes& aRoutes, std::function<void()> aRefresh);
+AddMetricsRoutes(OperatorRoutes& aRoutes,
+                 const std::function<void()>& aRefresh);
 
 /** The answer to GET /metrics of a process that has no operators' routes. */
 HttpAnswer
--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -67,7 +67,7 @@
 std::string
 Bench::WriteSettings(const std::string& aName, const std::string& aText)
 {
-  const std::string path = folder_.filePath("").toStdString() + aName + ".ini";
+  std::string path = folder_.filePath("").toStdString() + aName + ".ini";
   std::ofstream(path) << aText;
   return path;
 }
@@ -321,8 +321,9 @@
   SignCall(call);
   // Shared: the call may outlive a test that gave up waiting.
   auto result = std::make_shared<std::optional<Result<HttpReply>>>();
-  caller_.Start(std::move(call),
-                [result](Result<HttpReply> aReply) { *result = aReply; });
+  caller_.Start(std::move(call), [result](const Result<HttpReply>& aReply) {
+    *result = aReply;
+  });
   WaitUntil([result] { return result->has_value(); }, aMethod + " " + aUrl);
   return **result;
 }
--- a/Tests/Process/SecurityTest.cxx
+++ b/Tests/Process/SecurityTest.cxx
@@ -65,8 +65,12 @@
     plan.query_ = "work=300";
     calls.push_back(bench.Send("entry1", plan));
   };
-  for (const std::string& keys :
-       { kOld + "," + kNew, kNew + "," + kOld, kNew }) {
+  const std::string join = ",";
+  std::string learnt = kOld + join;
+  learnt += kNew;
+  std::string signing = kNew + join;
+  signing += kOld;
+  for (const std::string& keys : { learnt, signing, kNew }) {
     callOn();
     bench.ReplaceKeys("entry1", keys);
     callOn();
--- a/Tests/Unit/OperatorSignatureTest.cxx
+++ b/Tests/Unit/OperatorSignatureTest.cxx
@@ -22,8 +22,8 @@
 const KeyRing&
 OwnRing()
 {
-  static const KeyRing ring = Ring("ops:" + std::string(64, '1'));
-  return ring;
+  static const KeyRing kRing = Ring("ops:" + std::string(64, '1'));
+  return kRing;
 }
 
 std::string
