--- a/Source/Process/Lane.cxx
+++ b/Source/Process/Lane.cxx
@@ -154,6 +154,8 @@
 {
   EntryCore::Limits limits;
   limits.dataCentre_ = settings_.dataCentre_;
+  limits.seed_ =
+    std::hash<std::string>{}(MakeRequestId(origin_, laneNumber_, 0));
   core_ = std::make_unique<EntryCore>(limits);
   table_ = std::make_unique<TableClient>("http://" + settings_.table_.Text());
   HttpLimits httpLimits;
