Decisions: Test each module; let a probe back when nothing else answered

RoutingTest failed on its first run: 'The expression (Choices(router, At(1130))[bad]) > (0) is false.' A runner set aside before any runner of the service had answered was compared with a fleet latency of zero, so that no probe could ever bring it back. The comparison now needs a fleet latency.

--- a/Source/Request/OutlierTracker.cxx
+++ b/Source/Request/OutlierTracker.cxx
@@ -74,7 +74,7 @@
       return;
     }
     entry.probing_ = false;
-    if (micros > rules_.latencyRatio_ * fleetMicros_) {
+    if (fleetMicros_ > 0 && micros > rules_.latencyRatio_ * fleetMicros_) {
       SetAside(entry, aNow);
       return;
     }
--- /dev/null
+++ b/Tests/Unit/WorkerHealthTest.cxx
@@ -0,0 +1,130 @@
+#include "Version/WorkerHealth.h"
+#include "Version/ReturnPacing.h"
+#include "Version/UsageEstimate.h"
+
+#include <criterion/criterion.h>
+
+using namespace cactusrail;
+
+namespace {
+
+Instant
+At(std::int64_t aMillis)
+{
+  return Instant(Millis(aMillis));
+}
+
+}
+
+// A worker fails all that it starts; being always idle, it gets every next task
+// and empties the queue into failures.
+Test(WorkerHealth, WorkerThatFailsEverythingIsSetAsideAndProbed)
+{
+  WorkerHealth health(WorkerHealth::Rules{});
+  for (const char* job : { "a", "b", "c" }) {
+    cr_assert_not(health.IsSetAside("bad", At(0)));
+    health.OnFailure("bad", job, At(0));
+  }
+  cr_assert(health.IsSetAside("bad", At(100)));
+  cr_assert_not(health.IsParked("a"));
+  cr_assert_not(health.IsSetAside("bad", At(5100)), "a probe is due");
+  health.OnStart("bad", At(5100));
+  cr_assert(health.IsSetAside("bad", At(5200)), "one probe only");
+  health.OnFailure("bad", "a", At(5300));
+  cr_assert(health.IsSetAside("bad", At(14000)), "the pause has doubled");
+  health.OnSuccess("bad", "a");
+  cr_assert_not(health.IsSetAside("bad", At(14001)));
+}
+
+// One impossible job goes round and takes a good worker out at each stop.
+Test(WorkerHealth, ImpossibleJobIsParkedAndItsWorkersAreNotBlamed)
+{
+  WorkerHealth health(WorkerHealth::Rules{});
+  for (const char* worker : { "one", "two", "three" }) {
+    health.OnFailure(worker, "impossible", At(0));
+  }
+  cr_assert(health.IsParked("impossible"));
+  cr_assert_neq(health.WhyParked("impossible").find("one"), std::string::npos);
+  health.OnFailure("one", "a", At(1));
+  health.OnFailure("one", "b", At(1));
+  cr_assert_not(health.IsSetAside("one", At(2)), "two failures are its own");
+  health.Unpark("impossible");
+  cr_assert_not(health.IsParked("impossible"));
+}
+
+// A bad worker and a job met by chance: the job is parked for failures that
+// were the worker's.
+Test(WorkerHealth, BadWorkersFailuresAreTakenOffTheJob)
+{
+  WorkerHealth health(WorkerHealth::Rules{});
+  health.OnFailure("bad", "unlucky", At(0));
+  health.OnFailure("bad", "b", At(0));
+  health.OnFailure("bad", "c", At(0));
+  health.OnFailure("other", "unlucky", At(1));
+  health.OnFailure("third", "unlucky", At(1));
+  cr_assert_not(health.IsParked("unlucky"));
+}
+
+Test(WorkerHealth, JobThatSucceededIsNeverParked)
+{
+  WorkerHealth health(WorkerHealth::Rules{});
+  health.OnSuccess("one", "job");
+  for (const char* worker : { "one", "two", "three", "four" }) {
+    health.OnFailure(worker, "job", At(0));
+  }
+  cr_assert_not(health.IsParked("job"));
+}
+
+Test(UsageEstimate, StartsCautiousAndLearns)
+{
+  UsageEstimate usage;
+  const Resources declared{ 1000, 1000, 1 };
+  const ExpectedUsage first = usage.Expect("p", declared, 1000);
+  cr_assert_gt(first.resources_.milliCpus_, 1000);
+  cr_assert_float_eq(first.confidence_, 0, 1e-9);
+  for (int report = 0; report < 40; ++report) {
+    usage.OnUsage("p", declared, Resources{ 400, 700, 1 });
+    usage.OnFinished("p", 1000, 5000);
+  }
+  const ExpectedUsage later = usage.Expect("p", declared, 1000);
+  cr_assert_lt(later.resources_.milliCpus_, 500);
+  cr_assert_lt(later.resources_.memoryMb_, 800);
+  cr_assert_gt(later.runMs_, 4000);
+  cr_assert_eq(later.resources_.accelerators_, 1);
+  cr_assert_gt(later.confidence_, 0.9);
+}
+
+// The table service comes back, a thousand processes write at once what they
+// held back, and it goes down again.
+Test(ReturnPacing, ProcessesReturnSpreadAndSlowly)
+{
+  int first = 0;
+  int inFirstSecond = 0;
+  for (std::uint64_t process = 0; process < 1000; ++process) {
+    ReturnPacing pacing(ReturnPacing::Rules{});
+    pacing.OnOutage(At(0), process * 2003);
+    for (std::int64_t time = 0; time < 1000; ++time) {
+      if (pacing.TryTake(At(time))) {
+        first += time < 10 ? 1 : 0;
+        ++inFirstSecond;
+        pacing.OnSuccess(At(time));
+      }
+    }
+  }
+  cr_assert_leq(first, 20);
+  cr_assert_leq(inFirstSecond, 2000);
+}
+
+Test(ReturnPacing, SpeedsUpWhileItSucceedsAndEnds)
+{
+  ReturnPacing pacing(ReturnPacing::Rules{});
+  cr_assert(pacing.TryTake(At(0)));
+  pacing.OnFailure(At(0), 0);
+  cr_assert(pacing.IsPaced());
+  for (std::int64_t time = 0; time < 10000 && pacing.IsPaced(); time += 10) {
+    if (pacing.TryTake(At(time))) {
+      pacing.OnSuccess(At(time));
+    }
+  }
+  cr_assert_not(pacing.IsPaced());
+}
