--- a/Tests/Process/BadInputTest.cxx
+++ b/Tests/Process/BadInputTest.cxx
@@ -168,8 +168,10 @@
   Bench bench;
   bench.StartUsual(1, 1);
   RawCaller caller(bench["entry1"].Value("http"));
-  caller.Send(GoodRequest("first", "work=300") + GoodRequest("second", "") +
-              GoodRequest("third", ""));
+  caller.Send(GoodRequest("first", "work=500"));
+  WaitUntil([&bench] { return bench.RunsOf("first") == 1; },
+            "the first request to begin");
+  caller.Send(GoodRequest("second", "") + GoodRequest("third", ""));
   caller.WaitFor("served third ");
   const std::size_t first = caller.Received().find("served first ");
   const std::size_t second = caller.Received().find("served second ");
--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -124,6 +124,26 @@
     aName, CACTUSRAIL_PROGRAM, { "side", QString::fromStdString(path) });
 }
 
+Child&
+Bench::RestartSide(const std::string& aName)
+{
+  const std::string path = SettingsPath(aName);
+  std::ifstream before(path);
+  std::string text;
+  std::string line;
+  while (std::getline(before, line)) {
+    if (line.starts_with("listen = ")) {
+      line = "listen = " + (*this)[aName].Value("link");
+    } else if (line.starts_with("announce = ")) {
+      line = "announce = " + (*this)[aName].Value("announce");
+    }
+    text += line + "\n";
+  }
+  WriteSettings(aName, text);
+  return Add(
+    aName, CACTUSRAIL_PROGRAM, { "side", QString::fromStdString(path) });
+}
+
 Child&
 Bench::StartUpstream(const std::string& aSide,
                      const std::string& aService,
--- a/Tests/Process/Bench.h
+++ b/Tests/Process/Bench.h
@@ -45,6 +45,8 @@
   Child& StartSide(const std::string& aName,
                    const std::string& aExtra = {},
                    const std::string& aEntries = {});
+  /** The same side on the same addresses, as after a restart of its host. */
+  Child& RestartSide(const std::string& aName);
   /** A side of that name must run. */
   Child& StartUpstream(const std::string& aSide,
                        const std::string& aService = "once",
--- a/Tests/Process/FailureTest.cxx
+++ b/Tests/Process/FailureTest.cxx
@@ -92,6 +92,71 @@
   cr_assert(tally.doubled_ == 0);
 }
 
+// A side's process dies and is started anew on the same addresses while callers
+// go on. An answer for an attempt of its first life must never reach a caller
+// of its second, and nothing that its first life had sent on may run again.
+Test(Failure, SideRestartedOnTheSamePort)
+{
+  Bench bench;
+  bench.StartUsual(2, 2);
+  Traffic first(bench, CallPlan{ .query_ = "work=50" });
+  Traffic second(bench, CallPlan{ .method_ = "GET", .query_ = "work=50" });
+  const auto pumpUntil = [&](std::size_t aRuns) {
+    WaitUntil(
+      [&] {
+        first.Pump("entry1", 6);
+        second.Pump("entry2", 6);
+        return bench.Runs().size() >= aRuns;
+      },
+      "traffic");
+  };
+  pumpUntil(30);
+  for (std::size_t round = 1; round <= 3; ++round) {
+    bench["side1"].Kill();
+    bench.RestartSide("side1");
+    const std::size_t before = bench["upstream-side1"].Lines("ran ").size();
+    WaitUntil(
+      [&] {
+        first.Pump("entry1", 6);
+        second.Pump("entry2", 6);
+        return bench["upstream-side1"].Lines("ran ").size() > before + 10;
+      },
+      "the restarted side to get work");
+  }
+  bench.WaitForCalls();
+  const Tally tally = bench.Settle("side-restarted", "entry1");
+  cr_assert(tally.unanswered_ == 0);
+}
+
+// A rack goes: an entry and a side die together, with payouts under way, and
+// their callers try again through the entry that is left.
+Test(Failure, EntryAndSideKilledTogether)
+{
+  Bench bench;
+  bench.StartUsual(2, 2);
+  std::vector<CallPlan> plans;
+  std::vector<std::size_t> calls;
+  for (int number = 1; number <= 12; ++number) {
+    CallPlan plan;
+    plan.query_ = "work=150";
+    plan.idempotencyKey_ = "rack-" + std::to_string(number);
+    plan.mark_ = "r" + std::to_string(number);
+    plans.push_back(plan);
+    calls.push_back(bench.Send("entry1", plan));
+  }
+  WaitUntil([&] { return bench.Runs().size() >= 10; }, "runs to begin");
+  bench["side1"].Kill();
+  bench["entry1"].Kill();
+  bench.WaitForCalls();
+  for (std::size_t i = 0; i < plans.size(); ++i) {
+    if (bench.Call(calls[i]).status_ == 0) {
+      bench.Send("entry2", plans[i]);
+    }
+  }
+  bench.WaitForCalls();
+  bench.Settle("entry-and-side-killed", "entry2");
+}
+
 // The upstream's process dies in the middle of requests and comes back on
 // another port. What it was working on may have run; what comes before it is
 // announced again did not run, or runs elsewhere.
