Process: End the children of a test that fails

A failed assertion ends a test without destructors, and its processes stayed. They now get SIGKILL from the kernel when the test's process ends.

--- a/Tests/Process/BadInputTest.cxx
+++ b/Tests/Process/BadInputTest.cxx
@@ -219,9 +219,13 @@
     peer.Send(bytes);
     peer.WaitForClose();
     ++broken;
-    cr_assert(bench.SendAndWait("entry1").status_ == 200,
-              "Work was harmed by a frame with: %s",
-              name.c_str());
+    const CallRecord call = bench.SendAndWait("entry1");
+    cr_assert(call.status_ == 200,
+              "Work was harmed by a frame with: %s: %d %s %s",
+              name.c_str(),
+              call.status_,
+              call.body_.c_str(),
+              bench["side1"].Log().c_str());
   }
   RawCaller halfFrame(link);
   halfFrame.Send(EncodeFrame(CancelMessage{ "attempt" }).substr(0, 11));
--- a/Tests/Process/Child.cxx
+++ b/Tests/Process/Child.cxx
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <fstream>
 #include <sstream>
+#include <sys/prctl.h>
 
 namespace {
 
@@ -45,6 +46,8 @@
     &process_, &QProcess::readyReadStandardError, &process_, [this] {
       log_ += process_.readAllStandardError().toStdString();
     });
+  // A test that fails ends without destructors; its children end with it.
+  process_.setChildProcessModifier([] { ::prctl(PR_SET_PDEATHSIG, SIGKILL); });
   process_.start(QString::fromStdString(aProgram), aArguments);
   WaitUntil([this] { return !Lines("ready ").empty() || !Running(); },
             name_ + " to be ready");
