Stop: Tests that see the two guards they are for

Without the balancer's notice, and without the look for half-sent requests, both tests still passed: the balancer noticed within the check's 50 ms, and the rest of the request came within the handshake grace.

--- a/Tests/Process/StopTest.cxx
+++ b/Tests/Process/StopTest.cxx
@@ -34,17 +34,20 @@
     },
     "traffic");
   bench["entry1"].Signal(SIGTERM);
-  // The balancer asks each entry whether it is ready, and goes on until then.
-  bool noticed = false;
+  // The balancer asks each entry whether it is ready, and goes on until then,
+  // and for a while after that: it takes two answers before it believes it.
+  std::size_t noticed = 0;
+  std::size_t lastRuns = 0;
   WaitUntil(
     [&] {
-      if (!noticed) {
-        traffic.Pump("entry1", 8);
+      traffic.Pump("entry1", 8);
+      if (noticed == 0) {
         const auto ready = bench.AskOperators("entry1", "/readyz");
         const auto* reply = std::get_if<HttpReply>(&ready);
-        noticed = reply != nullptr && reply->status_ == 503;
+        noticed = reply != nullptr && reply->status_ == 503 ? 1 : 0;
+        lastRuns = bench.Runs().size() + 60;
       }
-      return noticed;
+      return noticed == 1 && bench.Runs().size() >= lastRuns;
     },
     "the balancer to notice");
   for (int i = 0; i < 40; ++i) {
--- a/Tests/Unit/HttpGuardTest.cxx
+++ b/Tests/Unit/HttpGuardTest.cxx
@@ -112,6 +112,7 @@
   fixture.client_.waitForBytesWritten(1000);
   fixture.Until([&] { return fixture.front_->Unanswered() == 1; });
   fixture.front_->StopListening();
+  fixture.Until([&] { return !fixture.front_->Listening(); });
   fixture.client_.write("def");
   fixture.Until([&] { return fixture.exchanges_.size() == 1; });
   cr_assert(fixture.exchanges_[0].Body() == "abcdef");
