--- a/Tests/Unit/HttpGuardTest.cxx
+++ b/Tests/Unit/HttpGuardTest.cxx
@@ -15,12 +15,12 @@
 class Fixture
 {
 public:
-  Fixture()
+  explicit Fixture(Millis aReceiveTimeout = Millis(200))
   {
     HttpLimits limits;
     limits.maxHeadBytes_ = 500;
     limits.maxBodyBytes_ = 1000;
-    limits.receiveTimeout_ = Millis(200);
+    limits.receiveTimeout_ = aReceiveTimeout;
     auto front = HttpFront::Listen(
       "127.0.0.1", 0, limits, [this](const HttpExchange& aExchange) {
         exchanges_.push_back(aExchange);
@@ -105,7 +105,7 @@
 // connection closed.
 Test(HttpGuard, StopLetsAHalfSentRequestFinish)
 {
-  Fixture fixture;
+  Fixture fixture(std::chrono::seconds(20));
   fixture.Connect();
   fixture.client_.write("PUT / HTTP/1.1\r\nContent-Length: 6\r\n\r\nabc");
   fixture.Until([&] { return fixture.front_->Connections() == 1; });
