--- a/Tests/Process/BadInputTest.cxx
+++ b/Tests/Process/BadInputTest.cxx
@@ -168,8 +168,10 @@
   Bench bench;
   bench.StartUsual(1, 1);
   RawCaller caller(bench["entry1"].Value("http"));
-  caller.Send(GoodRequest("first", "work=300") + GoodRequest("second", "") +
-              GoodRequest("third", ""));
+  caller.Send(GoodRequest("first", "work=500"));
+  WaitUntil([&bench] { return bench.RunsOf("first") == 1; },
+            "the first request to begin");
+  caller.Send(GoodRequest("second", "") + GoodRequest("third", ""));
   caller.WaitFor("served third ");
   const std::size_t first = caller.Received().find("served first ");
   const std::size_t second = caller.Received().find("served second ");
@@ -217,9 +219,13 @@
     peer.Send(bytes);
     peer.WaitForClose();
     ++broken;
-    cr_assert(bench.SendAndWait("entry1").status_ == 200,
-              "Work was harmed by a frame with: %s",
-              name.c_str());
+    const CallRecord call = bench.SendAndWait("entry1");
+    cr_assert(call.status_ == 200,
+              "Work was harmed by a frame with: %s: %d %s %s",
+              name.c_str(),
+              call.status_,
+              call.body_.c_str(),
+              bench["side1"].Log().c_str());
   }
   RawCaller halfFrame(link);
   halfFrame.Send(EncodeFrame(CancelMessage{ "attempt" }).substr(0, 11));
--- a/Tests/Unit/HttpGuardTest.cxx
+++ b/Tests/Unit/HttpGuardTest.cxx
@@ -15,12 +15,12 @@
 class Fixture
 {
 public:
-  Fixture()
+  explicit Fixture(Millis aReceiveTimeout = Millis(200))
   {
     HttpLimits limits;
     limits.maxHeadBytes_ = 500;
     limits.maxBodyBytes_ = 1000;
-    limits.receiveTimeout_ = Millis(200);
+    limits.receiveTimeout_ = aReceiveTimeout;
     auto front = HttpFront::Listen(
       "127.0.0.1", 0, limits, [this](const HttpExchange& aExchange) {
         exchanges_.push_back(aExchange);
@@ -105,13 +105,14 @@
 // connection closed.
 Test(HttpGuard, StopLetsAHalfSentRequestFinish)
 {
-  Fixture fixture;
+  Fixture fixture(std::chrono::seconds(20));
   fixture.Connect();
   fixture.client_.write("PUT / HTTP/1.1\r\nContent-Length: 6\r\n\r\nabc");
   fixture.Until([&] { return fixture.front_->Connections() == 1; });
   fixture.client_.waitForBytesWritten(1000);
   fixture.Until([&] { return fixture.front_->Unanswered() == 1; });
   fixture.front_->StopListening();
+  fixture.Until([&] { return !fixture.front_->Listening(); });
   fixture.client_.write("def");
   fixture.Until([&] { return fixture.exchanges_.size() == 1; });
   cr_assert(fixture.exchanges_[0].Body() == "abcdef");
