--- a/Source/Process/SchedulerCore.cxx
+++ b/Source/Process/SchedulerCore.cxx
@@ -209,7 +209,7 @@
                          PendingWrite& aWrite,
                          Instant aNow);
   bool PlaceOne(const std::string& aName,
-                const CellView& aCell,
+                std::vector<WorkerFacts>& aFacts,
                 CellLedger& aLedger,
                 JobLedger& aJob,
                 PendingWrite& aWrite,
@@ -768,7 +768,7 @@
 
 bool
 SchedulerCore::Private::PlaceOne(const std::string& aName,
-                                 const CellView& aCell,
+                                 std::vector<WorkerFacts>& aFacts,
                                  CellLedger& aLedger,
                                  JobLedger& aJob,
                                  PendingWrite& aWrite,
@@ -784,12 +784,12 @@
                         spec.program_,
                         spec.kind_,
                         spec.declared_ };
-  const std::vector<WorkerFacts> facts = FactsFor(aName, aCell, aLedger, aNow);
-  const std::optional<std::size_t> chosen = chooser_->Choose(task, facts, aNow);
+  const std::optional<std::size_t> chosen =
+    chooser_->Choose(task, aFacts, aNow);
   if (!chosen.has_value()) {
     return false;
   }
-  const WorkerFacts& worker = facts[*chosen];
+  WorkerFacts& worker = aFacts[*chosen];
   Reservation reservation;
   reservation.jobId_ = spec.id_;
   reservation.index_ = pending->index_;
@@ -804,6 +804,9 @@
   if (!aLedger.Reserve(reservation, worker.capacity_)) {
     return false;
   }
+  worker.reserved_ += spec.declared_;
+  worker.programs_.push_back(spec.program_);
+  worker.urgentTasks_ += spec.kind_ == WorkKind::Service ? 1 : 0;
   aJob.Hold(pending->index_, aName);
   const TaskRef ref = RefOf(reservation);
   aWrite.placed_.push_back(ref);
@@ -823,11 +826,16 @@
   if (!aCell.lease_.MayAct(aNow)) {
     return;
   }
-  for (const std::string& id : JobsInOrder(aName)) {
+  const std::vector<std::string> jobs = JobsInOrder(aName);
+  if (jobs.empty()) {
+    return;
+  }
+  std::vector<WorkerFacts> facts = FactsFor(aName, aCell, aLedger, aNow);
+  for (const std::string& id : jobs) {
     JobLedger job(*JobFor(aWrite, id));
     bool placed = false;
     while (aWrite.placed_.size() < kMaxPlacementsPerWrite &&
-           PlaceOne(aName, aCell, aLedger, job, aWrite, aNow)) {
+           PlaceOne(aName, facts, aLedger, job, aWrite, aNow)) {
       placed = true;
     }
     if (placed) {
--- a/Tests/Unit/WorkCostTest.cxx
+++ b/Tests/Unit/WorkCostTest.cxx
@@ -58,7 +58,9 @@
   const std::uint64_t idleWrites = idle.Writes() - idleBefore;
   const std::uint64_t busyWrites = busy.Writes() - busyBefore;
   std::cerr << "in 60 s: writes with no task " << idleWrites << ", with "
-            << busy.Starts() << " tasks running " << busyWrites << '\n';
+            << busy.Starts() << " tasks running " << busyWrites
+            << "; the cell's row has "
+            << busy.Rows().at("cell/dc1/r1").value_.size() << " bytes\n";
   cr_assert(busy.Starts() == kTasks);
   cr_assert(busyWrites == idleWrites);
 }
