--- a/Source/Process/AllCommands.cxx
+++ b/Source/Process/AllCommands.cxx
@@ -61,7 +61,6 @@
   AddWorkCommands(table);
   AddExplainCommands(table);
   AddTopCommand(table);
-  AddWorkCommands(table);
   AddProgramCommands(table);
   return table;
 }
