--- a/Source/Process/MembershipView.cxx
+++ b/Source/Process/MembershipView.cxx
@@ -49,6 +49,13 @@
   return found->second;
 }
 
+bool
+MembershipView::IsSilent(std::string_view aSideId, Instant aNow) const
+{
+  const auto found = sides_.find(aSideId);
+  return found == sides_.end() || found->second.usableUntil_ <= aNow;
+}
+
 std::vector<SideView>
 MembershipView::All() const
 {
--- a/Source/Process/MembershipView.h
+++ b/Source/Process/MembershipView.h
@@ -47,6 +47,9 @@
   /** A side by id, usable or not. */
   std::optional<SideView> Find(std::string_view aSideId) const;
 
+  /** Not heard for so long that it gets nothing new; true if unknown. */
+  bool IsSilent(std::string_view aSideId, Instant aNow) const;
+
   /** All sides, by id. */
   std::vector<SideView> All() const;
 
--- a/Source/Request/EntryCore.cxx
+++ b/Source/Request/EntryCore.cxx
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Millis kForgetPause{ 1000 };
+constexpr Millis kSilenceCheckPause{ 100 };
 
 /** What the end of an attempt says of its side. */
 enum class AttemptEnd : std::uint8_t
@@ -154,6 +155,7 @@
   std::unordered_map<std::string, std::string> serviceOf_;
   std::uint64_t draws_ = 0;
   Instant nextForgetting_;
+  Instant nextSilenceCheck_;
   std::uint64_t nextWriteId_ = 0;
   OutcomeWriter outcomes_;
   std::unordered_map<std::string, Request> requests_;
@@ -572,12 +574,15 @@
 void
 EntryCore::Private::LeaveSilentSides(Actions& aActions, Instant aNow)
 {
+  if (aNow < nextSilenceCheck_) {
+    return;
+  }
+  nextSilenceCheck_ = aNow + kSilenceCheckPause;
   // A frozen side's connection stands for minutes. Its attempts would wait for
   // their deadlines although another side has room.
   std::set<std::string> waiting;
   for (const auto& [sideId, ids] : sent_) {
-    const std::optional<SideView> side = membership_.Find(sideId);
-    if (!side.has_value() || side->usableUntil_ <= aNow) {
+    if (membership_.IsSilent(sideId, aNow)) {
       waiting.insert(ids.begin(), ids.end());
     }
   }
