--- a/Tests/Golden/VirtualCluster.cxx
+++ b/Tests/Golden/VirtualCluster.cxx
@@ -88,6 +88,8 @@
   bool announces_ = false;
   bool closes_ = false;
   std::uint64_t incarnation_ = 0;
+  /** The incarnation that this one replaced. */
+  std::uint64_t before_ = 0;
   std::uint16_t slots_ = 2;
   /** When it began to leave; reset by its next start. */
   bool leaving_ = false;
@@ -355,6 +357,7 @@
  * mute|unmute|echo SIDE                              of its heartbeats
  * goodbye|goodbye-lost|silence|dies|closes SIDE      of its upstream
  * announce SIDE                  a repeat that was on its way arrives only now
+ * goodbye-old SIDE               the goodbye of the upstream before this one
  * freeze|thaw|kill NODE, stop NODE BOUND             entry or side
  * table up|down|stall|lost|late|slow
  * heal                                               ends all faults
@@ -422,6 +425,9 @@
     tableMode_ = first;
   } else if (verb == "announce") {
     CarryAnnouncement(first);
+  } else if (verb == "goodbye-old") {
+    SideNode& side = sides_.at(first);
+    RunSide(side, side.core_->OnGoodbye(side.upstream_.before_, now_));
   } else if (verb == "expect") {
     expected_[first] = second;
   } else if (verb == "heal") {
@@ -476,6 +482,7 @@
   upstream.alive_ = true;
   upstream.announces_ = true;
   upstream.closes_ = false;
+  upstream.before_ = upstream.incarnation_;
   upstream.incarnation_ = nextIncarnation_++;
   Announce(aSide, upstream.incarnation_);
 }
