--- /dev/null
+++ b/Tests/Unit/SelectorTest.cxx
@@ -0,0 +1,37 @@
+#include "Version/Selector.h"
+
+#include <criterion/criterion.h>
+
+using namespace cactusrail;
+
+namespace {
+
+bool
+Chooses(const char* aText, const Labels& aLabels)
+{
+  const Result<Selector> selector = Selector::Parse(aText);
+  cr_assert(Succeeded(selector), "%s", aText);
+  return std::get<Selector>(selector).Matches(aLabels);
+}
+
+}
+
+Test(Selector, AsksThatAllPartsHold)
+{
+  const Labels labels{ { "team", "clerks" }, { "urgency", "low" } };
+  cr_assert(Chooses("*", {}));
+  cr_assert(Chooses("team=clerks", labels));
+  cr_assert(Chooses("team=clerks,urgency!=high,urgency", labels));
+  cr_assert(Chooses("owner!=ann", labels));
+  cr_assert(!Chooses("team=clerks,urgency=high", labels));
+  cr_assert(!Chooses("owner", labels));
+}
+
+// An operator's script passes an empty variable as the selector of "cancel".
+// Taken for "all", it would cancel every team's work.
+Test(Selector, RefusesPartsWithoutAName)
+{
+  for (const char* text : { "", ",", "=x", "!=x", "a=b,", "a=b,,c=d" }) {
+    cr_assert(!Succeeded(Selector::Parse(text)), "%s", text);
+  }
+}
