--- a/Tests/Unit/WorkRandomTest.cxx
+++ b/Tests/Unit/WorkRandomTest.cxx
@@ -17,7 +17,12 @@
 namespace {
 
 constexpr WorkWorld::Micros64 kSecond = 1000000;
+#ifdef NDEBUG
 constexpr std::uint32_t kSessionsPerTest = 500;
+#else
+// With sanitizers a session takes many times as long.
+constexpr std::uint32_t kSessionsPerTest = 50;
+#endif
 
 WorkWorld::Options
 RandomOptions(std::uint32_t aSeed)
@@ -34,6 +39,7 @@
   options.timings_.ownerGrace_ = std::chrono::seconds(6);
   options.timings_.margin_ = Millis(300);
   options.timings_.entrySilence_ = std::chrono::seconds(4);
+  options.timings_.entryFresh_ = std::chrono::seconds(2);
   options.timings_.handOverAfter_ = std::chrono::seconds(4);
   return options;
 }
@@ -129,6 +135,7 @@
 void
 Heal(WorkWorld& aWorld)
 {
+  aWorld.Calm();
   aWorld.SetTable("up");
   aWorld.loseTableAnswers_ = 0;
   for (const std::string number : { "1", "2", "3" }) {
