Routing: Send through the router and the retry budget from EntryCore

EntryCore chose the side with the most room in its last heartbeat, scanning and copying every side for each request.

--- a/Source/Process/Lane.cxx
+++ b/Source/Process/Lane.cxx
@@ -8,6 +8,7 @@
 #include "Version/JsonText.h"
 
 #include <QCryptographicHash>
+#include <QRandomGenerator>
 #include <QThread>
 #include <QTimer>
 
@@ -147,6 +148,7 @@
 {
   EntryCore::Limits limits;
   limits.dataCentre_ = settings_.dataCentre_;
+  limits.seed_ = QRandomGenerator::global()->generate64();
   core_ = std::make_unique<EntryCore>(limits);
   table_ = std::make_unique<TableClient>("http://" + settings_.table_.Text());
   HttpLimits httpLimits;
--- a/Source/Request/EntryCore.cxx
+++ b/Source/Request/EntryCore.cxx
@@ -1,5 +1,7 @@
 #include "Request/EntryCore.h"
 
+#include "Request/RoutingSides.h"
+
 #include <algorithm>
 #include <deque>
 #include <optional>
@@ -11,6 +13,9 @@
 
 namespace {
 
+/** The HTTP status of a request whose deadline passed. */
+constexpr int kDeadlineStatus = 504;
+
 enum class RequestState : std::uint8_t
 {
   WaitsForClaim,
@@ -30,8 +35,9 @@
   std::size_t attempts_ = 0;
   std::string attemptId_;
   std::string sideId_;
+  Instant sentAt_;
   /** Sides with their upstream's incarnation that refused or failed. */
-  std::set<std::pair<std::string, std::uint64_t>> tried_;
+  std::set<SideIncarnation> tried_;
   /** What the attempts that ended say together. */
   Verdict verdict_ = Verdict::DidNotRun;
 };
@@ -73,6 +79,7 @@
   explicit Private(const Limits& aLimits)
     : limits_(aLimits)
     , outcomes_(OutcomeWriter::Limits{}, nextWriteId_)
+    , routing_(aLimits.dataCentre_, aLimits.seed_)
   {
   }
 
@@ -83,7 +90,7 @@
                      bool aConclusive,
                      std::string aDetail,
                      std::string aAttemptId = {});
-  std::optional<SideView> Choose(const Request& aRequest, Instant aNow) const;
+  std::optional<SideView> Choose(const Request& aRequest, Instant aNow);
   void Claim(Actions& aActions, Request& aRequest, Instant aNow);
   void ReadRow(Actions& aActions,
                Request& aRequest,
@@ -122,13 +129,14 @@
               int aStatus,
               std::string aReason,
               Instant aNow);
-  void EndAttempt(Request& aRequest);
-  void Forget(const std::string& aRequestId);
+  void EndAttempt(Request& aRequest, AttemptEnd aEnd, Instant aNow);
+  void Forget(const std::string& aRequestId, Instant aNow);
 
   Limits limits_;
   MembershipView membership_;
   std::uint64_t nextWriteId_ = 0;
   OutcomeWriter outcomes_;
+  RoutingSides routing_;
   std::unordered_map<std::string, Request> requests_;
   /** Requests by deadline, so that a tick costs only what expired. */
   std::set<std::pair<Instant, std::string>> deadlines_;
@@ -158,32 +166,21 @@
 }
 
 std::optional<SideView>
-EntryCore::Private::Choose(const Request& aRequest, Instant aNow) const
-{
-  std::optional<SideView> best;
-  std::int64_t bestRoom = 0;
-  const std::string& service = aRequest.facts_.service_;
-  for (const SideView& side : membership_.Usable(service, aNow)) {
-    const HeartbeatMessage& facts = side.heartbeat_;
-    if (aRequest.tried_.contains(
-          { facts.sideId_, facts.upstreamIncarnation_ })) {
-      continue;
-    }
-    const auto own = sent_.find(facts.sideId_);
-    const std::int64_t mine =
-      own == sent_.end() ? 0 : static_cast<std::int64_t>(own->second.size());
-    const std::int64_t load =
-      std::max<std::int64_t>(facts.busy_ + facts.queued_, mine);
-    std::int64_t room = facts.slots_ - load;
-    if (facts.dataCentre_ == limits_.dataCentre_ && room > 0) {
-      room += facts.slots_;
+EntryCore::Private::Choose(const Request& aRequest, Instant aNow)
+{
+  while (true) {
+    const std::optional<std::string> sideId =
+      routing_.Choose(aRequest.facts_.service_, aRequest.tried_, aNow);
+    if (!sideId.has_value()) {
+      return std::nullopt;
     }
-    if (!best.has_value() || room > bestRoom) {
-      best = side;
-      bestRoom = room;
+    std::optional<SideView> side = membership_.Find(*sideId);
+    if (side.has_value() && side->usableUntil_ > aNow) {
+      return side;
     }
+    // Silent since its last heartbeat; the next one brings it back.
+    routing_.Remove(*sideId);
   }
-  return best;
 }
 
 void
@@ -257,7 +254,7 @@
   }
   if (meaning != ClaimMeaning::Free) {
     AnswerRepeat(aActions, aRequest, meaning, aRow.record_);
-    Forget(id);
+    Forget(id, aNow);
     return;
   }
   aRequest.claimRevision_ = aRow.revision_;
@@ -374,7 +371,7 @@
   const std::string requestId = aRequest.facts_.requestId_;
   // A frozen entry thaws with the table's answer in hand and its caller gone.
   if (aRequest.facts_.deadline_ <= aNow) {
-    GiveUp(aActions, requestId, 504, "The deadline passed.", aNow);
+    GiveUp(aActions, requestId, kDeadlineStatus, "The deadline passed.", aNow);
     return;
   }
   const std::optional<SideView> side = Choose(aRequest, aNow);
@@ -395,6 +392,8 @@
   aRequest.tried_.emplace(aRequest.sideId_,
                           side->heartbeat_.upstreamIncarnation_);
   sent_[aRequest.sideId_].insert(requestId);
+  aRequest.sentAt_ = aNow;
+  routing_.OnSent(aRequest.sideId_, aNow);
   Record(aActions,
          requestId,
          std::string(kStepDispatched),
@@ -419,11 +418,12 @@
 }
 
 void
-EntryCore::Private::EndAttempt(Request& aRequest)
+EntryCore::Private::EndAttempt(Request& aRequest, AttemptEnd aEnd, Instant aNow)
 {
   if (aRequest.attemptId_.empty()) {
     return;
   }
+  routing_.OnEnd(aRequest.sideId_, aEnd, aRequest.sentAt_, aNow);
   const auto sent = sent_.find(aRequest.sideId_);
   if (sent != sent_.end()) {
     sent->second.erase(aRequest.facts_.requestId_);
@@ -436,10 +436,10 @@
 }
 
 void
-EntryCore::Private::Forget(const std::string& aRequestId)
+EntryCore::Private::Forget(const std::string& aRequestId, Instant aNow)
 {
   const auto found = requests_.find(aRequestId);
-  EndAttempt(found->second);
+  EndAttempt(found->second, AttemptEnd::Cancelled, aNow);
   deadlines_.erase({ found->second.facts_.deadline_, aRequestId });
   requests_.erase(found);
 }
@@ -482,7 +482,11 @@
   answer.reason_ = std::move(aReason);
   answer.retryAfter_ = limits_.retryAfter_;
   aActions.emplace_back(std::move(answer));
-  Forget(aRequestId);
+  if (aStatus == kDeadlineStatus) {
+    // A side that swallows attempts never refuses one; only its silence tells.
+    EndAttempt(requests_.at(aRequestId), AttemptEnd::Failed, aNow);
+  }
+  Forget(aRequestId, aNow);
 }
 
 void
@@ -495,7 +499,12 @@
     aRequest.facts_.idempotent_ || aRequest.verdict_ == Verdict::DidNotRun;
   const bool hasAttempts = aRequest.attempts_ < limits_.maxAttempts_;
   const bool hasTime = aRequest.facts_.deadline_ > aNow;
-  if (mayRunAgain && hasAttempts && hasTime) {
+  // A first refusal cost its side nothing, and a planned stop makes many at
+  // once; all other retries come out of the budget, lest they feed an outage.
+  const bool free =
+    aRequest.verdict_ == Verdict::DidNotRun && aRequest.attempts_ == 1;
+  if (mayRunAgain && hasAttempts && hasTime &&
+      (free || routing_.TryRetry(aRequest.facts_.service_, aNow))) {
     Dispatch(aActions, aRequest, aNow);
     return;
   }
@@ -514,7 +523,12 @@
 MembershipChange
 EntryCore::OnHeartbeat(const HeartbeatMessage& aHeartbeat, Instant aNow)
 {
-  return private_->membership_.Observe(aHeartbeat, aNow);
+  const MembershipChange change =
+    private_->membership_.Observe(aHeartbeat, aNow);
+  if (change != MembershipChange::Stale) {
+    private_->routing_.OnHeartbeat(aHeartbeat, aNow);
+  }
+  return change;
 }
 
 const MembershipView&
@@ -537,6 +551,7 @@
               aRequest.method_ + " for service " + aRequest.service_ +
                 " by tenant " + aRequest.tenant_ +
                 (aRequest.idempotent_ ? ", idempotent" : ", at most once"));
+  self.routing_.OnRequest(aRequest.service_, aNow);
   const bool full = self.requests_.size() >= self.limits_.maxRequests_;
   Request& request = self.requests_[id];
   request.facts_ = aRequest;
@@ -630,7 +645,7 @@
                 false,
                 aAnswer.reason_,
                 aAnswer.attemptId_);
-    self.EndAttempt(request);
+    self.EndAttempt(request, AttemptEnd::Failed, aNow);
     self.RetryOrGiveUp(actions, request, aAnswer.reason_, aNow);
     return actions;
   }
@@ -655,7 +670,8 @@
   answer.headers_ = aAnswer.headers_;
   answer.body_ = aAnswer.body_;
   actions.emplace_back(std::move(answer));
-  self.Forget(aAnswer.requestId_);
+  self.EndAttempt(request, AttemptEnd::Answered, aNow);
+  self.Forget(aAnswer.requestId_, aNow);
   return actions;
 }
 
@@ -683,7 +699,7 @@
                 false,
                 "on side/" + aSideId,
                 request.attemptId_);
-    self.EndAttempt(request);
+    self.EndAttempt(request, AttemptEnd::Failed, aNow);
     self.RetryOrGiveUp(actions,
                        request,
                        "The connection to the upstream's side was lost.",
@@ -709,7 +725,7 @@
   Private& self = *private_;
   while (!self.deadlines_.empty() && self.deadlines_.begin()->first <= aNow) {
     const std::string id = self.deadlines_.begin()->second;
-    self.GiveUp(actions, id, 504, "The deadline passed.", aNow);
+    self.GiveUp(actions, id, kDeadlineStatus, "The deadline passed.", aNow);
   }
   while (!self.givenUpOrder_.empty() &&
          self.givenUpOrder_.front().first <= aNow) {
--- a/Source/Request/EntryCore.h
+++ b/Source/Request/EntryCore.h
@@ -94,6 +94,8 @@
     Millis lateAnswers_{ 60000 };
     /** Sides in this data centre are preferred. */
     std::string dataCentre_;
+    /** For drawing sides, another one for each lane; 0 draws none. */
+    std::uint64_t seed_ = 0;
   };
 
   explicit EntryCore(const Limits& aLimits);
--- a/Source/Request/Routing.cxx
+++ b/Source/Request/Routing.cxx
@@ -16,6 +16,8 @@
 constexpr Micros kHistoryStep{ 100000 };
 constexpr std::size_t kHistorySteps = 32;
 constexpr double kLatencySmoothing = 0.05;
+/** Before so many answers a mean tells of the requests, not of the runner. */
+constexpr std::uint32_t kFewAnswers = 20;
 constexpr double kFleetSmoothing = 0.005;
 constexpr double kOthersSmoothing = 0.3;
 
@@ -40,6 +42,7 @@
   double others_ = 0;
   bool reported_ = false;
   double latencyMicros_ = 0;
+  std::uint32_t answers_ = 0;
   /** Own load by time step, a ring. */
   std::array<float, kHistorySteps> history_{};
   std::int64_t lastStep_ = 0;
@@ -114,10 +117,13 @@
   const double used = (load + 1) / aState.slots_;
   const double crossing =
     aState.sameDataCentre_ ? 0 : static_cast<double>(rules_.crossing_.count());
+  // A new runner counts as slow as the fleet. Taken for faster, it would draw
+  // every request until its first answers.
+  const double latency =
+    aState.answers_ < kFewAnswers ? fleetMicros_ : aState.latencyMicros_;
   // Squared against the fleet: a request sent to a runner that is twice as slow
   // is far likelier to end in the tail than two that are a little slow.
-  const double slow = aState.latencyMicros_ / fleetMicros_;
-  return aState.latencyMicros_ * slow * (1 + wait + used * used) + crossing;
+  return latency * latency / fleetMicros_ * (1 + wait + used * used) + crossing;
 }
 
 void
@@ -154,8 +160,6 @@
   state.present_ = true;
   state.sameDataCentre_ = aSameDataCentre;
   state.slots_ = std::max<std::uint32_t>(1, aSlots);
-  state.latencyMicros_ =
-    static_cast<double>(self.rules_.expectedLatency_.count());
   state.place_ = self.present_.size();
   self.present_.push_back(number);
   self.outliers_.Reset(number);
@@ -210,7 +214,7 @@
   std::uint64_t draws = aRandom;
   // A walk from a random start with a random stride costs no allocation; after
   // the drawn runners it goes on only while none of them could be used.
-  const std::size_t start = NextDraw(draws) % count;
+  const std::size_t start = aRandom == 0 ? 0 : NextDraw(draws) % count;
   for (std::size_t step = 0; step < count; ++step) {
     const std::size_t index = drawn < self.rules_.drawn_ && count > 16
                                 ? NextDraw(draws) % count
@@ -226,7 +230,9 @@
       return runner;
     }
     const double cost = self.Cost(self.runners_[runner]);
-    if (cost < bestCost) {
+    const bool firstOfEqual =
+      aRandom == 0 && cost == bestCost && best.has_value() && runner < *best;
+    if (cost < bestCost || firstOfEqual) {
       best = runner;
       bestCost = cost;
     }
@@ -252,7 +258,11 @@
   private_->End(aRunner, aNow);
   RunnerState& state = private_->runners_[aRunner];
   const auto micros = static_cast<double>(aLatency.count());
+  if (state.answers_ == 0) {
+    state.latencyMicros_ = private_->fleetMicros_;
+  }
   state.latencyMicros_ += kLatencySmoothing * (micros - state.latencyMicros_);
+  ++state.answers_;
   private_->fleetMicros_ += kFleetSmoothing * (micros - private_->fleetMicros_);
   private_->outliers_.OnAnswer(aRunner, aLatency, aNow);
 }
--- a/Source/Request/Routing.h
+++ b/Source/Request/Routing.h
@@ -37,7 +37,7 @@
     std::size_t drawn_ = 4;
     /** Cost of another data centre, there and back. */
     Micros crossing_{ 2000 };
-    /** The mean latency that a new runner is taken to have. */
+    /** What the fleet's mean latency is taken to be before any answer. */
     Micros expectedLatency_{ 20000 };
   };
 
@@ -54,7 +54,10 @@
 
   void OnReport(Runner aRunner, const RunnerReport& aReport, Instant aNow);
 
-  /** None if every runner is excluded or set aside. */
+  /**
+   * None if every runner is excluded or set aside. With a random number of 0
+   * ties go to the lowest runner, for sessions that are replayed.
+   */
   std::optional<Runner> Choose(std::span<const Runner> aExcluded,
                                std::uint64_t aRandom,
                                Instant aNow) const;
--- a/Tests/Unit/RoutingTest.cxx
+++ b/Tests/Unit/RoutingTest.cxx
@@ -1,5 +1,6 @@
 #include "Request/Routing.h"
 #include "Request/RetryBudget.h"
+#include "Request/RoutingSides.h"
 
 #include <criterion/criterion.h>
 
@@ -171,3 +172,48 @@
                At(1).time_since_epoch().count());
   cr_assert(budget.TryTake(next));
 }
+
+namespace {
+
+HeartbeatMessage
+Heartbeat(const std::string& aSide, std::uint64_t aIncarnation)
+{
+  HeartbeatMessage heartbeat;
+  heartbeat.sideId_ = aSide;
+  heartbeat.service_ = "pricing";
+  heartbeat.state_ = SideState::Ready;
+  heartbeat.upstreamIncarnation_ = aIncarnation;
+  heartbeat.slots_ = 8;
+  return heartbeat;
+}
+
+}
+
+// An upstream restarts; the late answers of the one before free slots of the
+// new one that they never took, and it is overrun.
+Test(RoutingSides, RestartedUpstreamStartsAfresh)
+{
+  RoutingSides sides("dc1", 1);
+  sides.OnHeartbeat(Heartbeat("s1", 1), At(0));
+  sides.OnHeartbeat(Heartbeat("s2", 1), At(0));
+  sides.OnSent("s1", At(10));
+  sides.OnHeartbeat(Heartbeat("s1", 2), At(20));
+  for (int request = 0; request < 8; ++request) {
+    sides.OnSent("s1", At(30));
+    sides.OnEnd("s1", AttemptEnd::Answered, At(10), At(40));
+  }
+  cr_assert(sides.Choose("pricing", {}, At(50)) == "s2");
+  const std::set<SideIncarnation> tried{ { "s1", 1 }, { "s2", 1 } };
+  cr_assert(sides.Choose("pricing", tried, At(50)) == "s1");
+}
+
+Test(RoutingSides, LeavingSideGetsNothingNew)
+{
+  RoutingSides sides("dc1", 1);
+  sides.OnHeartbeat(Heartbeat("s1", 1), At(0));
+  HeartbeatMessage goodbye = Heartbeat("s1", 1);
+  goodbye.state_ = SideState::NoUpstream;
+  sides.OnHeartbeat(goodbye, At(10));
+  cr_assert_not(sides.Choose("pricing", {}, At(20)).has_value());
+  sides.OnEnd("s1", AttemptEnd::Failed, At(5), At(30));
+}
