--- a/Tests/Unit/RoutingTest.cxx
+++ b/Tests/Unit/RoutingTest.cxx
@@ -1,5 +1,6 @@
 #include "Request/Routing.h"
 #include "Request/RetryBudget.h"
+#include "Request/ServiceSides.h"
 
 #include <criterion/criterion.h>
 
@@ -171,3 +172,56 @@
                At(1).time_since_epoch().count());
   cr_assert(budget.TryTake(next));
 }
+
+namespace {
+
+HeartbeatMessage
+Heartbeat(const std::string& aSide, std::uint64_t aIncarnation)
+{
+  HeartbeatMessage heartbeat;
+  heartbeat.sideId_ = aSide;
+  heartbeat.service_ = "pricing";
+  heartbeat.state_ = SideState::Ready;
+  heartbeat.upstreamIncarnation_ = aIncarnation;
+  heartbeat.slots_ = 8;
+  return heartbeat;
+}
+
+}
+
+// An upstream restarts; the late answers of the one before free slots of the
+// new one that they never took, and it is overrun.
+Test(ServiceSides, RestartedUpstreamStartsAfresh)
+{
+  ServiceSides sides("dc1");
+  sides.Observe(Heartbeat("s1", 1), At(9000), At(0));
+  const auto old = sides.Choose({}, 1, At(5));
+  cr_assert(old.has_value());
+  sides.OnSent(*old, At(10));
+  sides.Observe(Heartbeat("s1", 2), At(9000), At(20));
+  sides.Observe(Heartbeat("s2", 1), At(9000), At(20));
+  const auto anew = sides.Choose({ { "s2", 1 } }, 1, At(25));
+  cr_assert(anew.has_value() && anew->incarnation_ == 2);
+  for (int request = 0; request < 8; ++request) {
+    sides.OnSent(*anew, At(30));
+    sides.OnAnswer(*old, Millis(30), At(40));
+  }
+  const auto next = sides.Choose({}, 1, At(50));
+  cr_assert(next.has_value() && next->sideId_ == "s2");
+  // What was tried was the old one: the new one may still be.
+  const auto again = sides.Choose({ { "s1", 1 }, { "s2", 1 } }, 1, At(50));
+  cr_assert(again.has_value() && again->sideId_ == "s1");
+}
+
+Test(ServiceSides, LeavingSideGetsNothingNew)
+{
+  ServiceSides sides("dc1");
+  sides.Observe(Heartbeat("s1", 1), At(9000), At(0));
+  const auto choice = sides.Choose({}, 1, At(5));
+  cr_assert(choice.has_value());
+  HeartbeatMessage goodbye = Heartbeat("s1", 1);
+  goodbye.state_ = SideState::NoUpstream;
+  sides.Observe(goodbye, At(9000), At(10));
+  cr_assert_not(sides.Choose({}, 1, At(20)).has_value());
+  sides.OnFailure(*choice, At(30));
+}
