Security: A stranger's link on real processes; wait for an entry's first read

A stranger who asks a side what it remembers is cut off and counted.

Changes in others' files: Bench::Configure.

--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -42,6 +42,18 @@
   return {};
 }
 
+/**
+ * An entry that has just started refuses a change, truthfully unmade, until the
+ * table service has answered it once.
+ */
+bool
+IsTooEarly(const Result<HttpReply>& aPut)
+{
+  const auto* reply = std::get_if<HttpReply>(&aPut);
+  return reply != nullptr && reply->status_ == 503 &&
+         reply->body_.find("has not answered yet") != std::string::npos;
+}
+
 }
 
 Bench::Bench()
@@ -208,10 +220,15 @@
 void
 Bench::Configure(const std::string& aEntry)
 {
-  const auto put =
-    Ask("PUT",
-        "http://" + (*this)[aEntry].Value("operators") + "/v1/config",
-        ConfigText(1));
+  Result<HttpReply> put = Failure{};
+  WaitUntil(
+    [&] {
+      put = Ask("PUT",
+                "http://" + (*this)[aEntry].Value("operators") + "/v1/config",
+                ConfigText(1));
+      return !IsTooEarly(put);
+    },
+    aEntry + " to have read the table service");
   const auto* reply = std::get_if<HttpReply>(&put);
   cr_assert(reply != nullptr && reply->status_ == 200,
             "The configuration was not accepted: %s",
--- a/Tests/Process/SecurityTest.cxx
+++ b/Tests/Process/SecurityTest.cxx
@@ -1,7 +1,10 @@
 #include "Bench.h"
 
+#include "Connection/Codec.h"
 #include "Connection/KeyRing.h"
 
+#include <QTcpSocket>
+
 #include <criterion/criterion.h>
 
 #include <fstream>
@@ -130,6 +133,40 @@
   cr_assert(CounterOf(bench, "entry1", "unauthentic_operators_total") == 5);
 }
 
+// Somebody who reaches a side's port asks it what it remembers of a request,
+// or sends it work, as an entry would. He is cut off, gets no byte of an
+// answer, and is counted; the entry's own link goes on.
+Test(Security, AStrangersLinkIsCutOffAndCounted)
+{
+  Bench bench;
+  HoldKeys(kOld);
+  bench.StartPlatform();
+  bench.StartEntry("entry1", KeySettings(kOld));
+  bench.StartSide("side1", KeySettings(kOld));
+  bench.StartUpstream("side1", "once");
+  bench.Configure("entry1");
+  bench.WaitForSide("entry1", "side1");
+  const std::string id = bench.SendAndWait("entry1").requestId_;
+  const QString address = QString::fromStdString(bench["side1"].Value("link"));
+  QTcpSocket stranger;
+  stranger.connectToHost(address.section(':', 0, 0),
+                         address.section(':', 1).toUShort());
+  RecallMessage recall;
+  recall.requestId_ = id;
+  const std::string frame = EncodeFrame(recall);
+  stranger.write(frame.data(), static_cast<qint64>(frame.size()));
+  WaitUntil(
+    [&] { return stranger.state() == QAbstractSocket::UnconnectedState; },
+    "the side to cut the stranger off");
+  cr_assert(stranger.bytesAvailable() == 0);
+  const auto page =
+    bench.Ask("GET", "http://" + bench["side1"].Value("announce") + "/metrics");
+  cr_assert(std::get<HttpReply>(page).body_.find(
+              "cactusrail_unauthentic_links_total{role=\"side\",process="
+              "\"side1\"} 1\n") != std::string::npos);
+  cr_assert(bench.SendAndWait("entry1").status_ == 200);
+}
+
 // Settings with a slip must start nothing, and say so to the script that
 // started them.
 Test(Security, OpenPortsOnTheNetworkAreNotStarted)
--- a/Tests/Unit/MetricsTest.cxx
+++ b/Tests/Unit/MetricsTest.cxx
@@ -84,6 +84,7 @@
   constexpr std::uint64_t kRequests = 20000;
   Metrics metrics;
   std::vector<std::thread> lanes;
+  lanes.reserve(kLanes);
   for (int lane = 0; lane < kLanes; ++lane) {
     lanes.emplace_back([&metrics] {
       for (std::uint64_t request = 0; request < kRequests; ++request) {
--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -125,7 +125,9 @@
 
 step="configuring"
 export CACTUSRAIL_ENTRY=${operators[0]},${operators[1]}
-printf demo-key | $program create tenant clerk - >/dev/null
+printf demo-key >"$work/caller-key"
+wait_for $program create tenant clerk "$work/caller-key"
+step="configuring the service"
 $program create service pricing --timeout-ms 5000 >/dev/null
 
 call=(curl -fsS -H "Authorization: Bearer demo-key" -X POST -d "lot 7"
