--- a/Tests/Measure/Measure.cxx
+++ b/Tests/Measure/Measure.cxx
@@ -59,6 +59,7 @@
 std::vector<Job>
 MakeJobs(const Deployment& aDeployment,
          const std::vector<std::string>& aPolicies,
+         std::uint64_t aFirstSeed,
          std::size_t aSeeds,
          double aSeconds)
 {
@@ -67,7 +68,7 @@
                        const std::string& aRow,
                        bool aUrgent,
                        bool aBatch) {
-    for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
+    for (std::uint64_t seed = aFirstSeed; seed < aFirstSeed + aSeeds; ++seed) {
       Job job;
       job.deployment_ = aDeployment;
       job.policy_ = aPolicy;
@@ -244,6 +245,7 @@
 main(int argc, char** argv)
 {
   namespace options = boost::program_options;
+  std::uint64_t firstSeed = 1;
   std::size_t seeds = 10;
   std::size_t threads = 4;
   double seconds = 180;
@@ -252,6 +254,7 @@
   known.add_options()("help", "says this")(
     "quick", "checks hard invariants only, for CI")(
     "seeds", options::value(&seeds), "sessions of each policy")(
+    "first-seed", options::value(&firstSeed), "seeds count up from it")(
     "seconds", options::value(&seconds), "length of a session, virtual")(
     "threads", options::value(&threads), "sessions at a time")(
     "policy", options::value(&policies), "only these policies");
@@ -277,7 +280,8 @@
   }
   for (const Deployment& deployment :
        { TagasiDeployment(), ValtierraDeployment() }) {
-    std::vector<Job> jobs = MakeJobs(deployment, policies, seeds, seconds);
+    std::vector<Job> jobs =
+      MakeJobs(deployment, policies, firstSeed, seeds, seconds);
     RunAll(jobs, threads);
     OutcomesByRow outcomes;
     for (const Job& job : jobs) {
