--- a/Tests/Golden/WorkWorld.h
+++ b/Tests/Golden/WorkWorld.h
@@ -744,8 +744,11 @@
     if (aEvent == "ended") {
       running_.erase(run);
       if (aTask.epoch_ == history.epoch_) {
-        history.end_ = aDetail;
-        history.completed_ = history.completed_ || aDetail == "completed";
+        const std::size_t space = std::min(aDetail.find(' '), aDetail.size());
+        history.end_ = aDetail.substr(0, space);
+        history.checkpoint_ =
+          space < aDetail.size() ? aDetail.substr(space + 1) : "";
+        history.completed_ = history.completed_ || history.end_ == "completed";
       }
       return;
     }
@@ -787,10 +790,9 @@
       Break("task " + id + " may have run (" + aHistory.end_ +
             ") and was started again");
     }
-    // A checkpoint's name starts with its task and epoch. Idempotent work may
-    // go back further, if the news of its stop was lost with its worker.
-    const std::string last = id + "/" + std::to_string(aHistory.epoch_) + "/";
-    if (!idempotent && !aCheckpoint.starts_with(last)) {
+    // Idempotent work may go back further, if the news of its stop was lost
+    // with its worker.
+    if (!idempotent && aCheckpoint != aHistory.checkpoint_) {
       Break("task " + id + " resumed from '" + aCheckpoint +
             "', not from the checkpoint that its stop took");
     }
--- a/Tests/StandIns/WorkerStandIn.cxx
+++ b/Tests/StandIns/WorkerStandIn.cxx
@@ -1,7 +1,7 @@
 // Takes the place of a worker of the platform: registers itself in the table
 // service and runs tasks under leases. Prints "started TASK EPOCH CHECKPOINT"
-// and "ended TASK EPOCH REASON" as it truly happens, so that tests can compare.
-// POST /fault?mode=MODE&count=N makes the next N calls fail:
+// and "ended TASK EPOCH REASON CHECKPOINT" as it truly happens, so that tests
+// can compare. POST /fault?mode=MODE&count=N makes the next N calls fail:
 //   stall         never answer, do nothing
 //   lose-answer   do what was asked, then never answer
 //   fail-tasks    every task that starts fails at once (no count)
--- a/Tests/StandIns/WorkerTasks.h
+++ b/Tests/StandIns/WorkerTasks.h
@@ -251,7 +251,11 @@
     };
     const cactusrail::TaskRef ref = aTask->first;
     ended_[ref] = { ref, aResult, aTask->second.checkpoint_ };
-    truth_("ended", ref, kWords[static_cast<std::size_t>(aResult)]);
+    std::string detail = kWords[static_cast<std::size_t>(aResult)];
+    if (!aTask->second.checkpoint_.empty()) {
+      detail += " " + aTask->second.checkpoint_;
+    }
+    truth_("ended", ref, detail);
     return running_.erase(aTask);
   }
 
