--- a/Tests/Golden/WorkWorld.h
+++ b/Tests/Golden/WorkWorld.h
@@ -105,10 +105,14 @@
     }
   }
 
-  void Break(const std::string& aPromise)
+  /** A promise did not hold; the parts are one sentence. */
+  template<typename... Parts>
+  void Break(const Parts&... aParts)
   {
-    Say("BROKEN: " + aPromise);
-    broken_.push_back(std::to_string(now_ / 1000) + " ms: " + aPromise);
+    std::ostringstream sentence;
+    (sentence << ... << aParts);
+    Say("BROKEN: " + sentence.str());
+    broken_.push_back(std::to_string(now_ / 1000) + " ms: " + sentence.str());
   }
 
   void At(Micros64 aTime, std::function<void()> aEvent)
@@ -346,7 +350,7 @@
   }
 
 private:
-  struct Run_
+  struct RunningStart
   {
     std::string worker_;
     cactusrail::TaskRef task_;
@@ -586,10 +590,10 @@
     const std::function<void(
       const cactusrail::Result<std::vector<cactusrail::TableRow>>&)>& aAnswer)
   {
-    using Rows_ = std::vector<cactusrail::TableRow>;
+    using RowList = std::vector<cactusrail::TableRow>;
     ++reads_;
     At(now_ + options_.timings_.tableTimeout_.count(),
-       [aAnswer] { aAnswer(NoAnswer<Rows_>()); });
+       [aAnswer] { aAnswer(NoAnswer<RowList>()); });
     if (Lost()) {
       return;
     }
@@ -598,7 +602,7 @@
         return;
       }
       const auto& rows = tableMode_ == "past" ? past_ : rows_;
-      Rows_ listing;
+      RowList listing;
       for (auto row = rows.lower_bound(aPrefix);
            row != rows.end() && row->first.starts_with(aPrefix);
            ++row) {
@@ -865,19 +869,19 @@
     }
     for (const auto& [tenant, quota] : quotas_) {
       if (byTenant[tenant] > quota) {
-        Break("tenant " + tenant + " holds more than its quota at " + aWhen);
+        Break("tenant ", tenant, " holds more than its quota at ", aWhen);
       }
     }
     for (const auto& [id, taken] : reserved) {
       if (!taken.FitsIn(workers_.at(id).capacity_, {})) {
-        Break("worker " + id + " is given more than it holds at " + aWhen);
+        Break("worker ", id, " is given more than it holds at ", aWhen);
       }
     }
     for (const auto& [run, facts] : running_) {
       const std::string key = facts.worker_ + " " + facts.task_.taskId_ + "/" +
                               std::to_string(facts.task_.epoch_);
       if (!IsFrozen(facts.worker_) && !counted.contains(key)) {
-        Break("task " + key + " runs and is not counted at " + aWhen);
+        Break("task ", key, " runs and is not counted at ", aWhen);
       }
     }
   }
@@ -900,7 +904,7 @@
   std::map<std::string, std::int64_t> quotas_;
   std::uint64_t revision_ = 0;
   std::uint64_t incarnations_ = 100;
-  std::map<std::string, Run_> running_;
+  std::map<std::string, RunningStart> running_;
   std::map<std::string, History> history_;
   std::map<std::string, std::string> answers_;
   std::map<cactusrail::Verdict, std::uint64_t> standings_;
--- a/Tests/StandIns/WorkerTasks.h
+++ b/Tests/StandIns/WorkerTasks.h
@@ -127,7 +127,7 @@
     std::string checkpoint_;
     std::uint32_t checkpoints_ = 0;
   };
-  using Running_ = std::map<cactusrail::TaskRef, Task>;
+  using RunningTasks = std::map<cactusrail::TaskRef, Task>;
 
   std::string Check(const cactusrail::CommandOrigin& aOrigin)
   {
@@ -243,8 +243,8 @@
                         std::to_string(++aTask.checkpoints_);
   }
 
-  Running_::iterator End(Running_::iterator aTask,
-                         cactusrail::EndResult aResult)
+  RunningTasks::iterator End(RunningTasks::iterator aTask,
+                             cactusrail::EndResult aResult)
   {
     static constexpr const char* kWords[] = {
       "completed", "failed", "stopped", "lease-expired", "never-started"
@@ -262,7 +262,7 @@
   Facts facts_;
   Truth truth_;
   std::uint64_t cellEpoch_ = 0;
-  Running_ running_;
+  RunningTasks running_;
   std::map<cactusrail::TaskRef, cactusrail::EndedTask> ended_;
   /** The highest epoch of each task that was begun or refused. */
   std::map<std::string, std::uint64_t> epochs_;
