--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -377,6 +377,15 @@
   return found == runs.end() ? 0 : found->second;
 }
 
+bool
+Bench::RanAt(const std::string& aUpstream, const std::string& aMark)
+{
+  const auto lines = (*this)[aUpstream].Lines("ran ");
+  return std::any_of(lines.begin(), lines.end(), [&](const auto& aLine) {
+    return aLine.ends_with(" " + aMark);
+  });
+}
+
 std::string
 Bench::RanIdOf(const std::string& aMark) const
 {
--- a/Tests/Process/Bench.h
+++ b/Tests/Process/Bench.h
@@ -95,6 +95,8 @@
   /** Lines "ran ..." of all upstreams, by mark or by request id. */
   std::map<std::string, std::size_t> Runs(bool aById = false) const;
   std::size_t RunsOf(const std::string& aMark) const;
+  /** The mark ran at that upstream. */
+  bool RanAt(const std::string& aUpstream, const std::string& aMark);
   /** The request id under which the mark ran, for calls without an answer. */
   std::string RanIdOf(const std::string& aMark) const;
 
--- a/Tests/Process/StopTest.cxx
+++ b/Tests/Process/StopTest.cxx
@@ -87,6 +87,27 @@
       return bench.Runs().size() > 30;
     },
     "traffic");
+  // Slower than the time for which a side says that it is leaving; as many as
+  // it takes until some of them are on the side that stops.
+  std::vector<std::size_t> slow;
+  const auto onSide = [&] {
+    return std::count_if(slow.begin(), slow.end(), [&](std::size_t aIndex) {
+      return bench.RanAt("upstream-side1", bench.Call(aIndex).mark_);
+    });
+  };
+  WaitUntil(
+    [&] {
+      pump();
+      const bool allBegun =
+        std::all_of(slow.begin(), slow.end(), [&](std::size_t aIndex) {
+          return bench.RunsOf(bench.Call(aIndex).mark_) == 1;
+        });
+      if (allBegun) {
+        slow.push_back(bench.Send("entry1", CallPlan{ .query_ = "work=2500" }));
+      }
+      return onSide() >= 2;
+    },
+    "slow requests on the side that stops");
   bench["side1"].Signal(SIGTERM);
   WaitUntil(
     [&] {
