Settings: Leave the library's error text out of refusals

Cause: Boost puts the bad line into a pattern and replaces placeholders over and over; a line '%invalid_line%efix%refix%' makes the text grow without end. Seen before: 'cactusrail side' on such a file did not end within 5 s and SIGTERM did not end it either (600 s, ended by SIGKILL); libFuzzer's time-out on target 'settings'. After: refused at once with file and line. The command line had the same trap. The fuzz seeds hold such a line now, so the driver meets it.

--- a/Source/Process/CommandLine.cxx
+++ b/Source/Process/CommandLine.cxx
@@ -5,6 +5,7 @@
 #include <boost/program_options/positional_options.hpp>
 #include <boost/program_options/variables_map.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 
@@ -111,8 +112,16 @@
   } catch (const options::too_many_positional_options_error&) {
     return UsageError("There are too many arguments.");
   } catch (const options::error& error) {
-    return UsageError(std::string("The command line is wrong: ") +
-                      error.what() + ".");
+    // The library puts the words into a pattern, and a word that holds the
+    // pattern's own placeholder ('%...%') makes its text grow without end.
+    const bool isHarmless =
+      std::none_of(aWords.begin(), aWords.end(), [](const std::string& aWord) {
+        return aWord.find('%') != std::string::npos;
+      });
+    return UsageError(isHarmless ? std::string("The command line is wrong: ") +
+                                     error.what() + "."
+                                 : "An option of the command line is not known "
+                                   "or has no value; see --help.");
   }
   CommandLine line;
   for (const CommandOption& option : aOptions) {
--- a/Source/Process/SettingsFile.cxx
+++ b/Source/Process/SettingsFile.cxx
@@ -147,11 +147,13 @@
     const std::string name = error.get_option_name();
     return BadSetting(
       aPath, lines.LineOfKey(name), name, "is given more than once.");
-  } catch (const options::error& error) {
-    return NotRun(
-      FailureKind::BadInput,
-      Place(aPath, lines.LineOfBadSyntax()) +
-        "expected '[section]' and 'key = value' lines: " + error.what() + ".");
+  } catch (const options::error&) {
+    // The library's own text is left out: it puts the bad line into a pattern,
+    // and a line that holds the pattern's own placeholder makes it grow without
+    // end, so that the process hangs instead of starting or failing.
+    return NotRun(FailureKind::BadInput,
+                  Place(aPath, lines.LineOfBadSyntax()) +
+                    "expected '[section]' and 'key = value' lines.");
   }
   SettingsFile settings;
   for (const SettingSpec& spec : aSpecs) {
--- a/Tests/Fuzz/FuzzTargets.cxx
+++ b/Tests/Fuzz/FuzzTargets.cxx
@@ -137,7 +137,8 @@
 std::vector<std::string>
 SettingsSeeds()
 {
-  return { "[side]\nname = side1\ndata-centre = dc1\nlisten = 127.0.0.1:0\n"
+  return { "[side]\n%invalid_line%\nname = side1\n",
+           "[side]\nname = side1\ndata-centre = dc1\nlisten = 127.0.0.1:0\n"
            "announce = 127.0.0.1:0\nentries = 127.0.0.1:7000\n"
            "heartbeat-ms = 500\n" };
 }
--- a/Tests/Unit/CommandTableTest.cxx
+++ b/Tests/Unit/CommandTableTest.cxx
@@ -104,6 +104,15 @@
   cr_assert(DecideChoice(2, true, true, true, yes) == ChoiceDecision::OnlyShow);
 }
 
+// The same trap as in the settings: a word that is like a placeholder of the
+// library's error text made the command hang.
+Test(CommandTable, AWordLikeAPlaceholderIsRefused, .timeout = 20)
+{
+  cr_redirect_stderr();
+  cr_assert(RunWords({ "version", "--%canonical_option%" }) == ExitCode::Usage);
+  cr_assert(RunWords({ "version", "--%prefix%=%option%" }) == ExitCode::Usage);
+}
+
 Test(Completion, TheCommittedScriptIsTheGeneratedOne)
 {
   cr_assert(FileText("Utilities/completion/cactusrail.bash") ==
--- a/Tests/Unit/SettingsFileTest.cxx
+++ b/Tests/Unit/SettingsFileTest.cxx
@@ -91,6 +91,16 @@
 
 // Program_options reads "-1" for an unsigned number as the largest one, so a
 // slip in a port opened port 65535.
+// A line of a settings file holds the placeholder of the library's own error
+// text. The text then grows without end: the process neither starts nor fails,
+// and SIGTERM does not end it. Found by the fuzz target "settings"; without the
+// guard this test does not end.
+Test(SettingsFile, ALineLikeAPlaceholderIsRefused, .timeout = 20)
+{
+  cr_assert(
+    FaultOf("[side]\n%invalid_line%efix%refix%\n").starts_with("side.ini:2: "));
+}
+
 Test(SettingsFile, NumbersOutsideTheirRangeAreRefused)
 {
   const std::string file = kSideFile;
