Explain: Sign the questions among entries; wake an idle lane less often

Cause: /v1/recall and /v1/explain between entries went unsigned, so with keys set an entry could not explain what another one had served. Seen failing first: SecurityTest EntriesWithKeysExplainForEachOther, 'CounterOf(bench, "entry1", "unauthentic_operators_total") == 0 is false.' Passes with the signature. The steps of both cores are made in one place (MakeStep).

--- a/Source/Process/Explainer.cxx
+++ b/Source/Process/Explainer.cxx
@@ -1,6 +1,7 @@
 #include "Process/Explainer.h"
 
 #include "Connection/HttpCaller.h"
+#include "Connection/OperatorSignature.h"
 #include "Connection/SideLink.h"
 #include "Connection/TableClient.h"
 #include "Process/Journal.h"
@@ -167,6 +168,7 @@
               QUrl::toPercentEncoding(QString::fromStdString(aQuestion->id_))
                 .toStdString();
   call.deadline_ = ReadMonotonicClock() + kRecallTimeout;
+  SignCall(call);
   caller_.Start(std::move(call), [aQuestion](const Result<HttpReply>& aReply) {
     const auto* reply = std::get_if<HttpReply>(&aReply);
     if (reply != nullptr) {
--- a/Source/Process/Lane.cxx
+++ b/Source/Process/Lane.cxx
@@ -23,6 +23,8 @@
 namespace {
 
 constexpr Millis kTick{ 10 };
+/** Without a request there is no deadline to keep, and waking costs. */
+constexpr Millis kIdleTick{ 100 };
 constexpr std::string_view kServicePrefix = "/s/";
 constexpr std::string_view kBearer = "Bearer ";
 
@@ -179,8 +181,11 @@
     drained_ = !front_->Listening() && front_->Connections() == 0 &&
                exchanges_.empty() && table_->InFlight() == 0 &&
                core_->UnwrittenOutcomes() == 0;
+    if (inProgress_ == 0 && tick_->intervalAsDuration() != kIdleTick) {
+      tick_->start(kIdleTick);
+    }
   });
-  tick_->start(kTick);
+  tick_->start(kIdleTick);
   return true;
 }
 
@@ -267,6 +272,9 @@
   facts.deadline_ = now + Millis(service->timeoutMs_);
   const std::string id = facts.requestId_;
   exchanges_.emplace(id, aExchange);
+  if (tick_->intervalAsDuration() != kTick) {
+    tick_->start(kTick);
+  }
   meter_.Begin(id, facts.tenant_, ClassOf(*service), now);
   aExchange.OnCallerHungUp(
     [this, id] { Run(core_->OnCallerGone(id, ReadMonotonicClock())); });
--- a/Source/Process/WorkPages.cxx
+++ b/Source/Process/WorkPages.cxx
@@ -1,6 +1,7 @@
 #include "Process/WorkPages.h"
 
 #include "Connection/HttpCaller.h"
+#include "Connection/OperatorSignature.h"
 #include "Connection/TableClient.h"
 #include "Process/EntryDirectory.h"
 #include "Process/Journal.h"
@@ -321,6 +322,7 @@
   call.url_ =
     "http://" + aEntry.operators_ + "/v1/explain?id=" + aQuestion->id_;
   call.deadline_ = ReadMonotonicClock() + kRecallTimeout;
+  SignCall(call);
   caller_.Start(std::move(call), [aQuestion](const auto& aReply) {
     if (const auto* reply = std::get_if<HttpReply>(&aReply)) {
       const Result<TaskSteps> parsed = FromJson<TaskSteps>(reply->body_);
--- a/Source/Request/EntryCore.cxx
+++ b/Source/Request/EntryCore.cxx
@@ -176,14 +176,12 @@
                            std::string aDetail,
                            std::string aAttemptId)
 {
-  RequestStep step;
-  step.requestId_ = aRequestId;
-  step.step_ = std::move(aStep);
-  step.verdict_ = aVerdict;
-  step.conclusive_ = aConclusive;
-  step.detail_ = std::move(aDetail);
-  step.attemptId_ = std::move(aAttemptId);
-  aActions.emplace_back(RecordEntryStep{ std::move(step) });
+  aActions.emplace_back(RecordEntryStep{ MakeStep(aRequestId,
+                                                  std::move(aStep),
+                                                  aVerdict,
+                                                  aConclusive,
+                                                  std::move(aDetail),
+                                                  std::move(aAttemptId)) });
 }
 
 ServiceSides&
--- a/Source/Request/RequestStep.h
+++ b/Source/Request/RequestStep.h
@@ -51,4 +51,13 @@
   }
 };
 
+/** A step as a core sees it; host and wall clock are the I/O layer's. */
+RequestStep
+MakeStep(std::string aRequestId,
+         std::string aStep,
+         Verdict aVerdict,
+         bool aConclusive,
+         std::string aDetail,
+         std::string aAttemptId);
+
 }
--- a/Source/Request/SideCore.cxx
+++ b/Source/Request/SideCore.cxx
@@ -99,14 +99,12 @@
                           std::string aDetail,
                           std::string aAttemptId)
 {
-  RequestStep step;
-  step.requestId_ = aRequestId;
-  step.step_ = std::move(aStep);
-  step.verdict_ = aVerdict;
-  step.conclusive_ = aConclusive;
-  step.detail_ = std::move(aDetail);
-  step.attemptId_ = std::move(aAttemptId);
-  aActions.emplace_back(RecordStep{ std::move(step) });
+  aActions.emplace_back(RecordStep{ MakeStep(aRequestId,
+                                             std::move(aStep),
+                                             aVerdict,
+                                             aConclusive,
+                                             std::move(aDetail),
+                                             std::move(aAttemptId)) });
 }
 
 void
--- a/Tests/Process/SecurityTest.cxx
+++ b/Tests/Process/SecurityTest.cxx
@@ -94,6 +94,29 @@
   cr_assert(Bench::Conclude(steps) == Verdict::Ran);
 }
 
+// An engineer asks one entry about a request that another entry served, in a
+// deployment with keys. The question among entries went unsigned, was refused,
+// and the engineer was told that nothing is known of the request.
+Test(Security, EntriesWithKeysExplainForEachOther)
+{
+  Bench bench;
+  HoldKeys(kOld);
+  bench.StartPlatform();
+  bench.StartEntry("entry1", KeySettings(kOld));
+  bench.StartEntry("entry2", KeySettings(kOld));
+  bench.StartSide("side1", KeySettings(kOld));
+  bench.StartUpstream("side1", "once");
+  bench.Configure("entry1");
+  bench.WaitForSide("entry1", "side1");
+  const std::string id = bench.SendAndWait("entry1", CallPlan{}).requestId_;
+  WaitUntil(
+    [&] {
+      return Bench::Conclude(bench.Explain("entry2", id)) == Verdict::Ran;
+    },
+    "the other entry to explain it");
+  cr_assert(CounterOf(bench, "entry1", "unauthentic_operators_total") == 0);
+}
+
 // Somebody who reaches the ports starts a side of his own to get clerks'
 // requests, and asks an entry for its configuration to learn the tenants.
 Test(Security, AStrangersSideAndQuestionsAreRefusedAndCounted)
