Placement: Place by learned use in the entries

Cause: the entries placed by first fit; PlacementEngine and UsageEstimate were tested and had no caller. LearnedPlacement owns them and is the entries' chooser now, seeded with the entry's incarnation.

A worker reports one sum for all its tasks, not the use of each (ReportedTask has none), so the sum is attributed to programs by a normalized gradient step. Ruled out: parts by the cautious expectation of UsageEstimate; what is in doubt got the larger part and stayed in doubt (a program that takes 10000 MB beside one that takes 30000 stood at 20335 after two minutes). Ruled out too: learning from each report; it lags, so the tasks must be the same for 2 s.

The engine alone would refuse some accepted jobs for ever: an unseen program is expected to take 1.2 of its declared memory, so a task of more than 0.83 of a worker never fits, and in a cell of two workers both are kept open for urgent work. A task that fits as declared is held back 10 s at most.

Not done: measurements of urgent latency reach no scheduler yet, so the interference model stays at its prior and no program counts as loud.

--- a/Source/Process/EntryProcess.cxx
+++ b/Source/Process/EntryProcess.cxx
@@ -17,6 +17,7 @@
 #include "Process/StepSegments.h"
 #include "Process/WorkPages.h"
 #include "Version/ConfigurationHolder.h"
+#include "Version/LearnedPlacement.h"
 
 #include <QTimer>
 
@@ -63,7 +64,7 @@
                  table_,
                  configuration_,
                  journal_,
-                 MakeChooser(FirstFitPlacement()))
+                 MakeChooser(LearnedPlacement(incarnation_)))
     , workPages_(table_,
                  configuration_,
                  scheduler_,
--- a/Source/Process/SchedulerCore.cxx
+++ b/Source/Process/SchedulerCore.cxx
@@ -249,6 +249,7 @@
                 const Reservation& aReservation,
                 const WorkerView& aWorker,
                 Instant aNow);
+  void TeachUsage(const CellRow& aRow, const WorkerView& aWorker, Instant aNow);
   bool WantsStopped(const CellView& aCell,
                     const Reservation& aReservation,
                     const HeldTask& aHeld) const;
@@ -1224,9 +1225,34 @@
       HearTask(cell, reservation, worker, aNow);
     }
   }
+  TeachUsage(row, worker, aNow);
   CommandWorkers(aCall.cell_, cell, aNow);
 }
 
+/** Only while the report and our record name the same tasks: else the use is
+ * that of others too, or of fewer. */
+void
+SchedulerCore::Private::TeachUsage(const CellRow& aRow,
+                                   const WorkerView& aWorker,
+                                   Instant aNow)
+{
+  WorkerUsage usage{ aWorker.row_.id_, aWorker.report_->used_, {} };
+  for (const Reservation& reservation : aRow.reservations_) {
+    if (reservation.workerId_ != aWorker.row_.id_) {
+      continue;
+    }
+    const TaskRef ref = RefOf(reservation);
+    if (aWorker.FindRunning(ref) == nullptr) {
+      return;
+    }
+    usage.tasks_.push_back(
+      { ref.taskId_, reservation.program_, reservation.resources_ });
+  }
+  if (usage.tasks_.size() == aWorker.report_->running_.size()) {
+    chooser_->OnUsage(usage, aNow);
+  }
+}
+
 SchedulerCore::SchedulerCore(EntryIdentity aSelf,
                              const WorkTimings& aTimings,
                              std::unique_ptr<PlacementChooser> aChooser)
--- a/Source/Version/PlacementChooser.h
+++ b/Source/Version/PlacementChooser.h
@@ -16,9 +16,11 @@
     const TaskFacts& aTask,
     std::span<const WorkerFacts> aWorkers,
     Instant aNow) = 0;
+  /** Only reports that name every task that is counted there. */
+  virtual void OnUsage(const WorkerUsage& aUsage, Instant aNow) = 0;
 };
 
-/** Wraps whatever satisfies the concept. */
+/** Wraps whatever satisfies the concept; a policy that learns gets reports. */
 template<PlacementPolicy Policy>
 std::unique_ptr<PlacementChooser>
 MakeChooser(Policy aPolicy)
@@ -38,6 +40,13 @@
       return policy_.Choose(aTask, aWorkers, aNow);
     }
 
+    void OnUsage(const WorkerUsage& aUsage, Instant aNow) override
+    {
+      if constexpr (requires { policy_.OnUsage(aUsage, aNow); }) {
+        policy_.OnUsage(aUsage, aNow);
+      }
+    }
+
   private:
     Policy policy_;
   };
--- a/Source/Version/PlacementFacts.h
+++ b/Source/Version/PlacementFacts.h
@@ -43,6 +43,22 @@
   bool setAside_ = false;
 };
 
+/** A task that a worker says it runs. */
+struct TaskUsage
+{
+  std::string taskId_;
+  std::string program_;
+  Resources declared_;
+};
+
+/** What a worker reports of all its tasks; states the sum of their use. */
+struct WorkerUsage
+{
+  std::string workerId_;
+  Resources used_;
+  std::vector<TaskUsage> tasks_;
+};
+
 /**
  * Chooses the worker for a task, or none. Pure; never chooses a worker that is
  * set aside or where the declared size does not fit beside what is reserved.
--- a/Tests/Golden/WorkWorld.h
+++ b/Tests/Golden/WorkWorld.h
@@ -41,6 +41,9 @@
     double late_ = 0;
     /** Whether to keep a transcript. */
     bool traced_ = true;
+    /** Makes each start's placement from its seed; none: first fit. */
+    std::function<std::unique_ptr<cactusrail::PlacementChooser>(std::uint64_t)>
+      chooser_;
   };
 
   struct Entry
@@ -71,8 +74,8 @@
   };
 
   explicit WorkWorld(Options aOptions)
-    : options_(aOptions)
-    , random_(aOptions.seed_)
+    : options_(std::move(aOptions))
+    , random_(options_.seed_)
   {
   }
 
@@ -150,7 +153,9 @@
     entry.core_ = std::make_unique<cactusrail::SchedulerCore>(
       cactusrail::EntryIdentity{ aName, entry.incarnation_ },
       options_.timings_,
-      cactusrail::MakeChooser(cactusrail::FirstFitPlacement()));
+      options_.chooser_ != nullptr
+        ? options_.chooser_(incarnations_)
+        : cactusrail::MakeChooser(cactusrail::FirstFitPlacement()));
     entry.core_->SetQuotas(quotas_);
   }
 
--- /dev/null
+++ b/Tests/Unit/LearnedPlacementTest.cxx
@@ -0,0 +1,247 @@
+#include "Version/LearnedPlacement.h"
+#include "../Golden/WorkWorld.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace cactusrail;
+
+namespace {
+
+static_assert(PlacementPolicy<LearnedPlacement>);
+
+constexpr Resources kCapacity{ 16000, 60000, 0 };
+constexpr std::uint64_t kSeed = 7;
+
+Instant
+At(std::int64_t aMillis)
+{
+  return Instant(Millis(aMillis));
+}
+
+WorkerFacts
+Worker(std::string aId, std::int64_t aReservedMb)
+{
+  WorkerFacts worker;
+  worker.workerId_ = std::move(aId);
+  worker.capacity_ = kCapacity;
+  worker.reserved_ = Resources{ 1000, aReservedMb, 0 };
+  worker.used_ = worker.reserved_;
+  return worker;
+}
+
+TaskFacts
+Batch(std::string aProgram, std::int64_t aMemoryMb)
+{
+  TaskFacts task;
+  task.taskId_ = aProgram + "/0";
+  task.program_ = std::move(aProgram);
+  task.declared_ = Resources{ 1000, aMemoryMb, 0 };
+  return task;
+}
+
+TaskUsage
+Running(const std::string& aProgram)
+{
+  return { aProgram + "-1/0", aProgram, Resources{ 1000, 10000, 0 } };
+}
+
+/** The workers once what was placed there before shows in their reports. */
+std::vector<WorkerFacts>
+Later(std::vector<WorkerFacts> aWorkers, Instant aNow)
+{
+  for (WorkerFacts& worker : aWorkers) {
+    worker.reportedAt_ = aNow;
+  }
+  return aWorkers;
+}
+
+/** First fit that keeps what it is told. */
+class Recorder : public FirstFitPlacement
+{
+public:
+  explicit Recorder(std::vector<WorkerUsage>& aHeard)
+    : heard_(aHeard)
+  {
+  }
+
+  void OnUsage(const WorkerUsage& aUsage, Instant) { heard_.push_back(aUsage); }
+
+private:
+  std::vector<WorkerUsage>& heard_;
+};
+
+/** Half a minute of reports of one worker, two a second. */
+void
+Report(PlacementChooser& aChooser, const WorkerUsage& aUsage)
+{
+  for (std::int64_t time = 0; time <= 30000; time += 500) {
+    aChooser.OnUsage(aUsage, At(time));
+  }
+}
+
+void
+Report(LearnedPlacement& aPlacement, const WorkerUsage& aUsage)
+{
+  for (std::int64_t time = 0; time <= 30000; time += 500) {
+    aPlacement.OnUsage(aUsage, At(time));
+  }
+}
+
+}
+
+// Tasks that take three times the memory they declare are killed on a worker
+// that has room on paper only.
+Test(LearnedPlacement, DeclaredTooSmallGoesWhereTheTrueUseFits)
+{
+  const auto chooser = MakeChooser(LearnedPlacement(kSeed));
+  const std::vector<WorkerFacts> workers{ Worker("half full", 30000),
+                                          Worker("empty", 0) };
+  const TaskFacts task = Batch("glutton", 15000);
+  cr_assert_eq(*chooser->Choose(task, workers, At(0)), 0, "packs as declared");
+  Report(*chooser, { "other", { 1000, 30000, 0 }, { Running("glutton") } });
+  const Instant later = At(31000);
+  cr_assert_eq(*chooser->Choose(task, Later(workers, later), later), 1);
+}
+
+// Tasks that take a third of what they declare leave workers half empty.
+Test(LearnedPlacement, DeclaredTooLargeIsPackedByItsTrueUse)
+{
+  const auto chooser = MakeChooser(LearnedPlacement(kSeed));
+  const std::vector<WorkerFacts> workers{ Worker("half full", 30000),
+                                          Worker("empty", 0) };
+  const TaskFacts task = Batch("modest", 28000);
+  cr_assert_eq(*chooser->Choose(task, workers, At(0)), 1, "unseen: cautious");
+  Report(*chooser, { "other", { 1000, 3300, 0 }, { Running("modest") } });
+  const Instant later = At(31000);
+  cr_assert_eq(*chooser->Choose(task, Later(workers, later), later), 0);
+}
+
+// However little a program was seen to take, it may take what it declared at
+// any time: beyond the declared size nothing is promised.
+Test(LearnedPlacement, NeverBeyondTheDeclaredSizeHoweverLongItWaits)
+{
+  LearnedPlacement placement(kSeed);
+  Report(placement, { "other", { 100, 1000, 0 }, { Running("modest") } });
+  std::vector<WorkerFacts> workers{ Worker("full", 50000),
+                                    Worker("set aside", 0) };
+  workers[1].setAside_ = true;
+  for (std::int64_t time = 31000; time < 120000; time += 1000) {
+    cr_assert_not(
+      placement.Choose(Batch("modest", 20000), workers, At(time)).has_value());
+  }
+}
+
+// A job that fits a worker as declared was accepted, but is expected to take
+// more than any worker has: it never starts, and nobody says why.
+Test(LearnedPlacement, ATaskThatFitsAsDeclaredIsHeldBackForSomeSecondsOnly)
+{
+  LearnedPlacement placement(kSeed);
+  const std::vector<WorkerFacts> workers{ Worker("empty", 0) };
+  const TaskFacts task = Batch("large", 55000);
+  cr_assert_not(placement.Choose(task, workers, At(0)).has_value());
+  cr_assert_not(placement.Choose(task, workers, At(9000)).has_value());
+  cr_assert_eq(placement.Choose(task, workers, At(10000)).value_or(9), 0);
+  cr_assert_not(placement.Choose(task, workers, At(11000)).has_value(),
+                "the next one waits anew");
+}
+
+// A report that left before the tasks began shows almost no use: learned from
+// it, the program would be packed as if it took nothing.
+Test(LearnedPlacement, ReportsThatLagBehindAChangeTeachNothing)
+{
+  LearnedPlacement placement(kSeed);
+  const Resources declared{ 1000, 10000, 0 };
+  for (std::int64_t time = 0; time < 60000; time += 500) {
+    TaskUsage task = Running("fresh");
+    task.taskId_ += std::to_string(time / 1500);
+    placement.OnUsage({ "w", { 10, 10, 0 }, { task } }, At(time));
+  }
+  cr_assert_eq(placement.Expect("fresh", declared).confidence_, 0);
+}
+
+// A worker that does not measure states no use at all; its programs would be
+// learned to take nothing.
+Test(LearnedPlacement, AWorkerThatMeasuresNothingTeachesNothing)
+{
+  LearnedPlacement placement(kSeed);
+  Report(placement, { "w", {}, { Running("a") } });
+  cr_assert_eq(placement.Expect("a", { 1000, 10000, 0 }).confidence_, 0);
+}
+
+// Worker reports give one sum for all tasks: a modest program that runs beside
+// a glutton must not be taken for one.
+Test(LearnedPlacement, ProgramsInMixedCompanyAreToldApart)
+{
+  LearnedPlacement placement(kSeed);
+  const WorkerUsage alone{ "w1", { 1000, 10000, 0 }, { Running("modest") } };
+  const WorkerUsage both{ "w2",
+                          { 4000, 40000, 0 },
+                          { Running("modest"), Running("glutton") } };
+  for (std::int64_t time = 0; time <= 120000; time += 500) {
+    placement.OnUsage(alone, At(time));
+    placement.OnUsage(both, At(time));
+  }
+  const Resources declared{ 1000, 10000, 0 };
+  const auto modest = placement.Expect("modest", declared).resources_;
+  const auto glutton = placement.Expect("glutton", declared).resources_;
+  cr_assert_lt(modest.memoryMb_, 15000, "modest: %ld", modest.memoryMb_);
+  cr_assert_gt(glutton.memoryMb_, 25000, "glutton: %ld", glutton.memoryMb_);
+}
+
+// The scheduler's core hands on what a worker's report says of the tasks that
+// it counts there; a report that leaves tasks out would teach that the others
+// take what all take, or that all take nothing.
+Test(LearnedPlacement, TheCoreHandsOnWholeReportsOnly)
+{
+  std::vector<WorkerUsage> heard;
+  WorkWorld::Options options;
+  options.traced_ = false;
+  options.chooser_ = [&heard](std::uint64_t) {
+    return MakeChooser(Recorder(heard));
+  };
+  WorkWorld world(options);
+  world.AddWorker("w1", "r1", { 8000, 1000, 0 });
+  world.AddEntry("e1");
+  world.Run(5000000);
+  VerbRequest request;
+  request.verb_ = "create";
+  request.operationId_ = "create";
+  request.spec_.id_ = "job";
+  request.spec_.program_ = "program";
+  request.spec_.tasks_ = 3;
+  request.spec_.declared_ = { 1000, 100, 0 };
+  world.Ask("e1", request);
+  world.Run(10000000);
+  cr_assert_not(heard.empty());
+  const WorkerUsage last = heard.back();
+  cr_assert_eq(last.workerId_, "w1");
+  cr_assert_eq(last.tasks_.size(), 3);
+  cr_assert_eq(last.tasks_[0].program_, "program");
+  cr_assert_eq(last.tasks_[0].declared_.milliCpus_, 1000);
+  cr_assert_eq(last.used_.milliCpus_, 3000);
+  heard.clear();
+  world.WorkerOf("w1").reportsLess_ = true;
+  world.Run(10000000);
+  for (const WorkerUsage& usage : heard) {
+    cr_assert_eq(usage.tasks_.size(), 3);
+  }
+  world.WorkerOf("w1").reportsLess_ = false;
+  WorkerTasks& tasks = *world.WorkerOf("w1").tasks_;
+  const std::int64_t clock = world.Now();
+  StartCommand stray;
+  const WorkerReport before = tasks.Report(clock);
+  stray.origin_ = { "dc1/r1", before.cellEpoch_, before.incarnation_ };
+  stray.task_ = { "job.9", 1 };
+  stray.until_ = clock + 3600000000;
+  stray.resources_ = { 4000, 100, 0 };
+  cr_assert_eq(tasks.Handle(stray, clock).refused_, "");
+  heard.clear();
+  world.Run(10000000);
+  for (const WorkerUsage& usage : heard) {
+    cr_assert_eq(usage.used_.milliCpus_, 3000, "a task that is not counted");
+  }
+}
--- a/Tests/Unit/WorkRandomTest.cxx
+++ b/Tests/Unit/WorkRandomTest.cxx
@@ -6,6 +6,7 @@
 // just that one and prints its transcript.
 
 #include "../Golden/WorkWorld.h"
+#include "Version/LearnedPlacement.h"
 
 #include <criterion/criterion.h>
 
@@ -44,6 +45,17 @@
   return options;
 }
 
+/** As the entries place: by what the workers' reports have taught. */
+WorkWorld::Options
+LearnedOptions(std::uint32_t aSeed)
+{
+  WorkWorld::Options options = RandomOptions(aSeed);
+  options.chooser_ = [](std::uint64_t aPlacementSeed) {
+    return MakeChooser(LearnedPlacement(aPlacementSeed));
+  };
+  return options;
+}
+
 VerbRequest
 RandomJob(WorkWorld& aWorld, int aNumber)
 {
@@ -160,9 +172,10 @@
 };
 
 void
-RunSession(std::uint32_t aSeed, Totals& aTotals)
+RunSession(WorkWorld::Options aOptions, Totals& aTotals)
 {
-  WorkWorld world(RandomOptions(aSeed));
+  const std::uint32_t seed = aOptions.seed_;
+  WorkWorld world(std::move(aOptions));
   world.AddWorker("w1", "r1", { 8000, 1000, 0 });
   world.AddWorker("w2", "r1", { 8000, 1000, 0 });
   world.AddWorker("w3", "r2", { 8000, 1000, 0 });
@@ -191,20 +204,21 @@
   aTotals.starts_ += world.Starts();
   aTotals.broken_ += world.Broken().empty() ? 0 : 1;
   if (!world.Broken().empty() && aTotals.broken_ <= 3) {
-    std::cerr << "seed " << aSeed << ": " << world.Broken().front() << '\n';
+    std::cerr << "seed " << seed << ": " << world.Broken().front() << '\n';
   }
 }
 
 void
-RunSessions(std::uint32_t aFirst)
+RunSessions(std::uint32_t aFirst,
+            WorkWorld::Options (*aOptions)(std::uint32_t) = RandomOptions)
 {
   Totals totals;
   const char* only = std::getenv("WORK_SEED");
   if (only != nullptr) {
-    RunSession(static_cast<std::uint32_t>(std::atoi(only)), totals);
+    RunSession(aOptions(static_cast<std::uint32_t>(std::atoi(only))), totals);
   } else {
     for (std::uint32_t number = 0; number < kSessionsPerTest; ++number) {
-      RunSession(aFirst + number, totals);
+      RunSession(aOptions(aFirst + number), totals);
     }
   }
   std::cerr << "sessions=" << totals.sessions_ << " starts=" << totals.starts_
@@ -238,3 +252,8 @@
 {
   RunSessions(30001);
 }
+
+Test(WorkRandom, LearnedPlacement)
+{
+  RunSessions(40001, LearnedOptions);
+}
