Placement: See batch work start in a small cell kept open

The engine keeps two workers open for urgent work; in a cell of two, batch work would wait for ever beside an empty worker. The bound on holding back covers it, and had been seen only with a task that is expected to be too large.

Without the bound: :262 placement.Choose(batch, workers, At(11000)).has_value() is false; ASmallCellKeptOpenHoldsBatchBackForSomeSecondsOnly.

--- a/Tests/Unit/LearnedPlacementTest.cxx
+++ b/Tests/Unit/LearnedPlacementTest.cxx
@@ -245,3 +245,19 @@
     cr_assert_eq(usage.used_.milliCpus_, 3000, "a task that is not counted");
   }
 }
+
+// In a cell of two workers both are kept open for urgent work: batch work that
+// would close one would never start, though a worker stands empty.
+Test(LearnedPlacement, ASmallCellKeptOpenHoldsBatchBackForSomeSecondsOnly)
+{
+  LearnedPlacement placement(kSeed);
+  const std::vector<WorkerFacts> workers{ Worker("one", 0), Worker("two", 0) };
+  TaskFacts urgent = Batch("service", 1000);
+  urgent.kind_ = WorkKind::Service;
+  urgent.declared_.milliCpus_ = 12000;
+  cr_assert(placement.Choose(urgent, workers, At(0)).has_value());
+  TaskFacts batch = Batch("batch", 1000);
+  batch.declared_.milliCpus_ = 8000;
+  cr_assert_not(placement.Choose(batch, workers, At(1000)).has_value());
+  cr_assert(placement.Choose(batch, workers, At(11000)).has_value());
+}
