--- a/Source/Process/EntrySettings.cxx
+++ b/Source/Process/EntrySettings.cxx
@@ -36,7 +36,7 @@
                 "ms",
                 "time that a planned stop may take"),
   NumberSetting("entry.journal-requests",
-                "100000",
+                "50000",
                 100,
                 10000000,
                 "requests",
