Claims: Group a lane's claims and outcomes into few transactions

Each at-most-once request cost two table transactions of its own. Each lane now owns a ClaimBatcher; ClaimTransaction (pure) makes a batch the table's transaction and reads the answer row by row, told apart by keys. Interval 0: a lone write goes at once. Two faults of the batcher's design mended before it was plugged in: a lost answer held up the whole lane until its deadline (now 50 ms), and a row that the table can't take spoiled every group in which it was tried again (a write after a failed try now goes alone, as before grouping).

--- a/Source/Process/Lane.cxx
+++ b/Source/Process/Lane.cxx
@@ -6,6 +6,8 @@
 #include "Process/Log.h"
 #include "Process/RequestMeter.h"
 #include "Process/StepSegments.h"
+#include "Request/ClaimBatcher.h"
+#include "Request/ClaimTransaction.h"
 #include "Request/EntryCore.h"
 #include "Version/JsonText.h"
 
@@ -15,6 +17,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <iterator>
 #include <map>
 #include <unordered_map>
 
@@ -23,6 +26,10 @@
 namespace {
 
 constexpr Millis kTick{ 10 };
+constexpr std::size_t kClaimsInGroup = 64;
+/** None: a claim that finds no transaction under way goes at once. */
+constexpr Millis kClaimsInterval{ 0 };
+constexpr Millis kClaimsPatience{ 50 };
 constexpr std::string_view kServicePrefix = "/s/";
 constexpr std::string_view kBearer = "Bearer ";
 
@@ -49,12 +56,6 @@
   return escaped;
 }
 
-std::string
-ClaimKey(const std::string& aTenant, const std::string& aKey)
-{
-  return "claim/" + aTenant + "/" + Sha256Hex(aKey);
-}
-
 /** The answer to a caller, ours or the upstream's. */
 HttpAnswer
 ToHttp(const AnswerCaller& aAnswer)
@@ -124,8 +125,9 @@
   void Do(const AnswerCaller& aAction);
   void Do(const WriteClaim& aAction);
   void Do(const RecordEntryStep& aAction);
-  void OnClaimResult(const WriteClaim& aClaim,
-                     const Result<TableOutcome>& aResult);
+  void SendClaims();
+  void SendClaims(const ClaimBatcher::Batch& aBatch);
+  void OnClaimsEnded(const std::vector<ClaimBatcher::Ended>& aEnded);
 
   EntrySettings settings_;
   std::uint16_t port_;
@@ -143,6 +145,7 @@
   std::unique_ptr<EntryCore> core_;
   std::unique_ptr<HttpFront> front_;
   std::unique_ptr<TableClient> table_;
+  ClaimBatcher claims_{ { kClaimsInGroup, kClaimsInterval, kClaimsPatience } };
   std::unique_ptr<QTimer> tick_;
   RequestMeter meter_{ Metrics::OfProcess() };
   std::map<std::string, SideLink*> links_;
@@ -173,12 +176,14 @@
   port_ = front_->Port();
   tick_ = std::make_unique<QTimer>();
   connect(tick_.get(), &QTimer::timeout, this, [this] {
-    Run(core_->OnTick(ReadMonotonicClock()));
+    const Instant now = ReadMonotonicClock();
+    OnClaimsEnded(claims_.OnTick(now));
+    Run(core_->OnTick(now));
     inProgress_ = exchanges_.size() + core_->UnwrittenOutcomes();
     meter_.Publish(front_->Counts());
     drained_ = !front_->Listening() && front_->Connections() == 0 &&
                exchanges_.empty() && table_->InFlight() == 0 &&
-               core_->UnwrittenOutcomes() == 0;
+               claims_.Waiting() == 0 && core_->UnwrittenOutcomes() == 0;
   });
   tick_->start(kTick);
   return true;
@@ -315,6 +320,7 @@
   for (const EntryAction& action : aActions) {
     std::visit([this](const auto& aAction) { Do(aAction); }, action);
   }
+  SendClaims();
 }
 
 void
@@ -350,45 +356,43 @@
 void
 Lane::Private::Do(const WriteClaim& aAction)
 {
-  const std::string key = ClaimKey(aAction.tenant_, aAction.key_);
-  TableTransaction transaction;
-  transaction.conditions_.push_back({ key, aAction.expectedRevision_ });
-  transaction.puts_.push_back({ key, ToJson(aAction.record_) });
-  table_->Transact(transaction,
-                   aAction.deadline_,
-                   [this, aAction](const Result<TableOutcome>& aResult) {
-                     OnClaimResult(aAction, aResult);
-                   });
+  claims_.Add(aAction);
 }
 
 void
-Lane::Private::OnClaimResult(const WriteClaim& aClaim,
-                             const Result<TableOutcome>& aResult)
+Lane::Private::SendClaims()
 {
-  ClaimWriteResult result;
-  if (const auto* failure = std::get_if<Failure>(&aResult)) {
-    result.outcome_ = failure->verdict_ == Verdict::DidNotRun
-                        ? ClaimWrite::NotWritten
-                        : ClaimWrite::Unknown;
+  const Instant now = ReadMonotonicClock();
+  while (const std::optional<ClaimBatcher::Batch> batch = claims_.Begin(now)) {
+    SendClaims(*batch);
   }
-  if (const auto* answer = std::get_if<TableOutcome>(&aResult)) {
-    result.outcome_ =
-      answer->applied_ ? ClaimWrite::Applied : ClaimWrite::Refused;
-    if (!answer->rows_.empty()) {
-      result.revision_ = answer->rows_.front().revision_;
-    }
-    if (!answer->applied_ && result.revision_ != 0) {
-      const Result<ClaimRecord> parsed =
-        FromJson<ClaimRecord>(answer->rows_.front().value_);
-      if (const auto* found = std::get_if<ClaimRecord>(&parsed)) {
-        result.record_ = *found;
-      } else {
-        result.outcome_ = ClaimWrite::Unknown;
-      }
-    }
+}
+
+void
+Lane::Private::SendClaims(const ClaimBatcher::Batch& aBatch)
+{
+  ClaimTransaction group(aBatch);
+  const TableTransaction transaction = group.Transaction();
+  table_->Transact(
+    transaction,
+    aBatch.deadline_,
+    [this, group = std::move(group)](const Result<TableOutcome>& aResult) {
+      OnClaimsEnded(group.Read(aResult, claims_));
+    });
+}
+
+void
+Lane::Private::OnClaimsEnded(const std::vector<ClaimBatcher::Ended>& aEnded)
+{
+  const Instant now = ReadMonotonicClock();
+  // All of them before the first action: what they write next is one group.
+  std::vector<EntryAction> actions;
+  for (const ClaimBatcher::Ended& ended : aEnded) {
+    std::vector<EntryAction> next = core_->OnClaimWritten(
+      ended.write_.requestId_, ended.write_.writeId_, ended.result_, now);
+    std::move(next.begin(), next.end(), std::back_inserter(actions));
   }
-  Run(core_->OnClaimWritten(
-    aClaim.requestId_, aClaim.writeId_, result, ReadMonotonicClock()));
+  Run(actions);
 }
 
 void
--- a/Source/Request/ClaimBatcher.cxx
+++ b/Source/Request/ClaimBatcher.cxx
@@ -21,10 +21,28 @@
 std::optional<ClaimBatcher::Batch>
 ClaimBatcher::Begin(Instant aNow)
 {
-  if (!underWay_.empty() || waiting_.empty() || aNow < nextBegin_) {
+  // A row that the table service can't take fails the transaction that it is
+  // in, each time, and all that share it would end in doubt with it.
+  const auto alone =
+    std::find_if(waiting_.begin(),
+                 waiting_.end(),
+                 [](const WriteClaim& aWrite) { return aWrite.alone_; });
+  if (alone != waiting_.end()) {
+    Batch batch{ nextBatchId_++, { std::move(*alone) }, alone->deadline_ };
+    waiting_.erase(alone);
+    underWay_.emplace(batch.id_, batch.writes_);
+    return batch;
+  }
+  // One lost answer would hold up every claim of the lane until it is given
+  // up, and they would be refused for want of time. Beside it they are as true
+  // as without grouping: each row's condition guards it.
+  const bool held =
+    underWay_.contains(lastGroup_) && aNow < lastBegin_ + limits_.patience_;
+  if (held || waiting_.empty() || aNow < nextBegin_) {
     return std::nullopt;
   }
   Batch batch;
+  batch.id_ = nextBatchId_++;
   std::set<std::pair<std::string, std::string>> keys;
   std::deque<WriteClaim> later;
   for (WriteClaim& write : waiting_) {
@@ -40,15 +58,25 @@
     batch.writes_.push_back(std::move(write));
   }
   waiting_ = std::move(later);
-  underWay_ = batch.writes_;
+  underWay_.emplace(batch.id_, batch.writes_);
+  lastGroup_ = batch.id_;
+  lastBegin_ = aNow;
   nextBegin_ = aNow + limits_.interval_;
   return batch;
 }
 
+std::vector<WriteClaim>
+ClaimBatcher::Take(std::uint64_t aBatchId)
+{
+  auto node = underWay_.extract(aBatchId);
+  return node.empty() ? std::vector<WriteClaim>() : std::move(node.mapped());
+}
+
 std::vector<ClaimBatcher::Ended>
-ClaimBatcher::OnApplied(std::span<const std::uint64_t> aRevisions)
+ClaimBatcher::OnApplied(std::uint64_t aBatchId,
+                        std::span<const std::uint64_t> aRevisions)
 {
-  std::vector<WriteClaim> batch = std::exchange(underWay_, {});
+  std::vector<WriteClaim> batch = Take(aBatchId);
   std::vector<Ended> ended;
   for (std::size_t place = 0; place < batch.size(); ++place) {
     ClaimWriteResult result;
@@ -63,13 +91,14 @@
 }
 
 std::vector<ClaimBatcher::Ended>
-ClaimBatcher::OnRefused(std::span<const RefusedRow> aRows)
+ClaimBatcher::OnRefused(std::uint64_t aBatchId,
+                        std::span<const RefusedRow> aRows)
 {
   // A refusal that names no row would be sent again and again.
   if (aRows.empty()) {
-    return OnFailed(ClaimWrite::NotWritten);
+    return OnFailed(aBatchId, ClaimWrite::NotWritten);
   }
-  std::vector<WriteClaim> batch = std::exchange(underWay_, {});
+  std::vector<WriteClaim> batch = Take(aBatchId);
   std::map<std::size_t, ClaimWriteResult> refused;
   for (const RefusedRow& row : aRows) {
     refused.insert(row);
@@ -92,13 +121,12 @@
 }
 
 std::vector<ClaimBatcher::Ended>
-ClaimBatcher::OnFailed(ClaimWrite aOutcome)
+ClaimBatcher::OnFailed(std::uint64_t aBatchId, ClaimWrite aOutcome)
 {
   std::vector<Ended> ended;
-  for (WriteClaim& write : underWay_) {
+  for (WriteClaim& write : Take(aBatchId)) {
     ended.push_back({ std::move(write), { aOutcome, 0, {} } });
   }
-  underWay_.clear();
   return ended;
 }
 
--- a/Source/Request/EntryCore.cxx
+++ b/Source/Request/EntryCore.cxx
@@ -213,6 +213,7 @@
   write.record_.requestId_ = facts.requestId_;
   write.record_.fingerprint_ = aRequest.fingerprint_;
   write.deadline_ = std::min(facts.deadline_, aNow + limits_.claimTimeout_);
+  write.alone_ = aRequest.claimWrites_ > 1;
   aRequest.claimWrite_ = write.writeId_;
   aActions.emplace_back(std::move(write));
 }
--- a/Source/Request/OutcomeWriter.cxx
+++ b/Source/Request/OutcomeWriter.cxx
@@ -138,6 +138,7 @@
   while (!tries_.empty() && tries_.begin()->first <= aNow) {
     const std::string id = tries_.begin()->second;
     writes.push_back(Try(outcomes_.at(id), aNow));
+    writes.back().alone_ = true;
   }
   return writes;
 }
--- a/Source/Request/OutcomeWriter.h
+++ b/Source/Request/OutcomeWriter.h
@@ -25,6 +25,8 @@
   std::uint64_t expectedRevision_ = 0;
   ClaimRecord record_;
   Instant deadline_;
+  /** An earlier try failed: not to be written together with others. */
+  bool alone_ = false;
 };
 
 /**
--- a/Tests/Unit/ClaimBatcherTest.cxx
+++ b/Tests/Unit/ClaimBatcherTest.cxx
@@ -49,14 +49,14 @@
       }
     }
     if (!refused.empty()) {
-      Take(batcher_.OnRefused(refused));
+      Take(batcher_.OnRefused(batch_->id_, refused));
     } else {
       std::vector<std::uint64_t> revisions;
       for (const WriteClaim& write : batch_->writes_) {
         rows_[write.key_] = { ClaimWrite::Applied, ++revision_, write.record_ };
         revisions.push_back(revision_);
       }
-      Take(batcher_.OnApplied(revisions));
+      Take(batcher_.OnApplied(batch_->id_, revisions));
     }
     batch_.reset();
   }
@@ -145,12 +145,54 @@
 {
   ClaimBatcher batcher(ClaimBatcher::Limits{});
   batcher.Add(Claim("r1", "k1"));
-  cr_assert(batcher.Begin(kStart).has_value());
+  const auto batch = batcher.Begin(kStart);
+  cr_assert(batch.has_value());
   batcher.Add(Claim("r2", "k2"));
   const auto expired = batcher.OnTick(kStart + Millis(60000));
   cr_assert(expired.size() == 1);
   cr_assert(expired.front().result_.outcome_ == ClaimWrite::NotWritten);
-  const auto unknown = batcher.OnFailed(ClaimWrite::Unknown);
+  const auto unknown = batcher.OnFailed(batch->id_, ClaimWrite::Unknown);
   cr_assert(unknown.size() == 1);
   cr_assert(unknown.front().result_.outcome_ == ClaimWrite::Unknown);
 }
+
+// A clerk's payout is claimed, and the table's answer is lost. The next clerk's
+// claim waits for that answer, has no time left, and the payout is refused
+// although the table is well. It must go beside the lost one, and the lost
+// one's late end must be told of the lost one alone.
+Test(ClaimBatcher, LostAnswerHoldsUpNoOthers)
+{
+  ClaimBatcher batcher(ClaimBatcher::Limits{});
+  batcher.Add(Claim("lost", "k1"));
+  const auto lost = batcher.Begin(kStart);
+  batcher.Add(Claim("next", "k2"));
+  cr_assert(!batcher.Begin(kStart + Millis(49)).has_value());
+  const auto next = batcher.Begin(kStart + Millis(50));
+  cr_assert(next.has_value(), "the next claim waits for a lost answer");
+  const auto failed = batcher.OnFailed(lost->id_, ClaimWrite::Unknown);
+  cr_assert(failed.size() == 1);
+  cr_assert(failed.front().write_.requestId_ == "lost");
+  const auto applied =
+    batcher.OnApplied(next->id_, std::vector<std::uint64_t>{ 7 });
+  cr_assert(applied.size() == 1);
+  cr_assert(applied.front().write_.requestId_ == "next");
+  cr_assert(applied.front().result_.revision_ == 7);
+}
+
+// One payout's answer holds a byte that the table service refuses to keep. Its
+// outcome fails the group that it is in, is tried again, and fails the next
+// group: every clerk's payout of that lane is refused for two minutes.
+Test(ClaimBatcher, WhatFailedGoesAlone)
+{
+  ClaimBatcher batcher(ClaimBatcher::Limits{});
+  batcher.Add(Claim("other", "k1"));
+  WriteClaim failed = Claim("failed", "k2");
+  failed.alone_ = true;
+  batcher.Add(failed);
+  const auto alone = batcher.Begin(kStart);
+  cr_assert(alone->writes_.size() == 1, "the failed one takes others along");
+  cr_assert(alone->writes_.front().requestId_ == "failed");
+  const auto group = batcher.Begin(kStart);
+  cr_assert(group.has_value(), "the failed one holds up the others");
+  cr_assert(group->writes_.front().requestId_ == "other");
+}
--- a/Tests/Unit/EntryCoreTest.cxx
+++ b/Tests/Unit/EntryCoreTest.cxx
@@ -114,3 +114,21 @@
   core.OnTick(kStart + Millis(120000));
   cr_assert(core.Membership().All().empty());
 }
+
+// The table service's answer to a payout's claim was lost. Had one row of its
+// group spoiled the whole group, the claim's second write in a group could be
+// spoiled likewise, and the payout would be refused although the table is well.
+Test(EntryCore, ClaimInDoubtIsReadAgainAlone)
+{
+  EntryCore core(EntryCore::Limits{});
+  core.OnHeartbeat(ReadySide("side1", 1), kStart);
+  RequestFacts payout = Valuation(1, kStart);
+  payout.idempotent_ = false;
+  std::vector<EntryAction> actions = core.OnRequest(payout, kStart);
+  const WriteClaim first = std::get<WriteClaim>(actions.back());
+  cr_assert(!first.alone_);
+  actions = core.OnClaimWritten(
+    "r1", first.writeId_, { ClaimWrite::Unknown, 0, {} }, kStart);
+  const WriteClaim second = std::get<WriteClaim>(actions.back());
+  cr_assert(second.alone_, "the claim in doubt goes with others again");
+}
