Work: Cause failures of batch work on real processes

Bench.CreateJobs, StartWorker, WaitForJob, WaitForCellOwner and WaitForLines are new; the process tests now depend on standin-worker. Left out: a worker frozen past its lease, whose lease is fixed in the product. Not done: no run yet with a guard taken out.

--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -2,7 +2,11 @@
 
 #include "Connection/OperatorSignature.h"
 #include "Request/ExplainVerdict.h"
+#include "Version/JobSummary.h"
 #include "Version/JsonText.h"
+#include "Version/TableRows.h"
+#include "Version/WorkRows.h"
+#include "Version/WorkVerbs.h"
 
 #include <criterion/criterion.h>
 
@@ -172,6 +176,29 @@
     "upstream-" + aSide, STANDIN_FOLDER "/standin-upstream", arguments);
 }
 
+Child&
+Bench::StartWorker(const std::string& aName, const QStringList& aExtra)
+{
+  QStringList arguments{
+    "--listen", "127.0.0.1",
+    "--table",  QString::fromStdString((*this)["platform"].Value("http")),
+    "--id",     QString::fromStdString(aName),
+  };
+  arguments += aExtra;
+  Child& worker = Add(aName, STANDIN_FOLDER "/standin-worker", arguments);
+  WaitUntil(
+    [this, &aName] {
+      const auto got = Ask("GET",
+                           "http://" + (*this)["platform"].Value("http") +
+                             "/v1/rows?prefix=" + kWorkerPrefix + aName);
+      const auto* reply = std::get_if<HttpReply>(&got);
+      return reply != nullptr &&
+             reply->body_.find(kWorkerPrefix + aName) != std::string::npos;
+    },
+    aName + " to be registered");
+  return worker;
+}
+
 void
 Bench::StartRunner(const std::string& aSide,
                    const std::string& aService,
@@ -387,6 +414,96 @@
         count);
 }
 
+void
+Bench::CreateJobs(const std::vector<std::string>& aEntries,
+                  const std::vector<JobSpec>& aJobs)
+{
+  // Shared: the calls may outlive a test that gave up waiting.
+  auto replies = std::make_shared<std::vector<Result<HttpReply>>>();
+  for (std::size_t index = 0; index < aJobs.size(); ++index) {
+    VerbRequest request;
+    request.operationId_ = "create-" + aJobs[index].id_;
+    request.verb_ = "create";
+    request.spec_ = aJobs[index];
+    const std::string& entry = aEntries[index % aEntries.size()];
+    HttpCall call;
+    call.method_ = "POST";
+    call.url_ = "http://" + (*this)[entry].Value("operators") + "/v1/work";
+    call.body_ = ToJson(request);
+    call.deadline_ = ReadMonotonicClock() + kCallBound;
+    SignCall(call);
+    caller_.Start(std::move(call), [replies](const auto& aReply) {
+      replies->push_back(aReply);
+    });
+  }
+  WaitUntil([&] { return replies->size() == aJobs.size(); },
+            "the jobs to be created");
+  for (const Result<HttpReply>& got : *replies) {
+    const auto* reply = std::get_if<HttpReply>(&got);
+    cr_assert(reply != nullptr && reply->status_ == 200,
+              "A job was not created: %s",
+              reply == nullptr ? std::get<Failure>(got).message_.c_str()
+                               : reply->body_.c_str());
+  }
+}
+
+void
+Bench::WaitForJob(const std::string& aEntry, const std::string& aJob)
+{
+  JobSummary job;
+  WaitUntil(
+    [&] {
+      const auto got = AskOperators(aEntry, "/v1/jobs");
+      const auto* reply = std::get_if<HttpReply>(&got);
+      if (reply == nullptr || reply->status_ != 200) {
+        return false;
+      }
+      const Result<JobList> list = FromJson<JobList>(reply->body_);
+      for (const JobSummary& each : std::get<JobList>(list).jobs_) {
+        if (each.id_ == aJob) {
+          job = each;
+        }
+      }
+      return job.over_;
+    },
+    "job " + aJob + " to be over");
+  cr_assert(job.completed_ == job.tasks_,
+            "Of %u tasks of job %s %u completed.",
+            job.tasks_,
+            aJob.c_str(),
+            job.completed_);
+}
+
+std::string
+Bench::WaitForCellOwner(const std::string& aEntry)
+{
+  std::string owner;
+  WaitUntil(
+    [&] {
+      const auto got = AskOperators(aEntry, "/v1/cells");
+      const auto* reply = std::get_if<HttpReply>(&got);
+      if (reply == nullptr || reply->status_ != 200) {
+        return false;
+      }
+      const auto listing = FromJson<TableListing>(reply->body_);
+      for (const TableRow& row : std::get<TableListing>(listing).rows_) {
+        owner = std::get<CellRow>(FromJson<CellRow>(row.value_)).owner_;
+      }
+      return !owner.empty();
+    },
+    "the cell to have an owner");
+  return owner;
+}
+
+void
+Bench::WaitForLines(const std::string& aName,
+                    const std::string& aPrefix,
+                    std::size_t aCount)
+{
+  WaitUntil([&] { return (*this)[aName].Lines(aPrefix).size() >= aCount; },
+            std::to_string(aCount) + " lines '" + aPrefix + "' of " + aName);
+}
+
 std::map<std::string, std::size_t>
 Bench::Runs(bool aById) const
 {
--- a/Tests/Process/Bench.h
+++ b/Tests/Process/Bench.h
@@ -4,6 +4,7 @@
 #include "Connection/HttpCaller.h"
 #include "Ledger.h"
 #include "Request/RequestStep.h"
+#include "Version/WorkRecords.h"
 
 #include <QCoreApplication>
 #include <QTemporaryDir>
@@ -51,6 +52,9 @@
   Child& StartUpstream(const std::string& aSide,
                        const std::string& aService = "once",
                        const QStringList& aExtra = {});
+  /** A worker; it has registered itself in the platform's table service. */
+  Child& StartWorker(const std::string& aName, const QStringList& aExtra = {});
+
   /** A side and its upstream. */
   void StartRunner(const std::string& aSide,
                    const std::string& aService = "once",
@@ -98,6 +102,21 @@
     const std::string& aTarget);
   void SetFault(const std::string& aMode, const std::string& aCount = {});
 
+  /** Creates the jobs, all at once, by turns through the entries. */
+  void CreateJobs(const std::vector<std::string>& aEntries,
+                  const std::vector<cactusrail::JobSpec>& aJobs);
+
+  /** Waits until the job is over; asserts that all its tasks completed. */
+  void WaitForJob(const std::string& aEntry, const std::string& aJob);
+
+  /** Waits until the only cell has an owner; the owner's name. */
+  std::string WaitForCellOwner(const std::string& aEntry);
+
+  /** Waits until the child has printed so many lines with that start. */
+  void WaitForLines(const std::string& aName,
+                    const std::string& aPrefix,
+                    std::size_t aCount);
+
   /** Lines "ran ..." of all upstreams, by mark or by request id. */
   std::map<std::string, std::size_t> Runs(bool aById = false) const;
   std::size_t RunsOf(const std::string& aMark) const;
