--- a/Source/Connection/Codec.cxx
+++ b/Source/Connection/Codec.cxx
@@ -6,6 +6,7 @@
 
 #include <QtEndian>
 
+#include <algorithm>
 #include <array>
 #include <sstream>
 
@@ -32,6 +33,25 @@
   if (const auto* heartbeat = std::get_if<HeartbeatMessage>(&aMessage)) {
     return heartbeat->state_ > SideState::Leaving;
   }
+  if (const auto* report = std::get_if<FleetReport>(&aMessage)) {
+    const auto isUnknownEnd = [](const EndFact& aEnd) {
+      return aEnd.kind_ > EndKind::Alone;
+    };
+    const auto isUnknownRefusal = [](const RefusedRun& aRun) {
+      return aRun.why_ > StartRefusal::Other;
+    };
+    return std::any_of(
+             report->ends_.begin(), report->ends_.end(), isUnknownEnd) ||
+           std::any_of(report->refused_.begin(),
+                       report->refused_.end(),
+                       isUnknownRefusal);
+  }
+  if (const auto* ask = std::get_if<FleetAskMessage>(&aMessage)) {
+    return ask->question_ > FleetQuestion::StoreCancel;
+  }
+  if (const auto* answer = std::get_if<FleetAnswerMessage>(&aMessage)) {
+    return answer->outcome_ > FleetOutcome::InDoubt;
+  }
   return false;
 }
 
--- a/Source/Connection/WireMessages.h
+++ b/Source/Connection/WireMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Connection/FleetMessages.h"
 #include "Request/Verdict.h"
 
 #include <cstdint>
@@ -252,6 +253,12 @@
                                  RecallMessage,
                                  RecollectionMessage,
                                  LinkHelloMessage,
-                                 LinkProofMessage>;
+                                 LinkProofMessage,
+                                 FleetHelloMessage,
+                                 FleetReport,
+                                 FleetOrders,
+                                 FleetAskMessage,
+                                 FleetAnswerMessage,
+                                 FleetConfigurationMessage>;
 
 }
--- a/Source/Process/AllCommands.cxx
+++ b/Source/Process/AllCommands.cxx
@@ -6,6 +6,7 @@
 #include "Process/RoleCommands.h"
 #include "Process/TopCommand.h"
 #include "Process/WorkCommands.h"
+#include "platform/PlatformCommands.h"
 
 #include <iostream>
 
@@ -57,6 +58,7 @@
 {
   CommandTable table;
   AddRoleCommands(table);
+  AddPlatformCommands(table);
   AddConfigCommands(table);
   AddWorkCommands(table);
   AddExplainCommands(table);
--- /dev/null
+++ b/Source/Process/FleetEntry.h
@@ -0,0 +1,737 @@
+#pragma once
+
+#include "Connection/HttpFront.h"
+#include "Connection/RowStore.h"
+#include "Process/CallerCall.h"
+#include "Process/FleetLead.h"
+#include "Process/FleetRecords.h"
+#include "Process/FleetSettings.h"
+#include "Process/JobIntake.h"
+#include "Process/KeyKeeper.h"
+#include "Process/LeaderLink.h"
+#include "Process/LeaseRunner.h"
+#include "Process/LinkListener.h"
+#include "Process/Log.h"
+#include "Process/TableWatch.h"
+#include "Version/FleetConfiguration.h"
+
+#include <QObject>
+#include <QPointer>
+#include <QTimer>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cactusrail {
+
+/** What an entry of the fleet needs of the platform it runs on. */
+template<typename Platform>
+concept EntryPlatform = RowStore<typename Platform::Store> &&
+  requires(const HttpExchange& aExchange,
+           const FleetConfiguration* aConfiguration,
+           const CallerReply& aReply,
+           const std::string& aText)
+{
+  {
+    Platform::ConfigurationRow()
+    } -> std::same_as<RowId>;
+  {
+    Platform::DecodeConfiguration(aText)
+    } -> std::same_as<Result<FleetConfiguration>>;
+  {
+    Platform::DecodeCaller(aExchange, aConfiguration)
+    } -> std::same_as<CallerCall>;
+  {
+    Platform::EncodeReply(aReply)
+    } -> std::same_as<HttpAnswer>;
+  {
+    Platform::AsksReadiness(aExchange)
+    } -> std::same_as<bool>;
+};
+
+/**
+ * An entry of the fleet: takes callers' jobs and questions; one of all entries
+ * leads, and places the work. Keeps nothing that must last. Owned by main.
+ */
+template<EntryPlatform Platform>
+class FleetEntry : public QObject
+{
+public:
+  using Store = typename Platform::Store;
+
+  static Result<std::unique_ptr<FleetEntry>> Start(
+    const FleetEntrySettings& aSettings)
+  {
+    std::unique_ptr<FleetEntry> self(new FleetEntry(aSettings));
+    const Result<bool> opened = self->Open();
+    if (const auto* failure = std::get_if<Failure>(&opened)) {
+      return *failure;
+    }
+    return self;
+  }
+
+  ~FleetEntry() override
+  {
+    for (SideLink* link : peers_) {
+      link->disconnect();
+      delete link;
+    }
+  }
+
+  /**
+   * Begins a planned stop: says that it is not ready, goes on serving until the
+   * balancer has noticed, then closes.
+   */
+  void Stop(std::function<void()> aDone)
+  {
+    LogChange("stopping", {});
+    stopping_ = true;
+    stopped_ = std::move(aDone);
+    stopAt_ = ReadMonotonicClock() + kBalancerNotice;
+    stopBound_ =
+      ReadMonotonicClock() + settings_.fleet_.stopBound_ - kStopMargin;
+    lease_.StepDown();
+    callers_->CloseAfterAnswers();
+    connect(&stopCheck_, &QTimer::timeout, this, [this] { CheckStopped(); });
+    stopCheck_.start(kStopCheck);
+  }
+
+  std::string Describe() const
+  {
+    return "callers=" + settings_.callers_.Text() +
+           " links=" + settings_.fleet_.links_.Text();
+  }
+
+private:
+  /** Balancers miss an entry after two probes, a second apart. */
+  static constexpr Millis kBalancerNotice{ 2300 };
+  static constexpr Millis kStopCheck{ 50 };
+  /** The process is gone this long before the stop's bound. */
+  static constexpr Millis kStopMargin{ 800 };
+  /** The leader answers from memory; a store's answer takes some 10 ms. */
+  static constexpr Millis kAskTimeout{ 350 };
+  static constexpr Millis kReadTimeout{ 1000 };
+  /** Left of a caller's time for the answer's way. */
+  static constexpr Millis kAnswerMargin{ 250 };
+  static constexpr Millis kRetryAfter{ 1000 };
+
+  using Answer = std::function<void(const CallerReply&)>;
+
+  explicit FleetEntry(const FleetEntrySettings& aSettings)
+    : settings_(aSettings)
+    , life_(aSettings.fleet_.name_ + "-" + std::to_string(ReadWallClock()))
+    , store_(aSettings.fleet_.store_)
+    , intake_(store_)
+    , leader_(aSettings.fleet_.name_)
+    , lease_(store_,
+             { aSettings.fleet_.name_, life_, aSettings.fleet_.links_.Text() },
+             [this] { OnLeaseChanged(); })
+    , key_(store_, [this] { OnKey(); })
+    , configurationWatch_(
+        store_,
+        Platform::ConfigurationRow().table_,
+        { Platform::ConfigurationRow().part_ },
+        TableUse::Follow,
+        [this](const Row& aRow) { OnConfigurationRow(aRow); },
+        [] {})
+  {
+  }
+
+  Result<bool> Open()
+  {
+    const auto serve = [this](const HttpExchange& aExchange) {
+      OnCaller(aExchange);
+    };
+    auto callers = HttpFront::Listen(
+      settings_.callers_.ip_, settings_.callers_.port_, HttpLimits(), serve);
+    if (const auto* failure = std::get_if<Failure>(&callers)) {
+      return *failure;
+    }
+    callers_ = std::move(std::get<std::unique_ptr<HttpFront>>(callers));
+    auto readiness = HttpFront::Listen(
+      settings_.readiness_.ip_,
+      settings_.readiness_.port_,
+      HttpLimits(),
+      [this](const HttpExchange& aExchange) { OnReadiness(aExchange); });
+    if (const auto* failure = std::get_if<Failure>(&readiness)) {
+      return *failure;
+    }
+    readiness_ = std::move(std::get<std::unique_ptr<HttpFront>>(readiness));
+    connect(
+      &leader_, &LeaderLink::LeaderRefuses, this, [this](const QString& aLife) {
+        lease_.OnLeaderGone(aLife.toStdString());
+      });
+    configurationWatch_.Start();
+    key_.Start();
+    return true;
+  }
+
+  void OnKey()
+  {
+    auto listener = LinkListener::Listen(
+      settings_.fleet_.links_, [this](SideLink* aLink) { OnPeer(aLink); });
+    if (const auto* failure = std::get_if<Failure>(&listener)) {
+      LogProblem("links-refused", { { "reason", failure->message_ } });
+      return;
+    }
+    listener_ = std::move(std::get<std::unique_ptr<LinkListener>>(listener));
+    lease_.Start();
+  }
+
+  // The configuration.
+
+  void OnConfigurationRow(const Row& aRow)
+  {
+    if (aRow.removed_ || aRow.id_.key_ != Platform::ConfigurationRow().key_) {
+      return;
+    }
+    Result<FleetConfiguration> decoded =
+      Platform::DecodeConfiguration(aRow.value_);
+    if (const auto* failure = std::get_if<Failure>(&decoded)) {
+      LogProblem("configuration-unreadable",
+                 { { "reason", failure->message_ } });
+      return;
+    }
+    auto& configuration = std::get<FleetConfiguration>(decoded);
+    if (configuration_ != nullptr &&
+        configuration_->version_ >= configuration.version_) {
+      return;
+    }
+    LogChange("configuration-in-force",
+              { { "version", std::to_string(configuration.version_) },
+                { "queues", std::to_string(configuration.queues_.size()) } });
+    configuration_ =
+      std::make_shared<const FleetConfiguration>(std::move(configuration));
+  }
+
+  // Leading.
+
+  bool IsLeading() const { return lead_ != nullptr && lead_->Loaded(); }
+
+  void OnLeaseChanged()
+  {
+    const LeaderLease& lease = lease_.Lease();
+    if (!lease.Holds() && lead_ != nullptr) {
+      EndLead();
+    }
+    if (lead_ != nullptr && leadEpoch_ != lease.Epoch()) {
+      EndLead();
+    }
+    if (lease.Holds() && lead_ == nullptr && !stopping_ &&
+        lease.Leads(ReadMonotonicClock())) {
+      leadEpoch_ = lease.Epoch();
+      lead_ = std::make_unique<FleetLead<Store>>(
+        store_, lease, settings_.bounds_, settings_.fleet_.name_, [this] {
+          EndLead();
+        });
+      lead_->Start();
+    }
+    const LeaderRecord& leader = lease.Leader();
+    const bool other =
+      !leader.node_.empty() && leader.life_ != life_ && listener_ != nullptr;
+    leader_.SetLeader(other ? leader.address_ : std::string(),
+                      other ? leader.life_ : std::string());
+  }
+
+  void EndLead()
+  {
+    if (lead_ == nullptr) {
+      return;
+    }
+    LogChange("leading-ended", { { "epoch", std::to_string(leadEpoch_) } });
+    // It may be what is calling.
+    std::shared_ptr<FleetLead<Store>> ended(std::move(lead_));
+    QTimer::singleShot(0, this, [ended] {});
+  }
+
+  // Other entries.
+
+  void OnPeer(SideLink* aLink)
+  {
+    peers_.insert(aLink);
+    connect(aLink,
+            &SideLink::Received,
+            this,
+            [this, aLink](const WireMessage& aMessage) {
+              if (const auto* ask = std::get_if<FleetAskMessage>(&aMessage)) {
+                OnAsk(aLink, *ask);
+              }
+            });
+    connect(aLink, &SideLink::Lost, this, [this, aLink] {
+      peers_.erase(aLink);
+      aLink->deleteLater();
+    });
+  }
+
+  void OnAsk(SideLink* aLink, const FleetAskMessage& aAsk)
+  {
+    const QPointer<SideLink> link(aLink);
+    const std::uint64_t id = aAsk.id_;
+    AnswerAsk(aAsk, [link, id](FleetAnswerMessage aAnswer) {
+      if (id != 0 && !link.isNull()) {
+        aAnswer.id_ = id;
+        link->Send(aAnswer);
+      }
+    });
+  }
+
+  static FleetAnswerMessage Outcome(FleetOutcome aOutcome,
+                                    std::uint64_t aValue = 0)
+  {
+    return { 0, aOutcome, aValue };
+  }
+
+  /** Answers a question to the leader, of another entry or of this one. */
+  void AnswerAsk(const FleetAskMessage& aAsk,
+                 std::function<void(FleetAnswerMessage)> aAnswer)
+  {
+    switch (aAsk.question_) {
+      case FleetQuestion::JobStored:
+        aAnswer(NoteJob(aAsk));
+        return;
+      case FleetQuestion::CancelStored:
+        if (lead_ != nullptr) {
+          lead_->OnCancelStored(aAsk.subject_);
+        }
+        aAnswer(Outcome(FleetOutcome::Ok));
+        return;
+      case FleetQuestion::State:
+        aAnswer(StateAnswer(aAsk.subject_));
+        return;
+      case FleetQuestion::Waiting:
+        aAnswer(IsLeading() ? Outcome(FleetOutcome::Ok,
+                                      lead_->Scheduler().Waiting(aAsk.subject_))
+                            : Outcome(FleetOutcome::NotLeading));
+        return;
+      case FleetQuestion::StoreJob:
+      case FleetQuestion::StoreCancel:
+        StoreForPeer(aAsk, std::move(aAnswer));
+        return;
+    }
+  }
+
+  FleetAnswerMessage NoteJob(const FleetAskMessage& aAsk)
+  {
+    const Result<JobSpec> spec = DecodeRecord<JobSpec>(aAsk.record_);
+    if (lead_ == nullptr || !Succeeded(spec)) {
+      return Outcome(FleetOutcome::NotLeading);
+    }
+    lead_->OnJobStored(std::get<JobSpec>(spec));
+    return Outcome(FleetOutcome::Ok);
+  }
+
+  FleetAnswerMessage StateAnswer(const std::string& aJob)
+  {
+    if (!IsLeading()) {
+      return Outcome(FleetOutcome::NotLeading);
+    }
+    const std::optional<JobState> state = lead_->Scheduler().StateOf(aJob);
+    return state.has_value()
+             ? Outcome(FleetOutcome::Ok, static_cast<std::uint64_t>(*state))
+             : Outcome(FleetOutcome::Unknown);
+  }
+
+  void StoreForPeer(const FleetAskMessage& aAsk,
+                    std::function<void(FleetAnswerMessage)> aAnswer)
+  {
+    const Instant deadline = ReadMonotonicClock() + kReadTimeout;
+    const auto answer = [this, aAsk, aAnswer](IntakeOutcome aOutcome) {
+      if (aOutcome == IntakeOutcome::Stored) {
+        FleetAskMessage note = aAsk;
+        note.question_ = aAsk.question_ == FleetQuestion::StoreJob
+                           ? FleetQuestion::JobStored
+                           : FleetQuestion::CancelStored;
+        AnswerAsk(note, [](const FleetAnswerMessage&) {});
+      }
+      aAnswer(Outcome(aOutcome == IntakeOutcome::Stored ? FleetOutcome::Ok
+                      : aOutcome == IntakeOutcome::NotStored
+                        ? FleetOutcome::NotStored
+                        : FleetOutcome::InDoubt));
+    };
+    if (aAsk.question_ == FleetQuestion::StoreCancel) {
+      intake_.StoreCancel(aAsk.subject_, deadline, answer);
+      return;
+    }
+    const Result<JobSpec> spec = DecodeRecord<JobSpec>(aAsk.record_);
+    if (const auto* failure = std::get_if<Failure>(&spec)) {
+      LogProblem("job-unreadable", { { "reason", failure->message_ } });
+      aAnswer(Outcome(FleetOutcome::NotStored));
+      return;
+    }
+    intake_.StoreJob(std::get<JobSpec>(spec), deadline, answer);
+  }
+
+  /** Asks the leader, which may be this entry. */
+  void AskLeader(FleetQuestion aQuestion,
+                 const std::string& aSubject,
+                 std::string aRecord,
+                 Millis aTimeout,
+                 LeaderLink::Callback aCallback)
+  {
+    FleetAskMessage ask;
+    ask.question_ = aQuestion;
+    ask.subject_ = aSubject;
+    ask.record_ = std::move(aRecord);
+    if (lead_ != nullptr) {
+      AnswerAsk(ask, [aCallback](const FleetAnswerMessage& aAnswer) {
+        aCallback(aAnswer);
+      });
+      return;
+    }
+    leader_.Ask(std::move(ask), aTimeout, std::move(aCallback));
+  }
+
+  void TellLeader(FleetQuestion aQuestion,
+                  const std::string& aSubject,
+                  std::string aRecord)
+  {
+    FleetAskMessage ask;
+    ask.question_ = aQuestion;
+    ask.subject_ = aSubject;
+    ask.record_ = std::move(aRecord);
+    if (lead_ != nullptr) {
+      AnswerAsk(ask, [](const FleetAnswerMessage&) {});
+      return;
+    }
+    leader_.Tell(std::move(ask));
+  }
+
+  // Callers.
+
+  bool IsReady() const { return !stopping_ && configuration_ != nullptr; }
+
+  void OnReadiness(const HttpExchange& aExchange)
+  {
+    HttpAnswer answer;
+    answer.status_ =
+      !Platform::AsksReadiness(aExchange) ? 404 : (IsReady() ? 200 : 503);
+    answer.body_ = "{}";
+    aExchange.Answer(answer);
+  }
+
+  void OnCaller(const HttpExchange& aExchange)
+  {
+    const CallerCall call =
+      Platform::DecodeCaller(aExchange, configuration_.get());
+    const Answer answer = [aExchange](const CallerReply& aReply) {
+      aExchange.Answer(Platform::EncodeReply(aReply));
+    };
+    std::visit([&](const auto& aWhat) { Serve(aWhat, call.deadline_, answer); },
+               call.what_);
+  }
+
+  static CallerReply TryLater(std::string aWhy)
+  {
+    CallerReply reply;
+    reply.outcome_ = CallerOutcome::TryLater;
+    reply.why_ = std::move(aWhy);
+    reply.retryAfter_ = kRetryAfter;
+    return reply;
+  }
+
+  static CallerReply Simple(CallerOutcome aOutcome, std::string aWhy = {})
+  {
+    CallerReply reply;
+    reply.outcome_ = aOutcome;
+    reply.why_ = std::move(aWhy);
+    return reply;
+  }
+
+  void Serve(const RefuseCall& aCall, Instant, const Answer& aAnswer)
+  {
+    switch (aCall.refusal_) {
+      case CallerRefusal::NoSuchQueue:
+        aAnswer(Simple(CallerOutcome::NoSuchQueue, aCall.why_));
+        return;
+      case CallerRefusal::BadRequest:
+        aAnswer(Simple(CallerOutcome::BadRequest, aCall.why_));
+        return;
+      case CallerRefusal::NotReady:
+        aAnswer(TryLater(aCall.why_));
+        return;
+    }
+  }
+
+  void Serve(const SubmitJob& aCall, Instant aDeadline, const Answer& aAnswer)
+  {
+    const JobSpec spec = aCall.spec_;
+    const auto viaLeader = [this, spec, aDeadline, aAnswer] {
+      StoreByLeader(FleetQuestion::StoreJob,
+                    spec.id_,
+                    EncodeRecord(spec),
+                    aDeadline,
+                    aAnswer);
+    };
+    if (intake_.InTrouble() && lead_ == nullptr && leader_.Usable()) {
+      viaLeader();
+      return;
+    }
+    intake_.StoreJob(
+      spec,
+      aDeadline - kAnswerMargin,
+      [this, spec, aAnswer, viaLeader](IntakeOutcome aOutcome) {
+        if (aOutcome == IntakeOutcome::Stored) {
+          TellLeader(FleetQuestion::JobStored, spec.id_, EncodeRecord(spec));
+          aAnswer(Simple(CallerOutcome::Stored));
+        } else if (aOutcome == IntakeOutcome::InDoubt) {
+          aAnswer(Simple(CallerOutcome::InDoubt,
+                         "The table service did not answer in time."));
+        } else if (lead_ == nullptr && leader_.Usable()) {
+          viaLeader();
+        } else {
+          aAnswer(TryLater("The table service takes nothing now."));
+        }
+      });
+  }
+
+  void StoreByLeader(FleetQuestion aQuestion,
+                     const std::string& aJob,
+                     std::string aRecord,
+                     Instant aDeadline,
+                     const Answer& aAnswer)
+  {
+    const Instant now = ReadMonotonicClock();
+    const Millis left =
+      std::chrono::duration_cast<Millis>(aDeadline - kAnswerMargin - now);
+    AskLeader(
+      aQuestion,
+      aJob,
+      std::move(aRecord),
+      std::max(left, kAskTimeout),
+      [aAnswer](const std::optional<FleetAnswerMessage>& aReply) {
+        if (!aReply.has_value() || aReply->outcome_ == FleetOutcome::InDoubt) {
+          aAnswer(Simple(CallerOutcome::InDoubt,
+                         "The entry that leads did not answer in time."));
+        } else if (aReply->outcome_ == FleetOutcome::Ok) {
+          aAnswer(Simple(CallerOutcome::Stored));
+        } else {
+          aAnswer(TryLater("The table service takes nothing now."));
+        }
+      });
+  }
+
+  void Serve(const AskJobState& aCall, Instant, const Answer& aAnswer)
+  {
+    const std::string job = aCall.job_;
+    AskLeader(
+      FleetQuestion::State,
+      job,
+      {},
+      kAskTimeout,
+      [this, job, aAnswer](const std::optional<FleetAnswerMessage>& aReply) {
+        if (aReply.has_value() && aReply->outcome_ == FleetOutcome::Ok) {
+          CallerReply reply;
+          reply.outcome_ = CallerOutcome::State;
+          reply.state_ = static_cast<JobState>(aReply->value_);
+          aAnswer(reply);
+          return;
+        }
+        ReadState(job, aAnswer);
+      });
+  }
+
+  /** What the table says of a job, for when no leader does. */
+  void ReadState(const std::string& aJob, const Answer& aAnswer)
+  {
+    const RowId progress = ProgressRowId(aJob);
+    store_.Read(
+      { progress.table_, progress.part_, progress.key_, progress.key_ + " " },
+      ReadMonotonicClock() + kReadTimeout,
+      [this, aJob, aAnswer](Result<RowPage> aPage) {
+        const auto* page = std::get_if<RowPage>(&aPage);
+        if (page == nullptr) {
+          aAnswer(TryLater("The table service does not answer."));
+          return;
+        }
+        JobState state = JobState::Pending;
+        if (!page->rows_.empty()) {
+          const Result<JobProgress> known =
+            DecodeRecord<JobProgress>(page->rows_.front().value_);
+          const auto* decoded = std::get_if<JobProgress>(&known);
+          state = decoded == nullptr         ? JobState::Running
+                  : IsFinal(decoded->state_) ? decoded->state_
+                                             : JobState::Running;
+        }
+        if (IsFinal(state)) {
+          CallerReply reply;
+          reply.outcome_ = CallerOutcome::State;
+          reply.state_ = state;
+          aAnswer(reply);
+          return;
+        }
+        ReadAccepted(aJob, state, aAnswer);
+      });
+  }
+
+  void ReadAccepted(const std::string& aJob,
+                    JobState aState,
+                    const Answer& aAnswer)
+  {
+    ReadRow(JobRowId(aJob),
+            [this, aJob, aState, aAnswer](std::optional<bool> aStored) {
+              if (!aStored.has_value()) {
+                aAnswer(TryLater("The table service does not answer."));
+                return;
+              }
+              if (!*aStored) {
+                aAnswer(Simple(CallerOutcome::NoSuchJob));
+                return;
+              }
+              ReadRow(CancelRowId(aJob),
+                      [aState, aAnswer](std::optional<bool> aCancelled) {
+                        CallerReply reply;
+                        reply.outcome_ = CallerOutcome::State;
+                        reply.state_ = aCancelled.value_or(false)
+                                         ? JobState::Cancelled
+                                         : aState;
+                        aAnswer(reply);
+                      });
+            });
+  }
+
+  /** Whether there is such a row; none if the store does not say. */
+  void ReadRow(const RowId& aId,
+               std::function<void(std::optional<bool>)> aCallback)
+  {
+    store_.Read({ aId.table_, aId.part_, aId.key_, aId.key_ + " " },
+                ReadMonotonicClock() + kReadTimeout,
+                [aCallback](Result<RowPage> aPage) {
+                  const auto* page = std::get_if<RowPage>(&aPage);
+                  if (page == nullptr) {
+                    aCallback(std::nullopt);
+                    return;
+                  }
+                  aCallback(!page->rows_.empty());
+                });
+  }
+
+  void Serve(const CancelJob& aCall, Instant aDeadline, const Answer& aAnswer)
+  {
+    const std::string job = aCall.job_;
+    AskLeader(FleetQuestion::State,
+              job,
+              {},
+              kAskTimeout,
+              [this, job, aDeadline, aAnswer](
+                const std::optional<FleetAnswerMessage>& aReply) {
+                const bool known =
+                  aReply.has_value() && aReply->outcome_ == FleetOutcome::Ok;
+                if (known && IsFinal(static_cast<JobState>(aReply->value_))) {
+                  aAnswer(Simple(CallerOutcome::Stored));
+                } else if (known) {
+                  StoreCancel(job, aDeadline, aAnswer);
+                } else {
+                  CancelUnknown(job, aDeadline, aAnswer);
+                }
+              });
+  }
+
+  void CancelUnknown(const std::string& aJob,
+                     Instant aDeadline,
+                     const Answer& aAnswer)
+  {
+    ReadRow(JobRowId(aJob),
+            [this, aJob, aDeadline, aAnswer](std::optional<bool> aStored) {
+              if (!aStored.has_value()) {
+                aAnswer(TryLater("The table service does not answer."));
+              } else if (!*aStored) {
+                aAnswer(Simple(CallerOutcome::NoSuchJob));
+              } else {
+                StoreCancel(aJob, aDeadline, aAnswer);
+              }
+            });
+  }
+
+  void StoreCancel(const std::string& aJob,
+                   Instant aDeadline,
+                   const Answer& aAnswer)
+  {
+    intake_.StoreCancel(
+      aJob,
+      aDeadline - kAnswerMargin,
+      [this, aJob, aDeadline, aAnswer](IntakeOutcome aOutcome) {
+        if (aOutcome == IntakeOutcome::Stored) {
+          TellLeader(FleetQuestion::CancelStored, aJob, {});
+          aAnswer(Simple(CallerOutcome::Stored));
+        } else if (aOutcome == IntakeOutcome::InDoubt) {
+          aAnswer(Simple(CallerOutcome::InDoubt,
+                         "The table service did not answer in time."));
+        } else if (lead_ == nullptr && leader_.Usable()) {
+          StoreByLeader(
+            FleetQuestion::StoreCancel, aJob, {}, aDeadline, aAnswer);
+        } else {
+          aAnswer(TryLater("The table service takes nothing now."));
+        }
+      });
+  }
+
+  void Serve(const AskWaiting& aCall, Instant, const Answer& aAnswer)
+  {
+    AskLeader(FleetQuestion::Waiting,
+              aCall.queue_,
+              {},
+              kAskTimeout,
+              [aAnswer](const std::optional<FleetAnswerMessage>& aReply) {
+                if (!aReply.has_value() ||
+                    aReply->outcome_ != FleetOutcome::Ok) {
+                  aAnswer(TryLater("No entry leads at the moment."));
+                  return;
+                }
+                CallerReply reply;
+                reply.outcome_ = CallerOutcome::Waiting;
+                reply.waiting_ = aReply->value_;
+                aAnswer(reply);
+              });
+  }
+
+  // The end.
+
+  void CheckStopped()
+  {
+    const Instant now = ReadMonotonicClock();
+    if (now < stopAt_) {
+      return;
+    }
+    if (callers_->Listening()) {
+      callers_->StopListening();
+    }
+    const bool drained = callers_->Unanswered() == 0 &&
+                         callers_->Connections() == 0 &&
+                         lease_.Lease().SteppedDown();
+    if (!drained && now < stopBound_) {
+      return;
+    }
+    stopCheck_.stop();
+    LogChange("stopped",
+              { { "unanswered", std::to_string(callers_->Unanswered()) } });
+    std::exchange(stopped_, nullptr)();
+  }
+
+  FleetEntrySettings settings_;
+  std::string life_;
+  Store store_;
+  JobIntake<Store> intake_;
+  LeaderLink leader_;
+  LeaseRunner<Store> lease_;
+  KeyKeeper<Store> key_;
+  TableWatch<Store> configurationWatch_;
+  std::shared_ptr<const FleetConfiguration> configuration_;
+  std::unique_ptr<HttpFront> callers_;
+  std::unique_ptr<HttpFront> readiness_;
+  std::unique_ptr<LinkListener> listener_;
+  std::set<SideLink*> peers_;
+  std::unique_ptr<FleetLead<Store>> lead_;
+  std::uint64_t leadEpoch_ = 0;
+  bool stopping_ = false;
+  Instant stopAt_;
+  Instant stopBound_;
+  QTimer stopCheck_;
+  std::function<void()> stopped_;
+};
+
+}
--- /dev/null
+++ b/Source/Process/FleetLead.h
@@ -0,0 +1,442 @@
+#pragma once
+
+#include "Connection/RowStore.h"
+#include "Connection/SideLink.h"
+#include "Process/FleetRecords.h"
+#include "Process/FleetScheduler.h"
+#include "Process/LeaderLease.h"
+#include "Process/Log.h"
+#include "Process/ProgressWriter.h"
+#include "Process/SocketAddress.h"
+#include "Process/TableWatch.h"
+#include "Version/RecordCodec.h"
+
+#include <QObject>
+#include <QPointer>
+#include <QTimer>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cactusrail {
+
+/**
+ * What an entry does while it leads: reads the table, holds a link to each
+ * side, carries out what FleetScheduler decides. Made when the lease is won,
+ * destroyed when it is lost; one life is one epoch.
+ */
+template<RowStore Store>
+class FleetLead : public QObject
+{
+public:
+  FleetLead(Store& aStore,
+            const LeaderLease& aLease,
+            const FleetBounds& aBounds,
+            std::string aNode,
+            std::function<void()> aDeposed)
+    : store_(aStore)
+    , lease_(aLease)
+    , epoch_(aLease.Epoch())
+    , node_(std::move(aNode))
+    , deposed_(std::move(aDeposed))
+    , scheduler_(epoch_, aBounds)
+    , writer_(aStore, epoch_)
+    , work_(
+        aStore,
+        std::string(kWorkTable),
+        WorkParts(),
+        TableUse::Follow,
+        [this](const Row& aRow) { OnWorkRow(aRow); },
+        [this] { OnWorkRead(); })
+    , progress_(
+        aStore,
+        std::string(kProgressTable),
+        { std::string(kProgressPart) },
+        TableUse::ReadOnce,
+        [this](const Row& aRow) { OnProgressRow(aRow); },
+        [this] { members_.Start(); })
+    , members_(
+        aStore,
+        std::string(kMemberTable),
+        { std::string() },
+        TableUse::Follow,
+        [this](const Row& aRow) { OnMemberRow(aRow); },
+        [this] { OnMembersRead(); })
+  {
+    connect(&tick_, &QTimer::timeout, this, [this] { OnTick(); });
+    poke_.setSingleShot(true);
+    connect(&poke_, &QTimer::timeout, this, [this] { Pump(); });
+  }
+
+  ~FleetLead() override
+  {
+    for (auto& [node, side] : sides_) {
+      DropLink(side);
+    }
+  }
+
+  void Start()
+  {
+    LogChange("leading", { { "epoch", std::to_string(epoch_) } });
+    writer_.Fence([this] { work_.Start(); }, [this] { deposed_(); });
+  }
+
+  FleetScheduler& Scheduler() { return scheduler_; }
+  /** All of the table has been read. */
+  bool Loaded() const { return scheduler_.Loaded(); }
+
+  void OnJobStored(const JobSpec& aSpec)
+  {
+    scheduler_.OnJobStored(aSpec, ReadMonotonicClock());
+    Poke();
+  }
+
+  void OnCancelStored(const std::string& aJob)
+  {
+    scheduler_.OnCancelStored(aJob, ReadMonotonicClock());
+    Poke();
+  }
+
+private:
+  static constexpr Millis kTick{ 50 };
+  /** Facts that come together are decided on together. */
+  static constexpr Millis kCoalesce{ 2 };
+  /** Changes are stored together if they come within this. */
+  static constexpr Millis kFlush{ 25 };
+  /** A side that has not reported for so long is linked anew. */
+  static constexpr Millis kSilentSide{ 2500 };
+  static constexpr Millis kLinkRetry{ 250 };
+  static constexpr Millis kSweep{ 5000 };
+  static constexpr Millis kRemoveTimeout{ 2000 };
+
+  struct Side
+  {
+    std::string address_;
+    std::string life_;
+    std::uint64_t rowVersion_ = 0;
+    QPointer<SideLink> link_;
+    bool up_ = false;
+    Instant heardAt_;
+    Instant retryAt_;
+  };
+
+  static std::vector<std::string> WorkParts()
+  {
+    std::vector<std::string> parts;
+    for (std::size_t part = 0; part < kWorkParts; ++part) {
+      parts.push_back(std::to_string(part));
+    }
+    return parts;
+  }
+
+  void OnWorkRow(const Row& aRow)
+  {
+    if (aRow.removed_) {
+      return;
+    }
+    const std::string& key = aRow.id_.key_;
+    if (key.starts_with(kCancelPrefix)) {
+      OnCancelStored(key.substr(kCancelPrefix.size()));
+      return;
+    }
+    Result<JobSpec> spec = DecodeRecord<JobSpec>(aRow.value_);
+    if (const auto* failure = std::get_if<Failure>(&spec)) {
+      LogProblem("job-unreadable",
+                 { { "row", key }, { "reason", failure->message_ } });
+      return;
+    }
+    OnJobStored(std::get<JobSpec>(spec));
+  }
+
+  void OnWorkRead()
+  {
+    if (!Loaded()) {
+      progress_.Start();
+    }
+  }
+
+  void OnProgressRow(const Row& aRow)
+  {
+    if (!aRow.id_.key_.starts_with(kJobPrefix)) {
+      return;
+    }
+    const Result<JobProgress> progress = DecodeRecord<JobProgress>(aRow.value_);
+    if (const auto* failure = std::get_if<Failure>(&progress)) {
+      LogProblem("progress-unreadable",
+                 { { "row", aRow.id_.key_ }, { "reason", failure->message_ } });
+      return;
+    }
+    scheduler_.OnProgressLoaded(aRow.id_.key_.substr(kJobPrefix.size()),
+                                std::get<JobProgress>(progress),
+                                ReadMonotonicClock());
+  }
+
+  void OnMemberRow(const Row& aRow)
+  {
+    const std::string& node = aRow.id_.key_;
+    if (aRow.removed_) {
+      scheduler_.OnSideRemoved(node);
+      const auto found = sides_.find(node);
+      if (found != sides_.end() && found->second.rowVersion_ < aRow.version_) {
+        DropLink(found->second);
+        sides_.erase(found);
+      }
+      return;
+    }
+    const Result<MemberRecord> record = DecodeRecord<MemberRecord>(aRow.value_);
+    if (const auto* failure = std::get_if<Failure>(&record)) {
+      LogProblem("member-unreadable",
+                 { { "row", node }, { "reason", failure->message_ } });
+      return;
+    }
+    const auto& member = std::get<MemberRecord>(record);
+    Side& side = sides_[node];
+    side.rowVersion_ = aRow.version_;
+    if (side.address_ != member.address_ || side.life_ != member.life_) {
+      DropLink(side);
+      side.address_ = member.address_;
+      side.life_ = member.life_;
+      side.retryAt_ = Instant();
+    }
+    if (scheduler_.OnSideRegistered(node, ReadMonotonicClock())) {
+      DropLink(side);
+      side.retryAt_ = Instant();
+    }
+    if (Loaded()) {
+      CheckLinks();
+    }
+  }
+
+  void OnMembersRead()
+  {
+    if (Loaded()) {
+      return;
+    }
+    scheduler_.OnLoaded(ReadMonotonicClock());
+    tick_.start(kTick);
+    CheckLinks();
+    Pump();
+  }
+
+  void DropLink(Side& aSide)
+  {
+    if (!aSide.link_.isNull()) {
+      aSide.link_->disconnect();
+      aSide.link_->Close();
+      aSide.link_->deleteLater();
+      aSide.link_.clear();
+    }
+    aSide.up_ = false;
+  }
+
+  void OpenLink(const std::string& aNode, Side& aSide)
+  {
+    const Result<SocketAddress> address = ParseSocketAddress(aSide.address_);
+    if (!Succeeded(address)) {
+      return;
+    }
+    const auto& target = std::get<SocketAddress>(address);
+    auto* link = new SideLink(target.ip_, target.port_, nullptr);
+    aSide.link_ = link;
+    aSide.heardAt_ = ReadMonotonicClock();
+    connect(link,
+            &SideLink::Received,
+            this,
+            [this, aNode](const WireMessage& aMessage) {
+              OnMessage(aNode, aMessage);
+            });
+    connect(link, &SideLink::Lost, this, [this, aNode](bool, const QString&) {
+      OnLost(aNode);
+    });
+    link->Send(FleetHelloMessage{ node_, true, epoch_ });
+  }
+
+  void OnLost(const std::string& aNode)
+  {
+    const auto found = sides_.find(aNode);
+    if (found == sides_.end()) {
+      return;
+    }
+    if (found->second.up_) {
+      LogChange("side-lost", { { "side", aNode } });
+    }
+    DropLink(found->second);
+    found->second.retryAt_ = ReadMonotonicClock() + kLinkRetry;
+    scheduler_.OnLinkLost(aNode, ReadMonotonicClock());
+    Poke();
+  }
+
+  void CheckLinks()
+  {
+    const Instant now = ReadMonotonicClock();
+    std::vector<std::string> silent;
+    for (auto& [node, side] : sides_) {
+      if (side.link_.isNull()) {
+        if (now >= side.retryAt_) {
+          OpenLink(node, side);
+        }
+      } else if (now - side.heardAt_ > kSilentSide) {
+        silent.push_back(node);
+      }
+    }
+    for (const std::string& node : silent) {
+      OnLost(node);
+    }
+  }
+
+  void OnMessage(const std::string& aNode, const WireMessage& aMessage)
+  {
+    const auto* report = std::get_if<FleetReport>(&aMessage);
+    const auto found = sides_.find(aNode);
+    if (report == nullptr || found == sides_.end()) {
+      return;
+    }
+    const Instant now = ReadMonotonicClock();
+    found->second.heardAt_ = now;
+    if (!found->second.up_) {
+      found->second.up_ = true;
+      scheduler_.OnLinkUp(aNode, now);
+    }
+    scheduler_.OnReport(aNode, *report, now);
+    Poke();
+  }
+
+  void Poke()
+  {
+    if (!poke_.isActive()) {
+      poke_.start(kCoalesce);
+    }
+  }
+
+  void OnTick()
+  {
+    CheckLinks();
+    Pump();
+    const Instant now = ReadMonotonicClock();
+    if (now >= nextSweep_) {
+      nextSweep_ = now + kSweep;
+      Sweep(now);
+    }
+  }
+
+  void Pump()
+  {
+    const Instant now = ReadMonotonicClock();
+    if (!Loaded() || !lease_.Leads(now)) {
+      return;
+    }
+    for (SideOrders& orders :
+         scheduler_.TakeOrders(now, ReadWallClock() / 1000)) {
+      const auto found = sides_.find(orders.node_);
+      if (found != sides_.end() && !found->second.link_.isNull()) {
+        found->second.link_->Send(std::move(orders.orders_));
+      }
+    }
+    StoreChanges(now);
+    for (const FleetEvent& event : scheduler_.TakeEvents()) {
+      LogChange(event.event_,
+                { { "id", event.task_ },
+                  { "side", event.node_ },
+                  { "detail", event.detail_ } });
+    }
+  }
+
+  void StoreChanges(Instant aNow)
+  {
+    if (writer_.Busy() || aNow < nextFlush_) {
+      return;
+    }
+    std::optional<ProgressBatch> batch = scheduler_.TakeBatch();
+    if (!batch.has_value() && removals_.empty()) {
+      return;
+    }
+    nextFlush_ = aNow + kFlush;
+    const std::uint64_t number = batch.has_value() ? batch->number_ : 0;
+    writer_.Write(batch.value_or(ProgressBatch()),
+                  std::exchange(removals_, {}),
+                  [this, number] {
+                    if (number > 0) {
+                      scheduler_.OnBatchStored(number, ReadMonotonicClock());
+                    }
+                    Poke();
+                  });
+  }
+
+  /** Removes what nobody can ask for any more. */
+  void Sweep(Instant aNow)
+  {
+    std::map<std::string, std::vector<std::string>> byPart;
+    for (const std::string& id : scheduler_.Expired(ReadWallClock() / 1000)) {
+      byPart[WorkPartOf(id)].push_back(id);
+    }
+    constexpr std::size_t kMostAtOnce = 40;
+    for (auto& [part, ids] : byPart) {
+      ids.resize(std::min(ids.size(), kMostAtOnce));
+      RowTransaction transaction;
+      for (const std::string& id : ids) {
+        transaction.removals_.push_back(JobRowId(id));
+        transaction.removals_.push_back(CancelRowId(id));
+      }
+      store_.Write(
+        transaction, aNow + kRemoveTimeout, [this, ids](const Commit& aCommit) {
+          OnJobsRemoved(ids, aCommit);
+        });
+    }
+    for (const std::string& node : scheduler_.Removable(aNow)) {
+      RemoveMember(node, aNow);
+    }
+  }
+
+  void OnJobsRemoved(const std::vector<std::string>& aIds,
+                     const Commit& aCommit)
+  {
+    if (aCommit.outcome_ != CommitOutcome::Done) {
+      return; // The next sweep finds them again.
+    }
+    for (const std::string& id : aIds) {
+      scheduler_.Forget(id);
+      removals_.push_back(id);
+    }
+  }
+
+  void RemoveMember(const std::string& aNode, Instant aNow)
+  {
+    const auto found = sides_.find(aNode);
+    if (found == sides_.end()) {
+      return;
+    }
+    RowTransaction transaction;
+    // A side that registered again since has another version.
+    transaction.conditions_.push_back(
+      { MemberRowId(aNode), found->second.rowVersion_ });
+    transaction.removals_.push_back(MemberRowId(aNode));
+    // Until its row comes anew, nothing may start there.
+    scheduler_.OnSideRemoved(aNode);
+    LogChange("side-removed", { { "side", aNode } });
+    store_.Write(transaction, aNow + kRemoveTimeout, [](const Commit&) {});
+  }
+
+  Store& store_;
+  const LeaderLease& lease_;
+  std::uint64_t epoch_;
+  std::string node_;
+  std::function<void()> deposed_;
+  FleetScheduler scheduler_;
+  ProgressWriter<Store> writer_;
+  TableWatch<Store> work_;
+  TableWatch<Store> progress_;
+  TableWatch<Store> members_;
+  std::map<std::string, Side> sides_;
+  std::vector<std::string> removals_;
+  Instant nextFlush_;
+  Instant nextSweep_;
+  QTimer tick_;
+  QTimer poke_;
+};
+
+}
--- /dev/null
+++ b/Source/Process/FleetScheduler.cxx
@@ -0,0 +1,426 @@
+#include "Process/FleetScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+/** Run numbers that one leader may give to one task; see NextRun(). */
+constexpr std::uint32_t kRunsPerEpoch = 100000;
+
+/** Two different jobs in a row that fail on a worker set it aside: single tasks
+ * fail by themselves in up to 5 % of their runs, so a good worker is hit once
+ * in some 400 tasks and left alone for five seconds. */
+WorkerHealth::Rules
+HealthRules()
+{
+  WorkerHealth::Rules rules;
+  rules.jobsToSetAside_ = 2;
+  return rules;
+}
+
+/** A row of a side that is out of reach is removed after this; by then no
+ * leader has to wait for it. */
+constexpr Millis kForgetSide{ 20000 };
+
+}
+
+FleetScheduler::FleetScheduler(std::uint64_t aEpoch, const FleetBounds& aBounds)
+  : epoch_(aEpoch)
+  , firstRun_(static_cast<std::uint32_t>(aEpoch - 1) * kRunsPerEpoch + 1)
+  , bounds_(aBounds)
+  , health_(HealthRules())
+{
+}
+
+void
+FleetScheduler::Note(std::string_view aEvent,
+                     std::string aTask,
+                     std::string aNode,
+                     std::string aDetail)
+{
+  events_.push_back(
+    { aEvent, std::move(aTask), std::move(aNode), std::move(aDetail) });
+}
+
+std::vector<FleetEvent>
+FleetScheduler::TakeEvents()
+{
+  return std::exchange(events_, {});
+}
+
+// Jobs.
+
+std::optional<FleetScheduler::Place>
+FleetScheduler::Find(const TaskName& aName)
+{
+  const auto found = jobs_.find(aName.job_);
+  if (found == jobs_.end()) {
+    return std::nullopt;
+  }
+  FleetJob& job = *found->second.job_;
+  FleetStep* step = job.FindStep(aName.occurrence_, aName.step_);
+  FleetTask* task = job.FindTask(aName);
+  if (task == nullptr) {
+    return std::nullopt;
+  }
+  return Place{ &found->second, step, task };
+}
+
+FleetScheduler::ReadyKey
+FleetScheduler::KeyOf(const FleetJob& aJob, const FleetStep& aStep)
+{
+  const JobSpec& spec = aJob.Spec();
+  return { spec.priority_,
+           spec.acceptedAtMs_,
+           spec.id_,
+           aStep.occurrence_,
+           aStep.index_ };
+}
+
+void
+FleetScheduler::MarkReady(const FleetJob& aJob, const FleetStep& aStep)
+{
+  if (aStep.open_ && !aStep.AllDone() && !aJob.IsOver()) {
+    ready_.insert(KeyOf(aJob, aStep));
+  }
+}
+
+void
+FleetScheduler::MarkAllReady(JobEntry& aEntry)
+{
+  for (auto& [number, occurrence] : aEntry.job_->Occurrences()) {
+    for (const FleetStep& step : occurrence.steps_) {
+      MarkReady(*aEntry.job_, step);
+    }
+  }
+}
+
+void
+FleetScheduler::MarkChanged(JobEntry& aEntry)
+{
+  changed_.insert(aEntry.job_->Spec().id_);
+}
+
+void
+FleetScheduler::OnJobStored(const JobSpec& aSpec, Instant aNow)
+{
+  if (jobs_.contains(aSpec.id_)) {
+    return;
+  }
+  JobEntry& entry = jobs_[aSpec.id_];
+  entry.job_ = std::make_unique<FleetJob>(aSpec, firstRun_);
+  entry.old_ = !loaded_;
+  if (earlyCancels_.erase(aSpec.id_) > 0) {
+    FinishJob(entry, JobState::Cancelled);
+    return;
+  }
+  if (loaded_) {
+    Note("job-queued",
+         aSpec.id_,
+         {},
+         "priority " + std::to_string(aSpec.priority_));
+  }
+  if (const auto due = entry.job_->NextDue()) {
+    due_.insert({ *due, aSpec.id_ });
+  }
+  BeginDueJobs(aNow, wallMs_);
+}
+
+void
+FleetScheduler::BeginDueJobs(Instant aNow, std::int64_t aWallMs)
+{
+  while (!due_.empty() && due_.begin()->first <= aWallMs) {
+    const std::string id = due_.begin()->second;
+    due_.erase(due_.begin());
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end() || found->second.job_->IsOver()) {
+      continue;
+    }
+    FleetJob& job = *found->second.job_;
+    job.BeginDue(aWallMs, aNow);
+    MarkAllReady(found->second);
+    if (const auto due = job.NextDue()) {
+      due_.insert({ *due, id });
+    }
+  }
+}
+
+void
+FleetScheduler::OnCancelStored(const std::string& aJob, Instant aNow)
+{
+  (void)aNow;
+  const auto found = jobs_.find(aJob);
+  if (found == jobs_.end()) {
+    earlyCancels_.insert(aJob);
+    return;
+  }
+  JobEntry& entry = found->second;
+  if (!entry.job_->IsOver()) {
+    FinishJob(entry, JobState::Cancelled);
+  }
+}
+
+void
+FleetScheduler::FinishJob(JobEntry& aEntry, JobState aState)
+{
+  FleetJob& job = *aEntry.job_;
+  job.Finish(aState, wallMs_);
+  StopAllRuns(job);
+  MarkChanged(aEntry);
+  Note("job-ended", job.Spec().id_, {}, std::string(JobStateText(aState)));
+}
+
+void
+FleetScheduler::StopAllRuns(FleetJob& aJob)
+{
+  for (auto& [number, occurrence] : aJob.Occurrences()) {
+    for (FleetStep& step : occurrence.steps_) {
+      for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
+        const TaskName name{ aJob.Spec().id_, number, step.index_, i };
+        for (TaskRun& run : step.tasks_[i].runs_) {
+          OrderStop(run.node_, name.Text(), run, "job ended");
+        }
+      }
+    }
+  }
+}
+
+void
+FleetScheduler::SettleJob(JobEntry& aEntry)
+{
+  FleetJob& job = *aEntry.job_;
+  if (job.IsOver()) {
+    return;
+  }
+  if (job.AllDone()) {
+    FinishJob(aEntry, JobState::Completed);
+    return;
+  }
+  job.ForgetDone();
+  MarkAllReady(aEntry);
+}
+
+void
+FleetScheduler::OnProgressLoaded(const std::string& aJob,
+                                 const JobProgress& aProgress,
+                                 Instant aNow)
+{
+  const auto found = jobs_.find(aJob);
+  if (found == jobs_.end()) {
+    return;
+  }
+  JobEntry& entry = found->second;
+  if (entry.job_->IsOver()) {
+    return;
+  }
+  entry.job_->Restore(aProgress, aNow);
+  entry.storedState_ = aProgress.state_;
+  if (!entry.job_->IsOver()) {
+    MarkAllReady(entry);
+  }
+}
+
+void
+FleetScheduler::OnLoaded(Instant aNow)
+{
+  loaded_ = true;
+  loadedAt_ = aNow;
+  std::size_t open = 0;
+  for (auto& [id, entry] : jobs_) {
+    open += entry.job_->IsOver() ? 0 : 1;
+    SettleJob(entry);
+  }
+  for (auto& [node, worker] : workers_) {
+    worker.suspect_ = !worker.synced_;
+    worker.grantedAt_ = aNow;
+    worker.lostAt_ = aNow;
+  }
+  Note("loaded",
+       {},
+       {},
+       std::to_string(open) + " open jobs, " + std::to_string(workers_.size()) +
+         " sides");
+}
+
+bool
+FleetScheduler::AnySuspect() const
+{
+  return std::any_of(workers_.begin(), workers_.end(), [](const auto& aEntry) {
+    return aEntry.second.suspect_;
+  });
+}
+
+// Sides.
+
+bool
+FleetScheduler::OnSideRegistered(const std::string& aNode, Instant aNow)
+{
+  FleetWorker& worker = workers_[aNode];
+  const bool isNew = worker.node_.empty();
+  if (isNew) {
+    worker.node_ = aNode;
+    worker.grantedAt_ = aNow;
+    worker.lostAt_ = aNow;
+  }
+  worker.registered_ = true;
+  return isNew;
+}
+
+void
+FleetScheduler::OnSideRemoved(const std::string& aNode)
+{
+  const auto found = workers_.find(aNode);
+  if (found == workers_.end()) {
+    return;
+  }
+  found->second.registered_ = false;
+  if (!found->second.linked_ && found->second.held_.empty()) {
+    workers_.erase(found);
+  }
+}
+
+std::vector<std::string>
+FleetScheduler::Removable(Instant aNow) const
+{
+  std::vector<std::string> nodes;
+  for (const auto& [node, worker] : workers_) {
+    if (worker.registered_ && !worker.linked_ && !worker.suspect_ &&
+        worker.held_.empty() && aNow - worker.lostAt_ > kForgetSide) {
+      nodes.push_back(node);
+    }
+  }
+  return nodes;
+}
+
+void
+FleetScheduler::GiveUpUnreachable(Instant aNow)
+{
+  for (auto& [node, worker] : workers_) {
+    if (worker.linked_ && worker.synced_) {
+      continue;
+    }
+    const bool over = aNow - worker.grantedAt_ > kAuthority + kAuthoritySlack;
+    if (!over || (!worker.suspect_ && worker.held_.empty())) {
+      continue;
+    }
+    Note("worker-given-up", {}, node, "its side is out of reach");
+    worker.suspect_ = false;
+    DropAllRuns(worker, "its side is out of reach", aNow);
+  }
+}
+
+// Batches.
+
+std::optional<ProgressBatch>
+FleetScheduler::TakeBatch()
+{
+  if (changed_.empty()) {
+    return std::nullopt;
+  }
+  ProgressBatch batch;
+  batch.number_ = nextBatch_++;
+  storing_.clear();
+  for (const std::string& id : changed_) {
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+      continue;
+    }
+    found->second.batchState_ = found->second.job_->State();
+    batch.jobs_.emplace_back(id, found->second.job_->Progress());
+    storing_.push_back(id);
+  }
+  changed_.clear();
+  return batch;
+}
+
+void
+FleetScheduler::PutBack(const ProgressBatch& aBatch)
+{
+  for (const auto& [id, progress] : aBatch.jobs_) {
+    changed_.insert(id);
+  }
+}
+
+void
+FleetScheduler::OnBatchStored(std::uint64_t aBatch, Instant aNow)
+{
+  (void)aNow;
+  for (const std::string& id : std::exchange(storing_, {})) {
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+      continue;
+    }
+    found->second.storedState_ = found->second.batchState_;
+    if (IsFinal(found->second.storedState_)) {
+      found->second.job_->Shrink();
+    }
+  }
+  for (auto& [node, worker] : workers_) {
+    while (!worker.unstored_.empty() &&
+           worker.unstored_.front().batch_ <= aBatch) {
+      worker.endsStored_ = worker.unstored_.front().number_;
+      worker.acknowledgementDue_ = true;
+      worker.unstored_.pop_front();
+    }
+  }
+}
+
+// Questions.
+
+std::optional<JobState>
+FleetScheduler::StateOf(std::string_view aJob) const
+{
+  const auto found = jobs_.find(std::string(aJob));
+  if (found == jobs_.end()) {
+    return std::nullopt;
+  }
+  const JobEntry& entry = found->second;
+  if (IsFinal(entry.storedState_)) {
+    return entry.storedState_;
+  }
+  // A cancellation is stored before this module hears of it.
+  if (entry.job_->State() == JobState::Cancelled) {
+    return JobState::Cancelled;
+  }
+  return entry.job_->EverStarted() ? JobState::Running : JobState::Pending;
+}
+
+std::uint64_t
+FleetScheduler::Waiting(std::string_view aQueue) const
+{
+  return static_cast<std::uint64_t>(
+    std::count_if(jobs_.begin(), jobs_.end(), [aQueue](const auto& aEntry) {
+      const FleetJob& job = *aEntry.second.job_;
+      return job.Spec().queue_ == aQueue && !job.IsOver() && !job.EverStarted();
+    }));
+}
+
+std::size_t
+FleetScheduler::ReadyCount() const
+{
+  return ready_.size();
+}
+
+std::vector<std::string>
+FleetScheduler::Expired(std::int64_t aWallMs) const
+{
+  std::vector<std::string> expired;
+  for (const auto& [id, entry] : jobs_) {
+    if (IsFinal(entry.storedState_) &&
+        aWallMs - entry.job_->EndedAtMs() > bounds_.keepFinished_.count()) {
+      expired.push_back(id);
+    }
+  }
+  return expired;
+}
+
+void
+FleetScheduler::Forget(const std::string& aJob)
+{
+  jobs_.erase(aJob);
+}
+
+}
--- /dev/null
+++ b/Source/Process/FleetScheduler.h
@@ -0,0 +1,294 @@
+#pragma once
+
+#include "Connection/FleetMessages.h"
+#include "Process/FleetJob.h"
+#include "Process/FleetTimings.h"
+#include "Process/FleetWorker.h"
+#include "Process/WorkerChoice.h"
+#include "Version/WorkerHealth.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace cactusrail {
+
+/** Figures of the deployment that scheduling rests on. */
+struct FleetBounds
+{
+  /** Runs may start on a worker so long after it said that it leaves. */
+  Millis drain_{ 2000 };
+  /** A worker stops a run within this. */
+  Millis stopTimeout_{ 1000 };
+  /** A long-running task away for longer than this counts as disrupted. */
+  Millis disruptionNotice_{ 4500 };
+  /** Finished jobs are known for so long. */
+  Millis keepFinished_{ 120000 };
+  /** How much longer a task takes away from its data. */
+  double farFactor_ = 1.5;
+};
+
+/** Job records to store as one; an end is acknowledged once its batch is. */
+struct ProgressBatch
+{
+  std::uint64_t number_ = 0;
+  std::vector<std::pair<std::string, JobProgress>> jobs_;
+};
+
+/** Orders for one side. */
+struct SideOrders
+{
+  std::string node_;
+  FleetOrders orders_;
+};
+
+/** Something that a decision changed, for the log: an event and its inputs. */
+struct FleetEvent
+{
+  std::string_view event_;
+  std::string task_;
+  std::string node_;
+  std::string detail_;
+};
+
+/**
+ * Decides which task runs where, for the entry that leads. Facts and times in,
+ * orders and records to store out; no I/O.
+ *
+ * What holds at all times, and why:
+ * - A task has one run at a time. Its worker is asked, not the table: a run is
+ *   given up only when its worker lists its end, says that it is not there, is
+ *   in a new life, or when kAuthority is over since the last orders that its
+ *   side can have had, after which the side holds nothing.
+ * - A new leader starts nothing that might run already: jobs older than itself
+ *   wait until each known side has reported or kAuthority is over.
+ * - An end is acknowledged to the worker, which then forgets it, only after
+ *   what it changed is stored; a leader that dies before that is told again.
+ * - Room is taken from the order of a start until its end is known, so late
+ *   starts and slow stops never add up beyond a worker's capacity.
+ */
+class FleetScheduler
+{
+public:
+  FleetScheduler(std::uint64_t aEpoch, const FleetBounds& aBounds);
+
+  // Facts.
+  /** A job is in the table. Repeats change nothing. */
+  void OnJobStored(const JobSpec& aSpec, Instant aNow);
+  /** A cancellation is in the table; it may come before its job. */
+  void OnCancelStored(const std::string& aJob, Instant aNow);
+  /** What the last leader stored of a job; while loading. */
+  void OnProgressLoaded(const std::string& aJob,
+                        const JobProgress& aProgress,
+                        Instant aNow);
+  /** The side's row is in the table; true if it was not known before. */
+  bool OnSideRegistered(const std::string& aNode, Instant aNow);
+  /** The row was removed, by its side or by Removable(). */
+  void OnSideRemoved(const std::string& aNode);
+  /** Everything in the table has been read. */
+  void OnLoaded(Instant aNow);
+  void OnLinkUp(const std::string& aNode, Instant aNow);
+  void OnLinkLost(const std::string& aNode, Instant aNow);
+  void OnReport(const std::string& aNode,
+                const FleetReport& aReport,
+                Instant aNow);
+  /** All batches up to this one are in the table. */
+  void OnBatchStored(std::uint64_t aBatch, Instant aNow);
+
+  // Decisions.
+  /** Orders that are due; to be sent at once. */
+  std::vector<SideOrders> TakeOrders(Instant aNow, std::int64_t aWallMs);
+  /** Changes that must be stored; none if there are none. */
+  std::optional<ProgressBatch> TakeBatch();
+  /** A batch was not stored: its jobs go into the next one. */
+  void PutBack(const ProgressBatch& aBatch);
+  /** What has been decided since the last call, for the log. */
+  std::vector<FleetEvent> TakeEvents();
+  /** Jobs that ended so long ago that nobody may ask for them. */
+  std::vector<std::string> Expired(std::int64_t aWallMs) const;
+  void Forget(const std::string& aJob);
+  /** Sides that have been out of reach so long that nothing can run there. */
+  std::vector<std::string> Removable(Instant aNow) const;
+
+  // Questions.
+  /** None if the job is not known here. A final state only once stored. */
+  std::optional<JobState> StateOf(std::string_view aJob) const;
+  std::uint64_t Waiting(std::string_view aQueue) const;
+  bool Loaded() const { return loaded_; }
+  std::size_t JobCount() const { return jobs_.size(); }
+  std::size_t ReadyCount() const;
+  const std::map<std::string, FleetWorker>& Workers() const { return workers_; }
+
+private:
+  struct JobEntry
+  {
+    std::unique_ptr<FleetJob> job_;
+    /** Stored before this leader; waits until no side is suspect. */
+    bool old_ = false;
+    /** The state that the table holds. */
+    JobState storedState_ = JobState::Pending;
+    /** The state in the batch that is being stored. */
+    JobState batchState_ = JobState::Pending;
+  };
+
+  /** Ready work in the order in which it is placed. */
+  struct ReadyKey
+  {
+    std::int64_t priority_ = 0;
+    std::int64_t acceptedAtMs_ = 0;
+    std::string job_;
+    std::uint32_t occurrence_ = 0;
+    std::uint32_t step_ = 0;
+
+    auto operator<=>(const ReadyKey&) const = default;
+  };
+
+  struct Place
+  {
+    JobEntry* entry_ = nullptr;
+    FleetStep* step_ = nullptr;
+    FleetTask* task_ = nullptr;
+  };
+
+  // Jobs.
+  std::optional<Place> Find(const TaskName& aName);
+  static ReadyKey KeyOf(const FleetJob& aJob, const FleetStep& aStep);
+  void MarkReady(const FleetJob& aJob, const FleetStep& aStep);
+  void MarkAllReady(JobEntry& aEntry);
+  void MarkChanged(JobEntry& aEntry);
+  void BeginDueJobs(Instant aNow, std::int64_t aWallMs);
+  void FinishJob(JobEntry& aEntry, JobState aState);
+  void StopAllRuns(FleetJob& aJob);
+  void SettleJob(JobEntry& aEntry);
+
+  // Reports.
+  void OnNewLife(FleetWorker& aWorker,
+                 const FleetReport& aReport,
+                 Instant aNow);
+  void TakeEnd(FleetWorker& aWorker, const EndFact& aEnd, Instant aNow);
+  bool ApplyEnd(FleetWorker& aWorker,
+                const EndFact& aEnd,
+                const TaskName& aName,
+                Place& aPlace,
+                Instant aNow);
+  void OnRunDone(FleetWorker& aWorker,
+                 const EndFact& aEnd,
+                 Place& aPlace,
+                 const TaskName& aName,
+                 Instant aNow);
+  void OnRunFailed(FleetWorker& aWorker,
+                   const EndFact& aEnd,
+                   Place& aPlace,
+                   const TaskName& aName,
+                   Instant aNow);
+  void OnGangDone(Place& aPlace, std::uint32_t aRun, Instant aNow);
+  void TakeRefusal(FleetWorker& aWorker,
+                   const RefusedRun& aRefused,
+                   Instant aNow);
+  void Reconcile(FleetWorker& aWorker,
+                 const FleetReport& aReport,
+                 Instant aNow);
+  void TakeRun(FleetWorker& aWorker, const RunFact& aFact, Instant aNow);
+  void DropRun(FleetWorker& aWorker,
+               const std::string& aTask,
+               std::uint32_t aRun,
+               std::string_view aWhy,
+               Instant aNow);
+  void RemoveRun(const TaskName& aName,
+                 Place& aPlace,
+                 const std::string& aNode,
+                 std::uint32_t aRun);
+  void BreakGang(Place& aPlace, const TaskName& aName);
+  void DropAllRuns(FleetWorker& aWorker, std::string_view aWhy, Instant aNow);
+  void GiveUpUnreachable(Instant aNow);
+  bool AnySuspect() const;
+
+  // Placement.
+  void PlaceReady(Instant aNow);
+  bool PlaceStep(const ReadyKey& aKey, Instant aNow);
+  bool PlaceTask(JobEntry& aEntry,
+                 FleetStep& aStep,
+                 std::uint32_t aIndex,
+                 Instant aNow);
+  bool PlaceGang(JobEntry& aEntry, FleetStep& aStep, Instant aNow);
+  FleetWorker* Choose(const FleetJob& aJob,
+                      const FleetStep& aStep,
+                      const FleetTask& aTask,
+                      Instant aNow);
+  void FillOptions(const FleetStep& aStep, Instant aNow);
+  std::string RackInUse(const FleetStep& aStep) const;
+  void StartRun(JobEntry& aEntry,
+                FleetStep& aStep,
+                std::uint32_t aIndex,
+                FleetWorker& aWorker,
+                std::uint32_t aRun,
+                Instant aNow);
+  void MakeRoom(const FleetJob& aJob, const FleetStep& aStep, Instant aNow);
+  std::vector<std::pair<std::string, TaskRun*>> Preemptible(
+    FleetWorker& aWorker,
+    std::int64_t aPriority);
+
+  // Care for what runs.
+  void OrderStop(const std::string& aNode,
+                 const std::string& aTask,
+                 TaskRun& aRun,
+                 std::string_view aWhy);
+  void CareForRuns(FleetWorker& aWorker, Instant aNow);
+  void CareForRun(FleetWorker& aWorker,
+                  const TaskName& aName,
+                  Place& aPlace,
+                  TaskRun& aRun,
+                  Instant aNow);
+  void LeaveDraining(FleetWorker& aWorker,
+                     const TaskName& aName,
+                     Place& aPlace,
+                     TaskRun& aRun,
+                     Instant aNow);
+  void PaceBackfill(FleetWorker& aWorker, Instant aNow);
+  double ExpectedMicros(const FleetJob& aJob, const StepSpec& aStep) const;
+  void LearnDuration(FleetWorker& aWorker,
+                     const FleetJob& aJob,
+                     FleetStep& aStep,
+                     const TaskRun& aRun,
+                     Instant aNow);
+
+  FleetOrders& OrdersFor(FleetWorker& aWorker);
+  void Note(std::string_view aEvent,
+            std::string aTask,
+            std::string aNode,
+            std::string aDetail = {});
+
+  std::uint64_t epoch_;
+  std::uint32_t firstRun_;
+  FleetBounds bounds_;
+  std::unordered_map<std::string, JobEntry> jobs_;
+  /** Cancellations whose job has not been seen yet. */
+  std::set<std::string> earlyCancels_;
+  std::set<ReadyKey> ready_;
+  /** When a timed job's next occurrence is due, in ms since 1970. */
+  std::set<std::pair<std::int64_t, std::string>> due_;
+  std::map<std::string, FleetWorker> workers_;
+  std::map<std::string, FleetOrders> orders_;
+  std::set<std::string> changed_;
+  std::uint64_t nextBatch_ = 1;
+  /** Jobs of the batch that is being stored. */
+  std::vector<std::string> storing_;
+  bool loaded_ = false;
+  Instant loadedAt_;
+  std::int64_t wallMs_ = 0;
+  WorkerHealth health_;
+  /** Per queue: how long tasks really take over their estimate; smoothed. */
+  std::map<std::string, double> durationRatio_;
+  std::vector<FleetEvent> events_;
+  /** Scratch of a choice; kept to spare allocations. */
+  std::vector<WorkerOption> options_;
+};
+
+}
--- /dev/null
+++ b/Source/Process/FleetSchedulerCare.cxx
@@ -0,0 +1,255 @@
+// FleetScheduler: care for what runs: stalls, slow and leaving workers, tasks
+// that serve beside backfill.
+
+#include "Process/FleetScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+/** Work that reports no progress for so long stands still: sides report each
+ * half second, and a percent of the longest tasks takes less than that. */
+constexpr Millis kStall{ 1600 };
+
+/** A worker where work stood still gets nothing new for so long. */
+constexpr Millis kStallPause{ 5000 };
+
+/** A run is judged by its pace after this. */
+constexpr Millis kJudge{ 700 };
+
+/** A run that would go on so many times longer here than elsewhere moves. */
+constexpr double kMoveFactor = 2;
+/** ...and by at least this: a move throws work away. */
+constexpr double kMoveGainMicros = 1.0e6;
+/** Moves of one task; a task that is slow everywhere is not a worker's fault.
+ */
+constexpr std::uint32_t kMaxMoves = 2;
+
+/** Weights of the newest sample in what is learned. */
+constexpr double kLearnRatio = 0.05;
+constexpr double kLearnSlowness = 0.25;
+/** What was learned of a worker's slowness fades by this part a report. */
+constexpr double kForgetSlowness = 0.05;
+
+/** Tail latency over its objective: above the first, backfill is slowed; below
+ * the second, it is let go faster again. */
+constexpr double kPressed = 0.85;
+constexpr double kRelaxed = 0.5;
+/** The measure is of the last half second, and a new pace takes 0.1 s. */
+constexpr Millis kPaceSettle{ 600 };
+constexpr Millis kPaceRelease{ 1200 };
+/** From full speed to this first; then to a stop. */
+constexpr std::uint32_t kFirstPace = 30;
+constexpr std::uint32_t kPaceStep = 25;
+
+}
+
+void
+FleetScheduler::OrderStop(const std::string& aNode,
+                          const std::string& aTask,
+                          TaskRun& aRun,
+                          std::string_view aWhy)
+{
+  const auto found = workers_.find(aNode);
+  if (aRun.phase_ == RunPhase::Stopping || found == workers_.end()) {
+    return;
+  }
+  aRun.phase_ = RunPhase::Stopping;
+  aRun.orderSequence_ = found->second.ordersSent_ + 1;
+  OrdersFor(found->second).stops_.push_back({ aTask, aRun.run_ });
+  Note("run-stopped",
+       aTask,
+       aNode,
+       "run " + std::to_string(aRun.run_) + ": " + std::string(aWhy));
+}
+
+double
+FleetScheduler::ExpectedMicros(const FleetJob& aJob,
+                               const StepSpec& aStep) const
+{
+  const auto ratio = durationRatio_.find(aJob.Spec().queue_);
+  const double factor = ratio == durationRatio_.end() ? 1 : ratio->second;
+  return static_cast<double>(aStep.estimateMs_) * 1000 * factor;
+}
+
+void
+FleetScheduler::LearnDuration(FleetWorker& aWorker,
+                              const FleetJob& aJob,
+                              FleetStep& aStep,
+                              const TaskRun& aRun,
+                              Instant aNow)
+{
+  const double part = 1 - static_cast<double>(aRun.firstPercent_) / 100;
+  if (part < 0.3 || aStep.spec_->estimateMs_ <= 0) {
+    return;
+  }
+  const double micros =
+    static_cast<double>((aNow - aRun.startedAt_).count()) / part;
+  aStep.micros_ += micros;
+  ++aStep.timed_;
+  const double expected = ExpectedMicros(aJob, *aStep.spec_);
+  double& ratio =
+    durationRatio_.try_emplace(aJob.Spec().queue_, 1).first->second;
+  const double sample =
+    micros / (static_cast<double>(aStep.spec_->estimateMs_) * 1000);
+  ratio += kLearnRatio * (std::clamp(sample, 0.1, 10.0) - ratio);
+  const double slowness = std::clamp(micros / expected, 0.5, 10.0);
+  aWorker.slowness_ += kLearnSlowness * (slowness - aWorker.slowness_);
+  aWorker.slowness_ = std::max(1.0, aWorker.slowness_);
+}
+
+void
+FleetScheduler::CareForRuns(FleetWorker& aWorker, Instant aNow)
+{
+  aWorker.slowness_ += kForgetSlowness * (1 - aWorker.slowness_);
+  std::vector<std::pair<std::string, std::uint32_t>> keys;
+  for (const auto& [key, room] : aWorker.held_) {
+    keys.push_back(key);
+  }
+  aWorker.pressure_ = 0;
+  for (const auto& [task, number] : keys) {
+    const auto name = TaskName::Parse(task);
+    std::optional<Place> place = name.has_value() ? Find(*name) : std::nullopt;
+    if (!place.has_value()) {
+      continue;
+    }
+    for (TaskRun& run : place->task_->runs_) {
+      if (run.run_ == number && run.node_ == aWorker.node_ &&
+          run.phase_ == RunPhase::Running) {
+        CareForRun(aWorker, *name, *place, run, aNow);
+      }
+    }
+  }
+  PaceBackfill(aWorker, aNow);
+}
+
+void
+FleetScheduler::CareForRun(FleetWorker& aWorker,
+                           const TaskName& aName,
+                           Place& aPlace,
+                           TaskRun& aRun,
+                           Instant aNow)
+{
+  const StepSpec& spec = *aPlace.step_->spec_;
+  FleetTask& task = *aPlace.task_;
+  if (spec.latencyObjectiveMs_ > 0 && aRun.percent_ >= 100) {
+    aWorker.pressure_ =
+      std::max(aWorker.pressure_,
+               static_cast<double>(aRun.measure_) /
+                 static_cast<double>(spec.latencyObjectiveMs_));
+  }
+  if (aWorker.facts_.draining_) {
+    LeaveDraining(aWorker, aName, aPlace, aRun, aNow);
+    return;
+  }
+  if (!aRun.reported_ || spec.gang_ || aRun.pace_ < 100 ||
+      (spec.longRunning_ && aRun.percent_ >= 100)) {
+    return;
+  }
+  if (aNow - aRun.progressAt_ > kStall && task.moves_ < kMaxMoves) {
+    aWorker.avoidUntil_ = aNow + kStallPause;
+    ++task.moves_;
+    task.avoid_.push_back(aWorker.node_);
+    OrderStop(aWorker.node_, aName.Text(), aRun, "it stands still");
+    return;
+  }
+  const double elapsed =
+    static_cast<double>((aNow - aRun.firstReportAt_).count());
+  const double gained = static_cast<double>(aRun.percent_) -
+                        static_cast<double>(aRun.firstPercent_);
+  if (spec.longRunning_ || aNow - aRun.firstReportAt_ < kJudge || gained < 2 ||
+      task.moves_ >= kMaxMoves) {
+    return;
+  }
+  const FleetStep& step = *aPlace.step_;
+  const bool siblings = step.timed_ > 0;
+  const double whole = siblings
+                         ? step.micros_ / static_cast<double>(step.timed_)
+                         : ExpectedMicros(*aPlace.entry_->job_, spec);
+  const double here = elapsed / gained * (100.0 - aRun.percent_);
+  const bool trusted = siblings || aWorker.slowness_ > kMoveFactor;
+  if (trusted && here > kMoveFactor * whole && here - whole > kMoveGainMicros) {
+    ++task.moves_;
+    task.avoid_.push_back(aWorker.node_);
+    aWorker.slowness_ += kLearnSlowness * (here / whole - aWorker.slowness_);
+    OrderStop(
+      aWorker.node_, aName.Text(), aRun, "it is far slower than elsewhere");
+  }
+}
+
+void
+FleetScheduler::LeaveDraining(FleetWorker& aWorker,
+                              const TaskName& aName,
+                              Place& aPlace,
+                              TaskRun& aRun,
+                              Instant aNow)
+{
+  const StepSpec& spec = *aPlace.step_->spec_;
+  if (spec.gang_) {
+    return;
+  }
+  if (spec.longRunning_) {
+    OrderStop(aWorker.node_, aName.Text(), aRun, "its worker is leaving");
+    return;
+  }
+  const double gained = static_cast<double>(aRun.percent_) -
+                        static_cast<double>(aRun.firstPercent_);
+  const double elapsed =
+    static_cast<double>((aNow - aRun.firstReportAt_).count());
+  double left = ExpectedMicros(*aPlace.entry_->job_, spec);
+  if (gained >= 2) {
+    left = elapsed / gained * (100.0 - aRun.percent_);
+  }
+  if (left > static_cast<double>(aWorker.facts_.remainingMicros_)) {
+    OrderStop(aWorker.node_,
+              aName.Text(),
+              aRun,
+              "it would not end before its worker leaves");
+  }
+}
+
+void
+FleetScheduler::PaceBackfill(FleetWorker& aWorker, Instant aNow)
+{
+  std::uint32_t pace = aWorker.backfillPace_;
+  const Millis since =
+    std::chrono::duration_cast<Millis>(aNow - aWorker.pacedAt_);
+  if (aWorker.pressure_ > kPressed && pace > 0 && since >= kPaceSettle) {
+    pace = pace > kFirstPace ? kFirstPace : 0;
+  } else if (aWorker.pressure_ < kRelaxed && pace < 100 &&
+             since >= kPaceRelease) {
+    pace = std::min(100U, pace + kPaceStep);
+  }
+  if (pace == aWorker.backfillPace_) {
+    return;
+  }
+  aWorker.backfillPace_ = pace;
+  aWorker.pacedAt_ = aNow;
+  for (const auto& [key, room] : aWorker.held_) {
+    if (room.backfillCpuMilli_ == 0) {
+      continue;
+    }
+    const auto name = TaskName::Parse(key.first);
+    const auto place = name.has_value() ? Find(*name) : std::nullopt;
+    if (!place.has_value()) {
+      continue;
+    }
+    for (TaskRun& run : place->task_->runs_) {
+      if (run.run_ == key.second && run.node_ == aWorker.node_) {
+        run.pace_ = pace;
+        run.progressAt_ = aNow;
+        OrdersFor(aWorker).paces_.push_back({ key.first, key.second, pace });
+      }
+    }
+  }
+  Note("backfill-paced",
+       {},
+       aWorker.node_,
+       std::to_string(pace) + " percent at pressure " +
+         std::to_string(aWorker.pressure_));
+}
+
+}
--- /dev/null
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -0,0 +1,378 @@
+// FleetScheduler: which waiting task starts where.
+
+#include "Process/FleetScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+FleetRoom
+Sum(const FleetRoom& aLeft, const FleetRoom& aRight)
+{
+  return { aLeft.cpuMilli_ + aRight.cpuMilli_,
+           aLeft.memoryMb_ + aRight.memoryMb_,
+           aLeft.accelerators_ + aRight.accelerators_ };
+}
+
+bool
+Covers(const FleetRoom& aRoom, const FleetRoom& aWanted)
+{
+  return aRoom.cpuMilli_ >= aWanted.cpuMilli_ &&
+         aRoom.memoryMb_ >= aWanted.memoryMb_ &&
+         aRoom.accelerators_ >= aWanted.accelerators_;
+}
+
+}
+
+FleetOrders&
+FleetScheduler::OrdersFor(FleetWorker& aWorker)
+{
+  return orders_[aWorker.node_];
+}
+
+std::vector<SideOrders>
+FleetScheduler::TakeOrders(Instant aNow, std::int64_t aWallMs)
+{
+  wallMs_ = aWallMs;
+  BeginDueJobs(aNow, aWallMs);
+  GiveUpUnreachable(aNow);
+  if (loaded_) {
+    PlaceReady(aNow);
+  }
+  std::vector<SideOrders> due;
+  for (auto& [node, worker] : workers_) {
+    if (!worker.linked_ || !worker.synced_) {
+      orders_.erase(node);
+      continue;
+    }
+    const bool grantDue = aNow - worker.grantedAt_ >= kReportPeriod;
+    const auto found = orders_.find(node);
+    if (found == orders_.end() && !grantDue && !worker.acknowledgementDue_) {
+      continue;
+    }
+    SideOrders orders;
+    orders.node_ = node;
+    if (found != orders_.end()) {
+      orders.orders_ = std::move(found->second);
+      orders_.erase(found);
+    }
+    orders.orders_.epoch_ = epoch_;
+    orders.orders_.sequence_ = ++worker.ordersSent_;
+    orders.orders_.echoMicros_ = worker.echoMicros_;
+    orders.orders_.holdMicros_ = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Micros>(kAuthority).count());
+    orders.orders_.workerId_ = worker.facts_.id_;
+    orders.orders_.endsStored_ = worker.endsStored_;
+    worker.acknowledgementDue_ = false;
+    worker.grantedAt_ = aNow;
+    due.push_back(std::move(orders));
+  }
+  return due;
+}
+
+void
+FleetScheduler::PlaceReady(Instant aNow)
+{
+  const bool holdOld = AnySuspect();
+  std::vector<ReadyKey> placed;
+  // Work of a lower priority must not take the room that is being made.
+  std::optional<std::int64_t> blocked;
+  for (const ReadyKey& key : ready_) {
+    const auto found = jobs_.find(key.job_);
+    if (found == jobs_.end() || found->second.job_->IsOver()) {
+      placed.push_back(key);
+      continue;
+    }
+    if (found->second.old_ && holdOld) {
+      continue;
+    }
+    const FleetStep* step =
+      found->second.job_->FindStep(key.occurrence_, key.step_);
+    if (step == nullptr) {
+      placed.push_back(key);
+      continue;
+    }
+    const bool backfill = step->spec_->backfill_;
+    if (blocked.has_value() && key.priority_ > *blocked && !backfill) {
+      continue;
+    }
+    if (PlaceStep(key, aNow)) {
+      placed.push_back(key);
+    } else if (!blocked.has_value() && !backfill) {
+      blocked = key.priority_;
+    }
+  }
+  for (const ReadyKey& key : placed) {
+    ready_.erase(key);
+  }
+}
+
+bool
+FleetScheduler::PlaceStep(const ReadyKey& aKey, Instant aNow)
+{
+  JobEntry& entry = jobs_.at(aKey.job_);
+  FleetStep& step = *entry.job_->FindStep(aKey.occurrence_, aKey.step_);
+  if (step.spec_->gang_) {
+    return PlaceGang(entry, step, aNow);
+  }
+  bool allPlaced = true;
+  for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
+    if (!step.tasks_[i].Waits()) {
+      continue;
+    }
+    if (step.tasks_[i].notBefore_ > aNow) {
+      allPlaced = false;
+      continue;
+    }
+    if (!PlaceTask(entry, step, i, aNow)) {
+      MakeRoom(*entry.job_, step, aNow);
+      return false;
+    }
+  }
+  return allPlaced;
+}
+
+void
+FleetScheduler::FillOptions(const FleetStep& aStep, Instant aNow)
+{
+  std::map<std::string_view, std::uint32_t> sameStep;
+  if (aStep.spec_->maxPerWorker_ > 0) {
+    for (const FleetTask& task : aStep.tasks_) {
+      for (const TaskRun& run : task.runs_) {
+        ++sameStep[run.node_];
+      }
+    }
+  }
+  options_.clear();
+  for (const auto& [node, worker] : workers_) {
+    const auto same = sameStep.find(node);
+    options_.push_back({ &worker,
+                         same == sameStep.end() ? 0 : same->second,
+                         health_.IsSetAside(node, aNow) });
+  }
+}
+
+std::string
+FleetScheduler::RackInUse(const FleetStep& aStep) const
+{
+  if (!aStep.spec_->sameRack_) {
+    return {};
+  }
+  for (const FleetTask& task : aStep.tasks_) {
+    for (const TaskRun& run : task.runs_) {
+      const auto found = workers_.find(run.node_);
+      if (found != workers_.end()) {
+        return found->second.facts_.rack_;
+      }
+    }
+  }
+  return {};
+}
+
+FleetWorker*
+FleetScheduler::Choose(const FleetJob& aJob,
+                       const FleetStep& aStep,
+                       const FleetTask& aTask,
+                       Instant aNow)
+{
+  FillOptions(aStep, aNow);
+  const std::string rack = RackInUse(aStep);
+  ChoiceFacts facts;
+  facts.step_ = aStep.spec_;
+  facts.service_ = aJob.Spec().service_;
+  facts.avoid_ = aTask.avoid_;
+  facts.farFactor_ = bounds_.farFactor_;
+  facts.rackInUse_ = rack;
+  facts.now_ = aNow;
+  const std::optional<std::size_t> chosen = ChooseWorker(options_, facts);
+  return chosen.has_value() ? &workers_.at(options_[*chosen].worker_->node_)
+                            : nullptr;
+}
+
+bool
+FleetScheduler::PlaceTask(JobEntry& aEntry,
+                          FleetStep& aStep,
+                          std::uint32_t aIndex,
+                          Instant aNow)
+{
+  FleetTask& task = aStep.tasks_[aIndex];
+  FleetWorker* worker = Choose(*aEntry.job_, aStep, task, aNow);
+  if (worker == nullptr) {
+    return false;
+  }
+  StartRun(aEntry, aStep, aIndex, *worker, aEntry.job_->NextRun(task), aNow);
+  return true;
+}
+
+bool
+FleetScheduler::PlaceGang(JobEntry& aEntry, FleetStep& aStep, Instant aNow)
+{
+  // All members start together under one run number, or none does: a part of a
+  // gang would hold its room and do nothing.
+  const bool allWait = std::all_of(
+    aStep.tasks_.begin(), aStep.tasks_.end(), [aNow](const FleetTask& aTask) {
+      return aTask.Waits() && aTask.notBefore_ <= aNow;
+    });
+  if (!allWait) {
+    return false;
+  }
+  std::uint32_t run = 0;
+  std::string checkpoint;
+  for (FleetTask& task : aStep.tasks_) {
+    run = std::max({ run, task.lastRun_ + 1, firstRun_ });
+    if (checkpoint.empty()) {
+      checkpoint = task.checkpoint_;
+    }
+  }
+  std::vector<FleetWorker*> chosen;
+  for (std::uint32_t i = 0; i < aStep.tasks_.size(); ++i) {
+    FleetWorker* worker = Choose(*aEntry.job_, aStep, aStep.tasks_[i], aNow);
+    if (worker == nullptr) {
+      break;
+    }
+    const TaskName name{
+      aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, i
+    };
+    worker->Hold(name.Text(), run, RoomOf(*aStep.spec_));
+    TaskRun placeholder;
+    placeholder.node_ = worker->node_;
+    aStep.tasks_[i].runs_.push_back(placeholder);
+    chosen.push_back(worker);
+  }
+  for (std::uint32_t i = 0; i < chosen.size(); ++i) {
+    const TaskName name{
+      aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, i
+    };
+    chosen[i]->Release(name.Text(), run);
+    aStep.tasks_[i].runs_.clear();
+  }
+  if (chosen.size() < aStep.tasks_.size()) {
+    MakeRoom(*aEntry.job_, aStep, aNow);
+    return false;
+  }
+  for (std::uint32_t i = 0; i < chosen.size(); ++i) {
+    aStep.tasks_[i].lastRun_ = run;
+    aStep.tasks_[i].checkpoint_ = checkpoint;
+    StartRun(aEntry, aStep, i, *chosen[i], run, aNow);
+  }
+  return true;
+}
+
+void
+FleetScheduler::StartRun(JobEntry& aEntry,
+                         FleetStep& aStep,
+                         std::uint32_t aIndex,
+                         FleetWorker& aWorker,
+                         std::uint32_t aRun,
+                         Instant aNow)
+{
+  const JobSpec& spec = aEntry.job_->Spec();
+  const TaskName name{ spec.id_, aStep.occurrence_, aStep.index_, aIndex };
+  FleetTask& task = aStep.tasks_[aIndex];
+  TaskRun run;
+  run.run_ = aRun;
+  run.node_ = aWorker.node_;
+  run.orderSequence_ = aWorker.ordersSent_ + 1;
+  run.startedAt_ = aNow;
+  run.progressAt_ = aNow;
+  task.runs_.push_back(run);
+  const std::string text = name.Text();
+  aWorker.Hold(text, aRun, RoomOf(*aStep.spec_));
+  health_.OnStart(aWorker.node_, aNow);
+  aEntry.job_->SetStarted();
+  OrdersFor(aWorker).starts_.push_back(
+    { text,
+      aRun,
+      spec.payload_,
+      aStep.spec_->checkpoints_ ? task.checkpoint_ : std::string(),
+      {} });
+  Note("run-ordered", text, aWorker.node_, "run " + std::to_string(aRun));
+}
+
+std::vector<std::pair<std::string, TaskRun*>>
+FleetScheduler::Preemptible(FleetWorker& aWorker, std::int64_t aPriority)
+{
+  std::vector<std::pair<std::string, TaskRun*>> runs;
+  for (const auto& [key, room] : aWorker.held_) {
+    const auto name = TaskName::Parse(key.first);
+    const auto place = name.has_value() ? Find(*name) : std::nullopt;
+    if (!place.has_value() ||
+        place->entry_->job_->Spec().priority_ <= aPriority ||
+        place->step_->spec_->longRunning_ || place->step_->spec_->gang_) {
+      continue;
+    }
+    for (TaskRun& run : place->task_->runs_) {
+      if (run.run_ == key.second && run.node_ == aWorker.node_) {
+        runs.emplace_back(key.first, &run);
+      }
+    }
+  }
+  // The least work lost first: what has run for the shortest time.
+  std::sort(
+    runs.begin(), runs.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second->startedAt_ > aRight.second->startedAt_;
+    });
+  return runs;
+}
+
+void
+FleetScheduler::MakeRoom(const FleetJob& aJob,
+                         const FleetStep& aStep,
+                         Instant aNow)
+{
+  const std::int64_t priority = aJob.Spec().priority_;
+  if (aStep.spec_->backfill_) {
+    return;
+  }
+  const FleetRoom wanted = RoomOf(*aStep.spec_).room_;
+  ChoiceFacts facts;
+  facts.step_ = aStep.spec_;
+  facts.service_ = aJob.Spec().service_;
+  facts.now_ = aNow;
+  FillOptions(aStep, aNow);
+  FleetWorker* best = nullptr;
+  std::vector<std::pair<std::string, TaskRun*>> bestRuns;
+  for (const WorkerOption& option : options_) {
+    if (!MayRunOn(option, facts) || option.setAside_) {
+      continue;
+    }
+    FleetWorker& worker = workers_.at(option.worker_->node_);
+    FleetRoom room = worker.Free();
+    std::vector<std::pair<std::string, TaskRun*>> runs;
+    for (const auto& [task, run] : Preemptible(worker, priority)) {
+      const FleetRoom& held = worker.held_.at({ task, run->run_ }).room_;
+      if (run->phase_ == RunPhase::Stopping) {
+        room = Sum(room, held);
+      }
+    }
+    if (Covers(room, wanted)) {
+      return; // Room is being made already.
+    }
+    for (const auto& [task, run] : Preemptible(worker, priority)) {
+      if (Covers(room, wanted)) {
+        break;
+      }
+      if (run->phase_ == RunPhase::Stopping) {
+        continue;
+      }
+      room = Sum(room, worker.held_.at({ task, run->run_ }).room_);
+      runs.emplace_back(task, run);
+    }
+    if (Covers(room, wanted) &&
+        (best == nullptr || runs.size() < bestRuns.size())) {
+      best = &worker;
+      bestRuns = std::move(runs);
+    }
+  }
+  if (best == nullptr) {
+    return;
+  }
+  for (const auto& [task, run] : bestRuns) {
+    OrderStop(best->node_, task, *run, "preempted");
+  }
+}
+
+}
--- /dev/null
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -0,0 +1,451 @@
+// FleetScheduler: what sides report, and what that says of runs.
+
+#include "Process/FleetScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+/** A worker that said "no room" although we counted some gets nothing new for
+ * this long: something is there that we don't know of. */
+constexpr Millis kFullPause{ 300 };
+
+TaskRun*
+FindRun(FleetTask& aTask, const std::string& aNode, std::uint32_t aRun)
+{
+  for (TaskRun& run : aTask.runs_) {
+    if (run.run_ == aRun && run.node_ == aNode) {
+      return &run;
+    }
+  }
+  return nullptr;
+}
+
+}
+
+void
+FleetScheduler::OnLinkUp(const std::string& aNode, Instant aNow)
+{
+  (void)aNow;
+  const auto found = workers_.find(aNode);
+  if (found == workers_.end()) {
+    return;
+  }
+  FleetWorker& worker = found->second;
+  worker.linked_ = true;
+  worker.synced_ = false;
+  worker.ordersSent_ = 0;
+  orders_.erase(aNode);
+  // Orders that were lost with the last link: the first report says which
+  // starts arrived, and stops are ordered again.
+  for (const auto& [key, room] : worker.held_) {
+    const auto name = TaskName::Parse(key.first);
+    const auto place = name.has_value() ? Find(*name) : std::nullopt;
+    TaskRun* run =
+      place.has_value() ? FindRun(*place->task_, aNode, key.second) : nullptr;
+    if (run != nullptr) {
+      run->orderSequence_ = 0;
+    }
+  }
+  worker.strangers_.clear();
+}
+
+void
+FleetScheduler::OnLinkLost(const std::string& aNode, Instant aNow)
+{
+  const auto found = workers_.find(aNode);
+  if (found == workers_.end()) {
+    return;
+  }
+  FleetWorker& worker = found->second;
+  if (worker.linked_) {
+    worker.lostAt_ = aNow;
+  }
+  worker.linked_ = false;
+  worker.synced_ = false;
+  orders_.erase(aNode);
+  if (!worker.registered_ && worker.held_.empty()) {
+    workers_.erase(found);
+  }
+}
+
+void
+FleetScheduler::OnReport(const std::string& aNode,
+                         const FleetReport& aReport,
+                         Instant aNow)
+{
+  const auto found = workers_.find(aNode);
+  if (found == workers_.end() || !found->second.linked_) {
+    return;
+  }
+  FleetWorker& worker = found->second;
+  const bool first = !worker.synced_;
+  worker.echoMicros_ = aReport.clockMicros_;
+  if (aReport.worker_.id_ != worker.facts_.id_) {
+    OnNewLife(worker, aReport, aNow);
+  }
+  if (aReport.worker_.draining_ && !worker.facts_.draining_) {
+    worker.drainingSince_ = aNow;
+    Note("worker-draining", {}, aNode, aReport.worker_.id_);
+  }
+  worker.facts_ = aReport.worker_;
+  worker.synced_ = true;
+  worker.suspect_ = false;
+  for (const EndFact& end : aReport.ends_) {
+    TakeEnd(worker, end, aNow);
+  }
+  for (const RefusedRun& refused : aReport.refused_) {
+    TakeRefusal(worker, refused, aNow);
+  }
+  Reconcile(worker, aReport, aNow);
+  CareForRuns(worker, aNow);
+  if (first) {
+    Note("side-synced",
+         {},
+         aNode,
+         aReport.worker_.id_ + ", " + std::to_string(worker.held_.size()) +
+           " runs");
+  }
+}
+
+void
+FleetScheduler::OnNewLife(FleetWorker& aWorker,
+                          const FleetReport& aReport,
+                          Instant aNow)
+{
+  // A worker that crashed runs nothing in its new life, and numbers its ends
+  // from one again.
+  if (!aWorker.facts_.id_.empty()) {
+    Note("worker-new-life",
+         {},
+         aWorker.node_,
+         aWorker.facts_.id_ + " is now " + aReport.worker_.id_);
+    DropAllRuns(aWorker, "its worker crashed", aNow);
+  }
+  aWorker.endsSeen_ = 0;
+  aWorker.endsStored_ = 0;
+  aWorker.acknowledgementDue_ = false;
+  aWorker.unstored_.clear();
+  aWorker.avoidUntil_ = Instant();
+  aWorker.fullUntil_ = Instant();
+  aWorker.slowness_ = 1;
+  aWorker.backfillPace_ = 100;
+  aWorker.pressure_ = 0;
+}
+
+void
+FleetScheduler::TakeEnd(FleetWorker& aWorker, const EndFact& aEnd, Instant aNow)
+{
+  if (aEnd.number_ <= aWorker.endsSeen_) {
+    return;
+  }
+  aWorker.endsSeen_ = aEnd.number_;
+  aWorker.Release(aEnd.task_, aEnd.run_);
+  aWorker.strangers_.erase({ aEnd.task_, aEnd.run_ });
+  const auto name = TaskName::Parse(aEnd.task_);
+  std::optional<Place> place = name.has_value() ? Find(*name) : std::nullopt;
+  bool mustStore = false;
+  if (place.has_value()) {
+    mustStore = ApplyEnd(aWorker, aEnd, *name, *place, aNow);
+    if (mustStore) {
+      MarkChanged(*place->entry_);
+    }
+  }
+  aWorker.unstored_.push_back({ aEnd.number_, mustStore ? nextBatch_ : 0 });
+  while (!aWorker.unstored_.empty() && aWorker.unstored_.front().batch_ == 0) {
+    aWorker.endsStored_ = aWorker.unstored_.front().number_;
+    aWorker.acknowledgementDue_ = true;
+    aWorker.unstored_.pop_front();
+  }
+}
+
+bool
+FleetScheduler::ApplyEnd(FleetWorker& aWorker,
+                         const EndFact& aEnd,
+                         const TaskName& aName,
+                         Place& aPlace,
+                         Instant aNow)
+{
+  FleetTask& task = *aPlace.task_;
+  const StepSpec& spec = *aPlace.step_->spec_;
+  task.lastRun_ = std::max(task.lastRun_, aEnd.run_);
+  if (aPlace.entry_->job_->IsOver() || task.done_) {
+    RemoveRun(aName, aPlace, aWorker.node_, aEnd.run_);
+    return false;
+  }
+  if (aEnd.kind_ == EndKind::Done && !spec.longRunning_) {
+    OnRunDone(aWorker, aEnd, aPlace, aName, aNow);
+    return true;
+  }
+  if (aEnd.kind_ == EndKind::Failed) {
+    OnRunFailed(aWorker, aEnd, aPlace, aName, aNow);
+    return true;
+  }
+  Note("run-ended",
+       aEnd.task_,
+       aWorker.node_,
+       "run " + std::to_string(aEnd.run_) + " ended as kind " +
+         std::to_string(static_cast<int>(aEnd.kind_)));
+  const bool saved = spec.checkpoints_ && !aEnd.checkpoint_.empty();
+  if (saved) {
+    task.checkpoint_ = aEnd.checkpoint_;
+  }
+  RemoveRun(aName, aPlace, aWorker.node_, aEnd.run_);
+  BreakGang(aPlace, aName);
+  return saved;
+}
+
+void
+FleetScheduler::OnRunDone(FleetWorker& aWorker,
+                          const EndFact& aEnd,
+                          Place& aPlace,
+                          const TaskName& aName,
+                          Instant aNow)
+{
+  FleetTask& task = *aPlace.task_;
+  FleetJob& job = *aPlace.entry_->job_;
+  health_.OnSuccess(aWorker.node_, aName.job_);
+  if (const TaskRun* run = FindRun(task, aWorker.node_, aEnd.run_)) {
+    LearnDuration(aWorker, job, *aPlace.step_, *run, aNow);
+  }
+  RemoveRun(aName, aPlace, aWorker.node_, aEnd.run_);
+  job.OnDone(*aPlace.step_, task, aNow);
+  for (TaskRun& copy : task.runs_) {
+    OrderStop(copy.node_, aName.Text(), copy, "a copy ended first");
+  }
+  if (aPlace.step_->spec_->gang_) {
+    OnGangDone(aPlace, aEnd.run_, aNow);
+  }
+  SettleJob(*aPlace.entry_);
+}
+
+void
+FleetScheduler::OnGangDone(Place& aPlace, std::uint32_t aRun, Instant aNow)
+{
+  // The members of a gang end well together, so one such end speaks for all;
+  // a member whose end is lost with its worker must not start the gang again.
+  for (FleetTask& member : aPlace.step_->tasks_) {
+    if (!member.done_ && member.lastRun_ == aRun) {
+      aPlace.entry_->job_->OnDone(*aPlace.step_, member, aNow);
+    }
+  }
+}
+
+void
+FleetScheduler::OnRunFailed(FleetWorker& aWorker,
+                            const EndFact& aEnd,
+                            Place& aPlace,
+                            const TaskName& aName,
+                            Instant aNow)
+{
+  FleetTask& task = *aPlace.task_;
+  JobEntry& entry = *aPlace.entry_;
+  const StepSpec& spec = *aPlace.step_->spec_;
+  health_.OnFailure(aWorker.node_, aName.job_, aNow);
+  RemoveRun(aName, aPlace, aWorker.node_, aEnd.run_);
+  task.avoid_.push_back(aWorker.node_);
+  Note("run-failed",
+       aEnd.task_,
+       aWorker.node_,
+       "run " + std::to_string(aEnd.run_));
+  const bool counted = FleetJob::OnFailed(task, aEnd.run_);
+  BreakGang(aPlace, aName);
+  if (!counted || spec.longRunning_) {
+    return;
+  }
+  std::set<std::uint32_t> failed(task.failedRuns_.begin(),
+                                 task.failedRuns_.end());
+  if (spec.gang_) {
+    for (const FleetTask& member : aPlace.step_->tasks_) {
+      failed.insert(member.failedRuns_.begin(), member.failedRuns_.end());
+    }
+  }
+  if (static_cast<std::int64_t>(failed.size()) >=
+      entry.job_->Spec().maxAttempts_) {
+    FinishJob(entry, JobState::Failed);
+  }
+}
+
+void
+FleetScheduler::BreakGang(Place& aPlace, const TaskName& aName)
+{
+  if (!aPlace.step_->spec_->gang_) {
+    return;
+  }
+  for (std::uint32_t i = 0; i < aPlace.step_->tasks_.size(); ++i) {
+    const TaskName member{ aName.job_, aName.occurrence_, aName.step_, i };
+    for (TaskRun& run : aPlace.step_->tasks_[i].runs_) {
+      OrderStop(run.node_, member.Text(), run, "its gang broke");
+    }
+  }
+}
+
+void
+FleetScheduler::RemoveRun(const TaskName& aName,
+                          Place& aPlace,
+                          const std::string& aNode,
+                          std::uint32_t aRun)
+{
+  (void)aName;
+  std::vector<TaskRun>& runs = aPlace.task_->runs_;
+  std::erase_if(runs, [&](const TaskRun& aTaskRun) {
+    return aTaskRun.run_ == aRun && aTaskRun.node_ == aNode;
+  });
+  if (aPlace.task_->Waits()) {
+    MarkReady(*aPlace.entry_->job_, *aPlace.step_);
+  }
+}
+
+void
+FleetScheduler::TakeRefusal(FleetWorker& aWorker,
+                            const RefusedRun& aRefused,
+                            Instant aNow)
+{
+  if (aRefused.why_ == StartRefusal::NoRoom ||
+      aRefused.why_ == StartRefusal::Other) {
+    aWorker.fullUntil_ = aNow + kFullPause;
+  }
+  DropRun(aWorker, aRefused.task_, aRefused.run_, "refused", aNow);
+}
+
+void
+FleetScheduler::DropRun(FleetWorker& aWorker,
+                        const std::string& aTask,
+                        std::uint32_t aRun,
+                        std::string_view aWhy,
+                        Instant aNow)
+{
+  (void)aNow;
+  aWorker.Release(aTask, aRun);
+  const auto name = TaskName::Parse(aTask);
+  std::optional<Place> place = name.has_value() ? Find(*name) : std::nullopt;
+  if (!place.has_value()) {
+    return;
+  }
+  Note("run-dropped",
+       aTask,
+       aWorker.node_,
+       "run " + std::to_string(aRun) + ": " + std::string(aWhy));
+  RemoveRun(*name, *place, aWorker.node_, aRun);
+  if (!place->entry_->job_->IsOver()) {
+    BreakGang(*place, *name);
+  }
+}
+
+void
+FleetScheduler::DropAllRuns(FleetWorker& aWorker,
+                            std::string_view aWhy,
+                            Instant aNow)
+{
+  std::vector<std::pair<std::string, std::uint32_t>> keys;
+  for (const auto& [key, room] : aWorker.held_) {
+    keys.push_back(key);
+  }
+  for (const auto& [task, run] : keys) {
+    DropRun(aWorker, task, run, aWhy, aNow);
+  }
+  aWorker.strangers_.clear();
+}
+
+void
+FleetScheduler::Reconcile(FleetWorker& aWorker,
+                          const FleetReport& aReport,
+                          Instant aNow)
+{
+  std::set<std::pair<std::string, std::uint32_t>> reported;
+  for (const RunFact& fact : aReport.runs_) {
+    reported.emplace(fact.task_, fact.run_);
+    TakeRun(aWorker, fact, aNow);
+  }
+  std::erase_if(aWorker.strangers_, [&reported](const auto& aKey) {
+    return !reported.contains(aKey);
+  });
+  std::vector<std::pair<std::string, std::uint32_t>> gone;
+  for (const auto& [key, room] : aWorker.held_) {
+    if (reported.contains(key)) {
+      continue;
+    }
+    const auto name = TaskName::Parse(key.first);
+    const auto place = name.has_value() ? Find(*name) : std::nullopt;
+    const TaskRun* run = place.has_value()
+                           ? FindRun(*place->task_, aWorker.node_, key.second)
+                           : nullptr;
+    // A start that the side had not seen when it reported is on its way.
+    if (run != nullptr && run->orderSequence_ > aReport.ordersSeen_) {
+      continue;
+    }
+    gone.push_back(key);
+  }
+  for (const auto& [task, run] : gone) {
+    DropRun(aWorker, task, run, "not on its worker", aNow);
+  }
+}
+
+void
+FleetScheduler::TakeRun(FleetWorker& aWorker,
+                        const RunFact& aFact,
+                        Instant aNow)
+{
+  const auto name = TaskName::Parse(aFact.task_);
+  std::optional<Place> place = name.has_value() ? Find(*name) : std::nullopt;
+  if (!place.has_value()) {
+    if (aWorker.strangers_.emplace(aFact.task_, aFact.run_).second) {
+      Note("stranger-stopped", aFact.task_, aWorker.node_);
+      OrdersFor(aWorker).stops_.push_back({ aFact.task_, aFact.run_ });
+    }
+    return;
+  }
+  FleetTask& task = *place->task_;
+  TaskRun* run = FindRun(task, aWorker.node_, aFact.run_);
+  if (run == nullptr) {
+    const bool elsewhere = !task.runs_.empty();
+    task.runs_.push_back({});
+    run = &task.runs_.back();
+    run->run_ = aFact.run_;
+    run->node_ = aWorker.node_;
+    run->startedAt_ = aNow;
+    run->progressAt_ = aNow;
+    task.lastRun_ = std::max(task.lastRun_, aFact.run_);
+    aWorker.Hold(aFact.task_, aFact.run_, RoomOf(*place->step_->spec_));
+    place->entry_->job_->SetStarted();
+    Note("run-adopted",
+         aFact.task_,
+         aWorker.node_,
+         "run " + std::to_string(aFact.run_));
+    const bool allowed = !elsewhere || place->step_->spec_->allowsCopies_;
+    if (place->entry_->job_->IsOver() || task.done_ || !allowed) {
+      OrderStop(aWorker.node_, aFact.task_, *run, "it must not run here");
+    }
+  }
+  if (run->phase_ == RunPhase::Stopping && run->orderSequence_ == 0) {
+    OrdersFor(aWorker).stops_.push_back({ aFact.task_, aFact.run_ });
+    run->orderSequence_ = aWorker.ordersSent_ + 1;
+  }
+  if (aFact.starting_) {
+    return;
+  }
+  if (run->phase_ == RunPhase::Ordered) {
+    run->phase_ = RunPhase::Running;
+  }
+  if (!run->reported_) {
+    run->reported_ = true;
+    run->firstPercent_ = aFact.percent_;
+    run->firstReportAt_ = aNow;
+    run->progressAt_ = aNow;
+  }
+  if (aFact.percent_ > run->percent_) {
+    run->percent_ = aFact.percent_;
+    run->progressAt_ = aNow;
+  } else if (aFact.percent_ < run->percent_) {
+    run->percent_ = aFact.percent_;
+  }
+  run->measure_ = aFact.measure_;
+  if (place->step_->spec_->checkpoints_ && !aFact.checkpoint_.empty()) {
+    task.checkpoint_ = aFact.checkpoint_;
+  }
+}
+
+}
--- /dev/null
+++ b/Source/Process/FleetSettings.cxx
@@ -0,0 +1,180 @@
+#include "Process/FleetSettings.h"
+
+#include <array>
+#include <charconv>
+#include <vector>
+
+namespace cactusrail {
+
+namespace {
+
+constexpr std::int64_t kHourMs = 3600000;
+
+constexpr std::array<SettingSpec, 7> kCommon{ {
+  RequiredSetting("fleet.name", SettingKind::Text, "this process's name"),
+  RequiredSetting("fleet.data-centre",
+                  SettingKind::Text,
+                  "the name of its data centre"),
+  RequiredSetting("fleet.links",
+                  SettingKind::Address,
+                  "IP:PORT that links of our own processes arrive at"),
+  RequiredSetting("fleet.metrics",
+                  SettingKind::Address,
+                  "IP:PORT that serves the metrics page"),
+  RequiredSetting("platform.store",
+                  SettingKind::Address,
+                  "IP:PORT of the platform's table service"),
+  NumberSetting("bounds.stop-s",
+                "6",
+                1,
+                3600,
+                "s",
+                "time that a planned stop may take"),
+  { "log.level",
+    SettingKind::Choice,
+    "info",
+    0,
+    0,
+    "the least important lines that are written",
+    {},
+    "info,warning" },
+} };
+
+constexpr std::array<SettingSpec, 7> kEntry{ {
+  RequiredSetting("fleet.callers",
+                  SettingKind::Address,
+                  "IP:PORT that callers' requests arrive at"),
+  RequiredSetting("fleet.readiness",
+                  SettingKind::Address,
+                  "IP:PORT that the balancer asks"),
+  NumberSetting("bounds.drain-ms",
+                "2000",
+                0,
+                kHourMs,
+                "ms",
+                "time in which runs may still start on a leaving worker"),
+  NumberSetting("bounds.stop-timeout-ms",
+                "1000",
+                0,
+                kHourMs,
+                "ms",
+                "time that a worker takes to stop a run"),
+  NumberSetting("bounds.disruption-ms",
+                "4500",
+                0,
+                kHourMs,
+                "ms",
+                "a long-running task away for longer counts as disrupted"),
+  NumberSetting("bounds.keep-finished-s",
+                "120",
+                1,
+                86400,
+                "s",
+                "time that a finished job is known"),
+  { "bounds.far-factor",
+    SettingKind::Text,
+    "1.5",
+    0,
+    0,
+    "how many times as long a task takes away from its data" },
+} };
+
+constexpr std::array<SettingSpec, 3> kSide{ {
+  RequiredSetting("fleet.announcements",
+                  SettingKind::Address,
+                  "IP:PORT that the worker announces itself at"),
+  RequiredSetting("fleet.worker",
+                  SettingKind::Address,
+                  "IP:PORT that the worker takes orders at"),
+  NumberSetting("bounds.max-lease-ms",
+                "10000",
+                1000,
+                kHourMs,
+                "ms",
+                "the longest lease that the worker grants"),
+} };
+
+template<std::size_t kCount>
+std::vector<SettingSpec>
+WithCommon(const std::array<SettingSpec, kCount>& aOwn)
+{
+  std::vector<SettingSpec> all(kCommon.begin(), kCommon.end());
+  all.insert(all.end(), aOwn.begin(), aOwn.end());
+  return all;
+}
+
+FleetSettings
+ReadCommon(const SettingsFile& aFile)
+{
+  FleetSettings settings;
+  settings.name_ = aFile.Text("fleet.name");
+  settings.dataCentre_ = aFile.Text("fleet.data-centre");
+  settings.links_ = aFile.Address("fleet.links");
+  settings.metrics_ = aFile.Address("fleet.metrics");
+  settings.store_ = aFile.Address("platform.store");
+  settings.logLevel_ = aFile.Text("log.level");
+  settings.stopBound_ = Millis(1000 * aFile.Number("bounds.stop-s"));
+  return settings;
+}
+
+}
+
+std::span<const SettingSpec>
+FleetEntrySettings::Specs()
+{
+  static const std::vector<SettingSpec> kAll = WithCommon(kEntry);
+  return kAll;
+}
+
+Result<FleetEntrySettings>
+FleetEntrySettings::Load(const std::string& aPath)
+{
+  const Result<SettingsFile> loaded = SettingsFile::Load(aPath, Specs());
+  if (const auto* failure = std::get_if<Failure>(&loaded)) {
+    return *failure;
+  }
+  const auto& file = std::get<SettingsFile>(loaded);
+  FleetEntrySettings settings;
+  settings.fleet_ = ReadCommon(file);
+  settings.callers_ = file.Address("fleet.callers");
+  settings.readiness_ = file.Address("fleet.readiness");
+  FleetBounds& bounds = settings.bounds_;
+  bounds.drain_ = Millis(file.Number("bounds.drain-ms"));
+  bounds.stopTimeout_ = Millis(file.Number("bounds.stop-timeout-ms"));
+  bounds.disruptionNotice_ = Millis(file.Number("bounds.disruption-ms"));
+  bounds.keepFinished_ = Millis(1000 * file.Number("bounds.keep-finished-s"));
+  const std::string& factor = file.Text("bounds.far-factor");
+  const char* end = factor.data() + factor.size();
+  const auto parsed = std::from_chars(factor.data(), end, bounds.farFactor_);
+  if (parsed.ec != std::errc() || parsed.ptr != end || bounds.farFactor_ < 1) {
+    return NotRun(FailureKind::BadInput,
+                  aPath + ": [bounds] far-factor: is \"" + factor +
+                    "\"; expected a number of at least 1.");
+  }
+  return settings;
+}
+
+std::span<const SettingSpec>
+FleetSideSettings::Specs()
+{
+  static const std::vector<SettingSpec> kAll = WithCommon(kSide);
+  return kAll;
+}
+
+Result<FleetSideSettings>
+FleetSideSettings::Load(const std::string& aPath)
+{
+  const Result<SettingsFile> loaded = SettingsFile::Load(aPath, Specs());
+  if (const auto* failure = std::get_if<Failure>(&loaded)) {
+    return *failure;
+  }
+  const auto& file = std::get<SettingsFile>(loaded);
+  FleetSideSettings settings;
+  settings.fleet_ = ReadCommon(file);
+  settings.announcements_ = file.Address("fleet.announcements");
+  settings.worker_ = file.Address("fleet.worker");
+  settings.maxLease_ = Millis(file.Number("bounds.max-lease-ms"));
+  return settings;
+}
+
+}
--- /dev/null
+++ b/Source/Process/FleetSide.h
@@ -0,0 +1,313 @@
+#pragma once
+
+#include "Connection/HttpFront.h"
+#include "Connection/RowStore.h"
+#include "Connection/SideLink.h"
+#include "Process/FleetRecords.h"
+#include "Process/FleetSettings.h"
+#include "Process/KeyKeeper.h"
+#include "Process/LinkListener.h"
+#include "Process/Log.h"
+#include "Process/WorkerKeeper.h"
+#include "Version/RecordCodec.h"
+
+#include <QObject>
+#include <QPointer>
+#include <QTimer>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace cactusrail {
+
+/** The worker says that it ends now. */
+struct WorkerFarewell
+{
+  std::string id_;
+};
+
+/** What a worker tells the side next to it; none for anything else. */
+using WorkerNotice =
+  std::variant<std::monostate, WorkerAnnouncement, WorkerFarewell>;
+
+/** What a side of the fleet needs of the platform it runs on. */
+template<typename Platform>
+concept SidePlatform = RowStore<typename Platform::Store> &&
+  requires(typename Platform::WorkerClient& aClient,
+           const WorkerCall& aCall,
+           std::function<void(const CallAnswer&)> aCallback,
+           const HttpExchange& aExchange)
+{
+  aClient.Send(aCall, aCallback);
+  {
+    Platform::DecodeNotice(aExchange)
+    } -> std::same_as<Result<WorkerNotice>>;
+  {
+    Platform::AcknowledgeNotice()
+    } -> std::same_as<HttpAnswer>;
+};
+
+/**
+ * A side of the fleet: looks after the worker on its host for the entry that
+ * leads. Owned by main.
+ */
+template<SidePlatform Platform>
+class FleetSide : public QObject
+{
+public:
+  using Store = typename Platform::Store;
+
+  static Result<std::unique_ptr<FleetSide>> Start(
+    const FleetSideSettings& aSettings)
+  {
+    std::unique_ptr<FleetSide> self(new FleetSide(aSettings));
+    const Result<bool> opened = self->Open();
+    if (const auto* failure = std::get_if<Failure>(&opened)) {
+      return *failure;
+    }
+    return self;
+  }
+
+  ~FleetSide() override { DropLink(); }
+
+  /** Takes leases as long as allowed, so that work outlives a restart. */
+  void Stop(std::function<void()> aDone)
+  {
+    LogChange("stopping", { { "runs", std::to_string(keeper_.RunCount()) } });
+    stopped_ = std::move(aDone);
+    stopBound_ = ReadMonotonicClock() + kStopBound;
+    keeper_.OnStopping(ReadMonotonicClock());
+    Pump();
+  }
+
+  std::string Describe() const
+  {
+    return "announcements=" + settings_.announcements_.Text() +
+           " links=" + settings_.fleet_.links_.Text();
+  }
+
+private:
+  static constexpr Millis kTick{ 50 };
+  static constexpr Millis kStopBound{ 1500 };
+  static constexpr Millis kRegisterTimeout{ 1500 };
+  static constexpr Millis kRegisterRetry{ 300 };
+  /** A leader that sent nothing for so long is taken for lost. */
+  static constexpr Millis kSilentLeader{ 3000 };
+
+  explicit FleetSide(const FleetSideSettings& aSettings)
+    : settings_(aSettings)
+    , life_(aSettings.fleet_.name_ + "-" + std::to_string(ReadWallClock()))
+    , store_(aSettings.fleet_.store_)
+    , worker_(aSettings.worker_)
+    // The wall clock rises from life to life; should it be set back, the first
+    // refusal makes up for it.
+    , keeper_({ aSettings.maxLease_,
+                static_cast<std::uint64_t>(ReadWallClock() / 1000) },
+              ReadMonotonicClock())
+    , key_(store_, [this] { OnKey(); })
+  {
+    connect(&tick_, &QTimer::timeout, this, [this] { OnTick(); });
+  }
+
+  Result<bool> Open()
+  {
+    auto front = HttpFront::Listen(
+      settings_.announcements_.ip_,
+      settings_.announcements_.port_,
+      HttpLimits(),
+      [this](const HttpExchange& aExchange) { OnNotice(aExchange); });
+    if (const auto* failure = std::get_if<Failure>(&front)) {
+      return *failure;
+    }
+    front_ = std::move(std::get<std::unique_ptr<HttpFront>>(front));
+    key_.Start();
+    tick_.start(kTick);
+    return true;
+  }
+
+  void OnNotice(const HttpExchange& aExchange)
+  {
+    const Result<WorkerNotice> decoded = Platform::DecodeNotice(aExchange);
+    if (const auto* failure = std::get_if<Failure>(&decoded)) {
+      LogProblem("notice-refused", { { "reason", failure->message_ } });
+      HttpAnswer answer;
+      answer.status_ = failure->kind_ == FailureKind::NotFound ? 404 : 400;
+      aExchange.Answer(answer);
+      return;
+    }
+    const Instant now = ReadMonotonicClock();
+    const auto& notice = std::get<WorkerNotice>(decoded);
+    if (const auto* announced = std::get_if<WorkerAnnouncement>(&notice)) {
+      if (announced->facts_.id_ != keeper_.WorkerId()) {
+        LogChange("worker-announced", { { "worker", announced->facts_.id_ } });
+      }
+      keeper_.OnAnnounced(*announced, now);
+    } else if (const auto* farewell = std::get_if<WorkerFarewell>(&notice)) {
+      LogChange("worker-left", { { "worker", farewell->id_ } });
+      keeper_.OnWorkerLeft(farewell->id_, now);
+    }
+    aExchange.Answer(Platform::AcknowledgeNotice());
+    Pump();
+  }
+
+  // The leader.
+
+  void OnKey()
+  {
+    auto listener = LinkListener::Listen(
+      settings_.fleet_.links_, [this](SideLink* aLink) { OnLink(aLink); });
+    if (const auto* failure = std::get_if<Failure>(&listener)) {
+      LogProblem("links-refused", { { "reason", failure->message_ } });
+      return;
+    }
+    listener_ = std::move(std::get<std::unique_ptr<LinkListener>>(listener));
+    Register();
+  }
+
+  /** Writes the row by which leaders find this side. */
+  void Register()
+  {
+    if (registering_ || listener_ == nullptr) {
+      return;
+    }
+    registering_ = true;
+    registeredAt_ = ReadMonotonicClock();
+    RowTransaction transaction;
+    const MemberRecord record{ settings_.fleet_.links_.Text(), life_ };
+    transaction.puts_.push_back(
+      { MemberRowId(settings_.fleet_.name_), EncodeRecord(record) });
+    store_.Write(transaction,
+                 registeredAt_ + kRegisterTimeout,
+                 [this](const Commit& aCommit) {
+                   registering_ = false;
+                   if (aCommit.outcome_ != CommitOutcome::Done) {
+                     QTimer::singleShot(
+                       kRegisterRetry, this, [this] { Register(); });
+                   }
+                 });
+  }
+
+  void OnLink(SideLink* aLink)
+  {
+    aLink->setParent(this);
+    connect(aLink,
+            &SideLink::Received,
+            this,
+            [this, aLink](const WireMessage& aMessage) {
+              OnMessage(aLink, aMessage);
+            });
+    connect(aLink, &SideLink::Lost, this, [this, aLink] {
+      if (link_ == aLink) {
+        link_.clear();
+        LogChange("leader-lost", {});
+      }
+      aLink->deleteLater();
+    });
+  }
+
+  void OnMessage(SideLink* aLink, const WireMessage& aMessage)
+  {
+    const Instant now = ReadMonotonicClock();
+    if (const auto* hello = std::get_if<FleetHelloMessage>(&aMessage)) {
+      OnHello(aLink, *hello, now);
+      return;
+    }
+    const auto* orders = std::get_if<FleetOrders>(&aMessage);
+    if (orders == nullptr || link_ != aLink) {
+      return;
+    }
+    heardAt_ = now;
+    if (!keeper_.OnOrders(*orders, now)) {
+      DropLink();
+      return;
+    }
+    Pump();
+  }
+
+  void OnHello(SideLink* aLink, const FleetHelloMessage& aHello, Instant aNow)
+  {
+    if (!aHello.leads_ || aHello.epoch_ < keeper_.Epoch() ||
+        aHello.epoch_ < linkEpoch_) {
+      aLink->Close();
+      return;
+    }
+    DropLink();
+    link_ = aLink;
+    linkEpoch_ = aHello.epoch_;
+    heardAt_ = aNow;
+    LogChange("leader-linked",
+              { { "leader", aHello.node_ },
+                { "epoch", std::to_string(aHello.epoch_) } });
+    keeper_.OnLeaderLink(aNow);
+    Pump();
+  }
+
+  void DropLink()
+  {
+    if (!link_.isNull()) {
+      link_->disconnect();
+      link_->Close();
+      link_->deleteLater();
+      link_.clear();
+    }
+  }
+
+  void OnTick()
+  {
+    const Instant now = ReadMonotonicClock();
+    if (!link_.isNull() && now - heardAt_ > kSilentLeader) {
+      LogChange("leader-silent", {});
+      DropLink();
+    }
+    if (link_.isNull() && now - heardAt_ > kOrphanedSide &&
+        now - registeredAt_ > kOrphanedSide) {
+      Register();
+    }
+    Pump();
+  }
+
+  void Pump()
+  {
+    const Instant now = ReadMonotonicClock();
+    for (const WorkerCall& call : keeper_.TakeCalls(now)) {
+      const std::uint64_t id =
+        std::visit([](const auto& aCall) { return aCall.head_.id_; }, call);
+      worker_.Send(call, [this, id](const CallAnswer& aAnswer) {
+        keeper_.OnAnswer(id, aAnswer, ReadMonotonicClock());
+        Pump();
+      });
+    }
+    if (!link_.isNull()) {
+      if (auto report = keeper_.TakeReport(now)) {
+        link_->Send(std::move(*report));
+      }
+    }
+    if (stopped_ && (keeper_.ReadyToStop() || now >= stopBound_)) {
+      LogChange("stopped", {});
+      std::exchange(stopped_, nullptr)();
+    }
+  }
+
+  FleetSideSettings settings_;
+  std::string life_;
+  Store store_;
+  typename Platform::WorkerClient worker_;
+  WorkerKeeper keeper_;
+  KeyKeeper<Store> key_;
+  std::unique_ptr<HttpFront> front_;
+  std::unique_ptr<LinkListener> listener_;
+  QPointer<SideLink> link_;
+  std::uint64_t linkEpoch_ = 0;
+  Instant heardAt_;
+  Instant registeredAt_;
+  bool registering_ = false;
+  QTimer tick_;
+  Instant stopBound_;
+  std::function<void()> stopped_;
+};
+
+}
--- /dev/null
+++ b/Source/Process/FleetWorker.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "Connection/FleetMessages.h"
+#include "Process/Instant.h"
+#include "Version/TaskName.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+namespace cactusrail {
+
+/** Room that a task takes of its worker. */
+struct TaskRoom
+{
+  FleetRoom room_;
+  /** Its processors are what others leave; not part of room_. */
+  std::int64_t backfillCpuMilli_ = 0;
+  /** It serves its own users and has a latency objective. */
+  bool serves_ = false;
+};
+
+/** A run that holds room on a worker. */
+struct HeldRun
+{
+  std::uint32_t run_ = 0;
+  TaskRoom room_;
+};
+
+/** An end that the worker lists until what it changed is stored. */
+struct UnstoredEnd
+{
+  std::uint64_t number_ = 0;
+  /** The batch of changes that holds it; 0 if nothing had to be stored. */
+  std::uint64_t batch_ = 0;
+};
+
+/** A worker and the side next to it, as the entry that leads sees them. */
+struct FleetWorker
+{
+  /** The side's process name. */
+  std::string node_;
+  WorkerDescription facts_;
+  /** A link stands, and its first report has been taken in. */
+  bool synced_ = false;
+  bool linked_ = false;
+  /** Its side's row is in the table, so a next leader will ask it too. */
+  bool registered_ = false;
+  /** Work from before this leader may run there until it has reported. */
+  bool suspect_ = false;
+  /** The side's clock in its last report; echoed. */
+  std::uint64_t echoMicros_ = 0;
+  /** Orders sent on this link. */
+  std::uint64_t ordersSent_ = 0;
+  /** When the last orders were sent; they renew the side's authority. */
+  Instant grantedAt_;
+  /** When the link was lost. */
+  Instant lostAt_;
+  Instant drainingSince_;
+  /** Ends up to this one have been taken in. */
+  std::uint64_t endsSeen_ = 0;
+  std::uint64_t endsStored_ = 0;
+  /** Whether endsStored_ rose since the last orders. */
+  bool acknowledgementDue_ = false;
+  std::deque<UnstoredEnd> unstored_;
+  /** By task name and run. */
+  std::map<std::pair<std::string, std::uint32_t>, TaskRoom> held_;
+  /** Runs that nothing is known of; told to stop. Their room is unknown, so
+   * nothing starts there until they are gone. */
+  std::set<std::pair<std::string, std::uint32_t>> strangers_;
+  FleetRoom used_;
+  std::int64_t backfillCpuMilli_ = 0;
+  std::uint32_t serving_ = 0;
+  /** It refused for want of room; tried again after this. */
+  Instant fullUntil_;
+  /** Stood still or far too slow: nothing new until then. */
+  Instant avoidUntil_;
+  /** How much longer work takes here than elsewhere; smoothed. */
+  double slowness_ = 1;
+  /** Share of full speed that backfill tasks may use. */
+  std::uint32_t backfillPace_ = 100;
+  Instant pacedAt_;
+  /** Worst tail latency over its objective among tasks that serve. */
+  double pressure_ = 0;
+
+  FleetRoom Free() const
+  {
+    return { facts_.room_.cpuMilli_ - used_.cpuMilli_,
+             facts_.room_.memoryMb_ - used_.memoryMb_,
+             facts_.room_.accelerators_ - used_.accelerators_ };
+  }
+
+  void Hold(const std::string& aTask, std::uint32_t aRun, const TaskRoom& aRoom)
+  {
+    if (!held_.emplace(std::pair(aTask, aRun), aRoom).second) {
+      return;
+    }
+    Add(aRoom, 1);
+  }
+
+  void Release(const std::string& aTask, std::uint32_t aRun)
+  {
+    const auto found = held_.find({ aTask, aRun });
+    if (found == held_.end()) {
+      return;
+    }
+    Add(found->second, -1);
+    held_.erase(found);
+  }
+
+private:
+  void Add(const TaskRoom& aRoom, int aSign)
+  {
+    used_.cpuMilli_ += aSign * aRoom.room_.cpuMilli_;
+    used_.memoryMb_ += aSign * aRoom.room_.memoryMb_;
+    used_.accelerators_ += aSign * aRoom.room_.accelerators_;
+    backfillCpuMilli_ += aSign * aRoom.backfillCpuMilli_;
+    serving_ += static_cast<std::uint32_t>(aSign * (aRoom.serves_ ? 1 : 0));
+  }
+};
+
+}
--- a/Source/Process/Instant.h
+++ b/Source/Process/Instant.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace cactusrail {
 
@@ -24,12 +25,21 @@
 using Micros = std::chrono::microseconds;
 using Millis = std::chrono::milliseconds;
 
-/** Reads the monotonic clock; only the I/O layer calls it. */
+/**
+ * Reads the monotonic clock; only the I/O layer calls it.
+ *
+ * CLOCK_BOOTTIME, not the standard's steady clock: that one stands still while
+ * the host is suspended, so a lease would seem to last on waking although
+ * everyone else saw it end.
+ */
 inline Instant
 ReadMonotonicClock()
 {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
   return Instant(std::chrono::duration_cast<Micros>(
-    std::chrono::steady_clock::now().time_since_epoch()));
+    std::chrono::seconds(time.tv_sec) +
+    std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 /** Reads the wall clock, in microseconds since 1970, for people and logs. */
--- /dev/null
+++ b/Source/Process/JobIntake.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include "Connection/RowStore.h"
+#include "Process/FleetRecords.h"
+#include "Process/Log.h"
+#include "Version/JobSpec.h"
+#include "Version/RecordCodec.h"
+
+#include <QObject>
+#include <QTimer>
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cactusrail {
+
+/** What became of something that a caller wants stored. */
+enum class IntakeOutcome : std::uint8_t
+{
+  Stored,
+  /** Surely not, and it never will be. */
+  NotStored,
+  /** It may be stored, now or seconds later. */
+  InDoubt,
+};
+
+/**
+ * Stores jobs and cancellations before callers are told so. Writes of one part
+ * that arrive while another is under way go together in one transaction. Owned
+ * by the entry's process; lives in its thread.
+ *
+ * Each write puts the same bytes under the same key, so one that had no answer
+ * is repeated until its deadline; only a write that was never in doubt is ever
+ * reported as not stored.
+ */
+template<RowStore Store>
+class JobIntake : public QObject
+{
+public:
+  using Callback = std::function<void(IntakeOutcome)>;
+
+  explicit JobIntake(Store& aStore)
+    : store_(aStore)
+  {
+  }
+
+  void StoreJob(const JobSpec& aSpec, Instant aDeadline, Callback aCallback)
+  {
+    Add(aSpec.id_,
+        { JobRowId(aSpec.id_), EncodeRecord(aSpec) },
+        aDeadline,
+        std::move(aCallback));
+  }
+
+  void StoreCancel(const std::string& aJob,
+                   Instant aDeadline,
+                   Callback aCallback)
+  {
+    Add(aJob, { CancelRowId(aJob), "1" }, aDeadline, std::move(aCallback));
+  }
+
+  /** The last call to the table failed, not long ago. */
+  bool InTrouble() const { return ReadMonotonicClock() < troubledUntil_; }
+
+private:
+  /** A write that had no answer is tried again after this. */
+  static constexpr Millis kCallTimeout{ 1200 };
+  static constexpr Millis kRetryPause{ 60 };
+  /** After a failure, others are asked to store for this long. */
+  static constexpr Millis kTrouble{ 1000 };
+  /** The table takes 100 rows and 1 MB at once. */
+  static constexpr std::size_t kMaxRows = 60;
+  static constexpr std::size_t kMaxBytes = 600000;
+
+  struct Pending
+  {
+    RowPut put_;
+    Instant deadline_;
+    Callback callback_;
+    bool doubted_ = false;
+  };
+
+  struct Part
+  {
+    std::deque<Pending> waiting_;
+    bool busy_ = false;
+  };
+
+  void Add(const std::string& aJob,
+           RowPut aPut,
+           Instant aDeadline,
+           Callback aCallback)
+  {
+    const std::size_t part =
+      static_cast<std::size_t>(std::stoul(WorkPartOf(aJob)));
+    parts_.at(part).waiting_.push_back(
+      { std::move(aPut), aDeadline, std::move(aCallback) });
+    WriteNext(part);
+  }
+
+  void WriteNext(std::size_t aPart)
+  {
+    Part& part = parts_.at(aPart);
+    if (part.busy_ || part.waiting_.empty()) {
+      return;
+    }
+    auto batch = std::make_shared<std::vector<Pending>>();
+    RowTransaction transaction;
+    std::size_t bytes = 0;
+    while (!part.waiting_.empty() && batch->size() < kMaxRows &&
+           bytes < kMaxBytes) {
+      Pending& next = part.waiting_.front();
+      bytes += next.put_.value_.size();
+      transaction.puts_.push_back(next.put_);
+      batch->push_back(std::move(next));
+      part.waiting_.pop_front();
+    }
+    part.busy_ = true;
+    const Instant deadline = ReadMonotonicClock() + kCallTimeout;
+    store_.Write(
+      transaction, deadline, [this, aPart, batch](const Commit& aCommit) {
+        OnWritten(aPart, *batch, aCommit);
+      });
+  }
+
+  void OnWritten(std::size_t aPart,
+                 std::vector<Pending>& aBatch,
+                 const Commit& aCommit)
+  {
+    Part& part = parts_.at(aPart);
+    part.busy_ = false;
+    const Instant now = ReadMonotonicClock();
+    const bool done = aCommit.outcome_ == CommitOutcome::Done;
+    troubledUntil_ = done ? Instant() : now + kTrouble;
+    bool again = false;
+    for (Pending& pending : aBatch) {
+      if (done) {
+        pending.callback_(IntakeOutcome::Stored);
+        continue;
+      }
+      pending.doubted_ =
+        pending.doubted_ || aCommit.outcome_ == CommitOutcome::Doubt;
+      if (!pending.doubted_) {
+        pending.callback_(IntakeOutcome::NotStored);
+      } else if (now + kRetryPause >= pending.deadline_) {
+        pending.callback_(IntakeOutcome::InDoubt);
+      } else {
+        part.waiting_.push_front(std::move(pending));
+        again = true;
+      }
+    }
+    if (again) {
+      QTimer::singleShot(
+        kRetryPause, this, [this, aPart] { WriteNext(aPart); });
+      return;
+    }
+    WriteNext(aPart);
+  }
+
+  Store& store_;
+  std::array<Part, kWorkParts> parts_;
+  Instant troubledUntil_;
+};
+
+}
--- /dev/null
+++ b/Source/Process/LeaderLease.cxx
@@ -0,0 +1,192 @@
+#include "Process/LeaderLease.h"
+
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+/** After a failed call to the table; its outages are asked about this often. */
+constexpr Millis kRetry{ 250 };
+
+}
+
+LeaderLease::LeaderLease(Identity aSelf)
+  : self_(std::move(aSelf))
+{
+}
+
+bool
+LeaderLease::IsOwn(const LeaderRecord& aRecord) const
+{
+  return aRecord.node_ == self_.node_ && aRecord.life_ == self_.life_;
+}
+
+bool
+LeaderLease::Leads(Instant aNow) const
+{
+  return holds_ && !stepDown_ && aNow < deadline_;
+}
+
+LeaseStep
+LeaderLease::Next(Instant aNow)
+{
+  if (busy_ || steppedDown_ || aNow < nextAt_) {
+    return LeaseStep::Nothing;
+  }
+  if (!known_ || inDoubt_) {
+    busy_ = true;
+    sentAt_ = aNow;
+    return LeaseStep::Read;
+  }
+  return holds_ ? NextWhileHolding(aNow) : NextWhileFollowing(aNow);
+}
+
+LeaseStep
+LeaderLease::Write(Instant aNow)
+{
+  busy_ = true;
+  sentAt_ = aNow;
+  return LeaseStep::Write;
+}
+
+LeaseStep
+LeaderLease::NextWhileHolding(Instant aNow)
+{
+  wanted_ = row_.record_;
+  if (stepDown_) {
+    wanted_.node_.clear();
+    wanted_.life_.clear();
+  }
+  return Write(aNow);
+}
+
+bool
+LeaderLease::IsFree(Instant aNow) const
+{
+  const LeaderRecord& leader = row_.record_;
+  if (row_.version_ == 0 || leader.node_.empty()) {
+    return true;
+  }
+  // The process that held it listened where this one listens now.
+  if (leader.address_ == self_.address_ && leader.life_ != self_.life_) {
+    return true;
+  }
+  if (!goneLife_.empty() && leader.life_ == goneLife_) {
+    return true;
+  }
+  return aNow - seenSince_ > kLeaderLease + kLeaderLeaseSlack;
+}
+
+LeaseStep
+LeaderLease::NextWhileFollowing(Instant aNow)
+{
+  if (stepDown_) {
+    steppedDown_ = true;
+    return LeaseStep::Nothing;
+  }
+  if (!IsFree(aNow)) {
+    busy_ = true;
+    sentAt_ = aNow;
+    return LeaseStep::Read;
+  }
+  wanted_ = {
+    row_.record_.epoch_ + 1, self_.node_, self_.life_, self_.address_
+  };
+  return Write(aNow);
+}
+
+void
+LeaderLease::OnRead(const LeaderRow& aRow, Instant aSentAt, Instant aNow)
+{
+  busy_ = false;
+  inDoubt_ = false;
+  const bool changed = !known_ || row_.version_ != aRow.version_;
+  known_ = true;
+  row_ = aRow;
+  if (changed) {
+    seenSince_ = aNow;
+  }
+  const bool own = IsOwn(row_.record_);
+  if (own && !holds_) {
+    // A write of ours that had no answer took effect. Others count from when
+    // they see it; this process leads from its next renewal on.
+    holds_ = true;
+    deadline_ = aSentAt;
+  }
+  if (!own) {
+    holds_ = false;
+  }
+  nextAt_ = own || IsFree(aNow) ? aNow : aNow + kLeaderWatch;
+}
+
+void
+LeaderLease::OnReadFailed(Instant aNow)
+{
+  busy_ = false;
+  nextAt_ = aNow + kRetry;
+}
+
+void
+LeaderLease::OnWritten(std::uint64_t aVersion, Instant aNow)
+{
+  busy_ = false;
+  row_.record_ = wanted_;
+  row_.version_ = aVersion;
+  seenSince_ = aNow;
+  goneLife_.clear();
+  holds_ = IsOwn(wanted_);
+  if (!holds_) {
+    steppedDown_ = true;
+    return;
+  }
+  deadline_ = sentAt_ + kLeaderLease;
+  nextAt_ = stepDown_ ? aNow : sentAt_ + kLeaderRenewal;
+}
+
+void
+LeaderLease::BeginDoubt(Instant aNow)
+{
+  busy_ = false;
+  inDoubt_ = true;
+  nextAt_ = aNow;
+}
+
+void
+LeaderLease::OnConflict(Instant aNow)
+{
+  BeginDoubt(aNow);
+}
+
+void
+LeaderLease::OnDoubt(Instant aNow)
+{
+  BeginDoubt(aNow);
+  nextAt_ = aNow + kRetry;
+}
+
+void
+LeaderLease::OnNotWritten(Instant aNow)
+{
+  busy_ = false;
+  nextAt_ = aNow + kRetry;
+}
+
+void
+LeaderLease::OnLeaderGone(const std::string& aLife, Instant aNow)
+{
+  if (holds_ || row_.record_.life_ != aLife) {
+    return;
+  }
+  goneLife_ = aLife;
+  nextAt_ = aNow;
+}
+
+void
+LeaderLease::StepDown()
+{
+  stepDown_ = true;
+  nextAt_ = Instant();
+}
+
+}
--- /dev/null
+++ b/Source/Process/LeaderLease.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "Process/FleetTimings.h"
+#include "Process/Instant.h"
+
+#include <cereal/types/string.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace cactusrail {
+
+/** Who leads, as the table's row says. */
+struct LeaderRecord
+{
+  /** Rises with each change of leader. */
+  std::uint64_t epoch_ = 0;
+  /** The process that leads; empty if the last one stepped down. */
+  std::string node_;
+  /** One life of that process. */
+  std::string life_;
+  /** Where it takes links, "IP:PORT". */
+  std::string address_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(epoch_, node_, life_, address_);
+  }
+};
+
+/** The row as it was read, with the version that a change is conditioned on. */
+struct LeaderRow
+{
+  LeaderRecord record_;
+  /** 0: there is no row. */
+  std::uint64_t version_ = 0;
+};
+
+/** What this process should do about the lease now. */
+enum class LeaseStep : std::uint8_t
+{
+  Nothing,
+  /** Read the row; report it with OnRead(). */
+  Read,
+  /** Write Wanted() on the condition of RowVersion(); report the outcome. */
+  Write,
+};
+
+/**
+ * The lease by which one entry leads: a row of the table that the leader keeps
+ * writing. Pure: facts and times in, steps out. Owned by the entry's process.
+ *
+ * Two leaders at once would start one task twice. A leader goes on only until
+ * kLeaderLease after it *sent* its last renewal that succeeded; a follower
+ * takes over only when it saw one unchanged version for longer than that, and
+ * its write is conditioned on that version. The clock counts suspended time, so
+ * a frozen leader finds its lease over when it wakes.
+ */
+class LeaderLease
+{
+public:
+  struct Identity
+  {
+    std::string node_;
+    std::string life_;
+    std::string address_;
+  };
+
+  explicit LeaderLease(Identity aSelf);
+
+  LeaseStep Next(Instant aNow);
+
+  /** The content to write, and the version that it replaces. */
+  const LeaderRecord& Wanted() const { return wanted_; }
+  std::uint64_t RowVersion() const { return row_.version_; }
+
+  /** A read that was sent at aSentAt brought this row, or none. */
+  void OnRead(const LeaderRow& aRow, Instant aSentAt, Instant aNow);
+  void OnReadFailed(Instant aNow);
+
+  /** The write succeeded; the row has aVersion now. */
+  void OnWritten(std::uint64_t aVersion, Instant aNow);
+  /** The condition failed: someone else wrote, or a write of ours came late. */
+  void OnConflict(Instant aNow);
+  /** It may have been written, or not. */
+  void OnDoubt(Instant aNow);
+  /** It surely was not written. */
+  void OnNotWritten(Instant aNow);
+
+  /**
+   * The leader's process is surely over: its host refused a connection on the
+   * port where it listened. The next step takes over at once.
+   */
+  void OnLeaderGone(const std::string& aLife, Instant aNow);
+
+  /** A planned stop: the next write gives the lease up. */
+  void StepDown();
+
+  /** This process may order and acknowledge now. */
+  bool Leads(Instant aNow) const;
+  /** It holds the row, though its time may be over for the moment. */
+  bool Holds() const { return holds_; }
+  /** It gave the lease up, and the table has taken that. */
+  bool SteppedDown() const { return steppedDown_; }
+  std::uint64_t Epoch() const { return row_.record_.epoch_; }
+
+  /** Who leads as far as is known. */
+  const LeaderRecord& Leader() const { return row_.record_; }
+
+private:
+  LeaseStep NextWhileHolding(Instant aNow);
+  LeaseStep NextWhileFollowing(Instant aNow);
+  LeaseStep Write(Instant aNow);
+  bool IsOwn(const LeaderRecord& aRecord) const;
+  bool IsFree(Instant aNow) const;
+  void BeginDoubt(Instant aNow);
+
+  Identity self_;
+  LeaderRow row_;
+  bool known_ = false;
+  /** Since when the row has been seen in this version. */
+  Instant seenSince_;
+  LeaderRecord wanted_;
+  bool busy_ = false;
+  bool holds_ = false;
+  bool inDoubt_ = false;
+  bool stepDown_ = false;
+  bool steppedDown_ = false;
+  std::string goneLife_;
+  Instant sentAt_;
+  Instant nextAt_;
+  /** Until when this process may lead. */
+  Instant deadline_;
+};
+
+}
--- /dev/null
+++ b/Source/Process/LeaderLink.cxx
@@ -0,0 +1,169 @@
+#include "Process/LeaderLink.h"
+
+#include "Process/Log.h"
+#include "Process/SocketAddress.h"
+
+#include <QTimer>
+
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+constexpr std::uint32_t kMaxUnanswered = 2;
+constexpr Millis kRetry{ 200 };
+
+}
+
+LeaderLink::LeaderLink(std::string aNode)
+  : node_(std::move(aNode))
+{
+}
+
+LeaderLink::~LeaderLink()
+{
+  if (!link_.isNull()) {
+    link_->disconnect();
+    delete link_;
+  }
+}
+
+void
+LeaderLink::SetLeader(const std::string& aAddress, const std::string& aLife)
+{
+  if (address_ == aAddress && life_ == aLife) {
+    return;
+  }
+  address_ = aAddress;
+  life_ = aLife;
+  retryAt_ = Instant();
+  Drop();
+  Link();
+}
+
+bool
+LeaderLink::Usable() const
+{
+  return !link_.isNull() && unanswered_ == 0;
+}
+
+void
+LeaderLink::Drop()
+{
+  if (!link_.isNull()) {
+    link_->disconnect();
+    link_->Close();
+    link_->deleteLater();
+    link_.clear();
+  }
+  unanswered_ = 0;
+  FailAll();
+}
+
+void
+LeaderLink::FailAll()
+{
+  for (auto& [id, callback] : std::exchange(open_, {})) {
+    callback(std::nullopt);
+  }
+}
+
+SideLink*
+LeaderLink::Link()
+{
+  if (!link_.isNull()) {
+    return link_;
+  }
+  const Result<SocketAddress> address = ParseSocketAddress(address_);
+  if (!Succeeded(address) || ReadMonotonicClock() < retryAt_) {
+    return nullptr;
+  }
+  const auto& target = std::get<SocketAddress>(address);
+  link_ = new SideLink(target.ip_, target.port_, nullptr);
+  connect(link_,
+          &SideLink::Received,
+          this,
+          [this](const WireMessage& aMessage) { OnMessage(aMessage); });
+  connect(link_,
+          &SideLink::Lost,
+          this,
+          [this](bool aNeverConnected, const QString& aReason) {
+            OnLost(aNeverConnected, aReason);
+          });
+  link_->Send(FleetHelloMessage{ node_, false, 0 });
+  return link_;
+}
+
+void
+LeaderLink::OnLost(bool aNeverConnected, const QString& aReason)
+{
+  LogChange("leader-link-lost",
+            { { "leader", address_ }, { "reason", aReason.toStdString() } });
+  const bool refused =
+    aNeverConnected && aReason.contains(QLatin1String("refused"));
+  const std::string life = life_;
+  retryAt_ = ReadMonotonicClock() + kRetry;
+  Drop();
+  if (refused) {
+    Q_EMIT LeaderRefuses(QString::fromStdString(life));
+    return;
+  }
+  // Whether the process is over shows at the next try.
+  QTimer::singleShot(kRetry, this, [this] { Link(); });
+}
+
+void
+LeaderLink::OnMessage(const WireMessage& aMessage)
+{
+  const auto* answer = std::get_if<FleetAnswerMessage>(&aMessage);
+  if (answer == nullptr) {
+    return;
+  }
+  unanswered_ = 0;
+  const auto found = open_.find(answer->id_);
+  if (found == open_.end()) {
+    return;
+  }
+  const Callback callback = std::move(found->second);
+  open_.erase(found);
+  callback(*answer);
+}
+
+void
+LeaderLink::Ask(FleetAskMessage aAsk, Millis aTimeout, Callback aCallback)
+{
+  SideLink* link = Link();
+  if (link == nullptr) {
+    aCallback(std::nullopt);
+    return;
+  }
+  aAsk.id_ = nextAsk_++;
+  const std::uint64_t id = aAsk.id_;
+  open_.emplace(id, std::move(aCallback));
+  link->Send(aAsk);
+  QTimer::singleShot(aTimeout, this, [this, id] {
+    const auto found = open_.find(id);
+    if (found == open_.end()) {
+      return;
+    }
+    const Callback callback = std::move(found->second);
+    open_.erase(found);
+    if (++unanswered_ >= kMaxUnanswered) {
+      retryAt_ = ReadMonotonicClock() + kRetry;
+      Drop();
+    }
+    callback(std::nullopt);
+  });
+}
+
+void
+LeaderLink::Tell(FleetAskMessage aAsk)
+{
+  if (SideLink* link = Link()) {
+    aAsk.id_ = 0;
+    link->Send(aAsk);
+  }
+}
+
+}
--- /dev/null
+++ b/Source/Process/LeaseRunner.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "Connection/RowStore.h"
+#include "Process/FleetRecords.h"
+#include "Process/LeaderLease.h"
+#include "Process/Log.h"
+#include "Version/RecordCodec.h"
+
+#include <QObject>
+#include <QTimer>
+
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace cactusrail {
+
+/** Carries out the steps of a LeaderLease against the table. Owned by the
+ * entry's process. */
+template<RowStore Store>
+class LeaseRunner : public QObject
+{
+public:
+  /** Called after each change of what the lease says. */
+  using Callback = std::function<void()>;
+
+  LeaseRunner(Store& aStore, LeaderLease::Identity aSelf, Callback aChanged)
+    : store_(aStore)
+    , lease_(std::move(aSelf))
+    , changed_(std::move(aChanged))
+  {
+    connect(&timer_, &QTimer::timeout, this, [this] { Step(); });
+  }
+
+  void Start()
+  {
+    timer_.start(kTick);
+    Step();
+  }
+
+  void StepDown()
+  {
+    lease_.StepDown();
+    Step();
+  }
+
+  void OnLeaderGone(const std::string& aLife)
+  {
+    lease_.OnLeaderGone(aLife, ReadMonotonicClock());
+    Step();
+  }
+
+  const LeaderLease& Lease() const { return lease_; }
+
+private:
+  static constexpr Millis kTick{ 100 };
+  /** Shorter than what is left of a lease after two renewals failed. */
+  static constexpr Millis kCallTimeout{ 1000 };
+
+  void Step()
+  {
+    const Instant now = ReadMonotonicClock();
+    switch (lease_.Next(now)) {
+      case LeaseStep::Nothing:
+        return;
+      case LeaseStep::Read:
+        Read(now);
+        return;
+      case LeaseStep::Write:
+        Write(now);
+        return;
+    }
+  }
+
+  void Read(Instant aSentAt)
+  {
+    const RowId id = LeadRowId();
+    store_.Read({ id.table_, id.part_, id.key_, {} },
+                aSentAt + kCallTimeout,
+                [this, aSentAt](Result<RowPage> aPage) {
+                  OnPage(std::move(aPage), aSentAt);
+                });
+  }
+
+  void OnPage(Result<RowPage> aPage, Instant aSentAt)
+  {
+    const Instant now = ReadMonotonicClock();
+    const auto* page = std::get_if<RowPage>(&aPage);
+    if (page == nullptr) {
+      lease_.OnReadFailed(now);
+      changed_();
+      return;
+    }
+    LeaderRow row;
+    if (!page->rows_.empty() &&
+        page->rows_.front().id_.key_ == LeadRowId().key_) {
+      Result<LeaderRecord> record =
+        DecodeRecord<LeaderRecord>(page->rows_.front().value_);
+      if (auto* decoded = std::get_if<LeaderRecord>(&record)) {
+        row.record_ = std::move(*decoded);
+      } else {
+        LogProblem("lease-unreadable",
+                   { { "reason", std::get<Failure>(record).message_ } });
+      }
+      row.version_ = page->rows_.front().version_;
+    }
+    lease_.OnRead(row, aSentAt, now);
+    changed_();
+    Step();
+  }
+
+  void Write(Instant aSentAt)
+  {
+    RowTransaction transaction;
+    transaction.conditions_.push_back({ LeadRowId(), lease_.RowVersion() });
+    transaction.puts_.push_back({ LeadRowId(), EncodeRecord(lease_.Wanted()) });
+    store_.Write(transaction,
+                 aSentAt + kCallTimeout,
+                 [this](const Commit& aCommit) { OnCommit(aCommit); });
+  }
+
+  void OnCommit(const Commit& aCommit)
+  {
+    const Instant now = ReadMonotonicClock();
+    switch (aCommit.outcome_) {
+      case CommitOutcome::Done:
+        lease_.OnWritten(aCommit.version_, now);
+        break;
+      case CommitOutcome::Conflict:
+        lease_.OnConflict(now);
+        break;
+      case CommitOutcome::NotDone:
+        lease_.OnNotWritten(now);
+        break;
+      case CommitOutcome::Doubt:
+        lease_.OnDoubt(now);
+        break;
+    }
+    changed_();
+    Step();
+  }
+
+  Store& store_;
+  LeaderLease lease_;
+  Callback changed_;
+  QTimer timer_;
+};
+
+}
--- /dev/null
+++ b/Source/Process/TableWatch.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "Connection/RowStore.h"
+#include "Process/Log.h"
+
+#include <QObject>
+#include <QTimer>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cactusrail {
+
+/** Whether a table is only read, or followed from then on. */
+enum class TableUse : std::uint8_t
+{
+  ReadOnce,
+  Follow,
+};
+
+/**
+ * Keeps up with one table: reads it whole, then follows its changes; reads it
+ * whole again when the store has dropped its history. Rows may come twice.
+ * Owned by what uses it.
+ */
+template<RowStore Store>
+class TableWatch : public QObject
+{
+public:
+  using RowCallback = std::function<void(const Row&)>;
+
+  TableWatch(Store& aStore,
+             std::string aTable,
+             std::vector<std::string> aParts,
+             TableUse aUse,
+             RowCallback aOnRow,
+             std::function<void()> aOnRead)
+    : store_(aStore)
+    , table_(std::move(aTable))
+    , parts_(std::move(aParts))
+    , use_(aUse)
+    , onRow_(std::move(aOnRow))
+    , onRead_(std::move(aOnRead))
+  {
+  }
+
+  void Start()
+  {
+    part_ = 0;
+    known_ = false;
+    ReadFrom({});
+  }
+
+private:
+  static constexpr Millis kReadTimeout{ 2000 };
+  static constexpr Millis kRetry{ 200 };
+  /** A watch without a change returns after this; short enough that a silent
+   * connection is noticed, as the client gives up soon after. */
+  static constexpr Millis kWait{ 3000 };
+
+  void ReadFrom(const std::string& aFirst)
+  {
+    store_.Read({ table_, parts_.at(part_), aFirst, {} },
+                ReadMonotonicClock() + kReadTimeout,
+                [this, aFirst](Result<RowPage> aPage) {
+                  OnPage(std::move(aPage), aFirst);
+                });
+  }
+
+  void OnPage(Result<RowPage> aPage, const std::string& aFirst)
+  {
+    const auto* page = std::get_if<RowPage>(&aPage);
+    if (page == nullptr) {
+      QTimer::singleShot(kRetry, this, [this, aFirst] { ReadFrom(aFirst); });
+      return;
+    }
+    if (!known_) {
+      // Changes are followed from the first page on: what changes while the
+      // others are read comes twice rather than never.
+      known_ = true;
+      version_ = page->version_;
+    }
+    for (const Row& row : page->rows_) {
+      onRow_(row);
+    }
+    if (page->more_ && !page->rows_.empty()) {
+      // No key of ours has a character before the space.
+      ReadFrom(page->rows_.back().id_.key_ + " ");
+      return;
+    }
+    if (++part_ < parts_.size()) {
+      ReadFrom({});
+      return;
+    }
+    if (use_ == TableUse::Follow) {
+      Follow();
+    }
+    onRead_();
+  }
+
+  void Follow()
+  {
+    store_.Watch(table_, version_, kWait, [this](Result<RowChanges> aChanges) {
+      OnChanges(std::move(aChanges));
+    });
+  }
+
+  void OnChanges(Result<RowChanges> aChanges)
+  {
+    const auto* changes = std::get_if<RowChanges>(&aChanges);
+    if (changes == nullptr) {
+      QTimer::singleShot(kRetry, this, [this] { Follow(); });
+      return;
+    }
+    if (changes->historyGone_) {
+      LogChange("table-read-anew", { { "table", table_ } });
+      Start();
+      return;
+    }
+    version_ = changes->version_;
+    for (const Row& row : changes->rows_) {
+      onRow_(row);
+    }
+    Follow();
+  }
+
+  Store& store_;
+  std::string table_;
+  std::vector<std::string> parts_;
+  TableUse use_;
+  RowCallback onRow_;
+  std::function<void()> onRead_;
+  std::size_t part_ = 0;
+  bool known_ = false;
+  std::uint64_t version_ = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Process/WorkerChoice.cxx
@@ -0,0 +1,195 @@
+#include "Process/WorkerChoice.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace cactusrail {
+
+namespace {
+
+/**
+ * Backfill starts only where it gets this share of its processors: below it,
+ * starting more makes all slower and none ready sooner.
+ */
+constexpr double kLeastBackfillShare = 0.8;
+
+/** Backfill joins a worker whose serving tasks are below this part of their
+ * objective; what it adds is seen within a second and paced. */
+constexpr double kCalmPressure = 0.5;
+
+/** Weights of a choice, in units of "a task takes so many times as long". */
+constexpr double kBesideServing = 1.5;
+constexpr double kAvoided = 20;
+
+bool
+Contains(std::span<const std::string> aList, std::string_view aWord)
+{
+  return std::find(aList.begin(), aList.end(), aWord) != aList.end();
+}
+
+double
+UsedShare(const FleetWorker& aWorker)
+{
+  const FleetRoom& room = aWorker.facts_.room_;
+  const double cpu = room.cpuMilli_ <= 0
+                       ? 1
+                       : static_cast<double>(aWorker.used_.cpuMilli_ +
+                                             aWorker.backfillCpuMilli_) /
+                           static_cast<double>(room.cpuMilli_);
+  const double memory = room.memoryMb_ <= 0
+                          ? 1
+                          : static_cast<double>(aWorker.used_.memoryMb_) /
+                              static_cast<double>(room.memoryMb_);
+  return std::max(cpu, memory);
+}
+
+/** The share of its processors that one more backfill task would get. */
+double
+BackfillShare(const FleetWorker& aWorker, std::int64_t aCpuMilli)
+{
+  const auto left = static_cast<double>(aWorker.Free().cpuMilli_);
+  const auto wanted =
+    static_cast<double>(aWorker.backfillCpuMilli_ + aCpuMilli);
+  if (left <= 0) {
+    return 0;
+  }
+  return wanted <= left ? 1 : left / wanted;
+}
+
+double
+DistanceFactor(const FleetWorker& aWorker, const ChoiceFacts& aFacts)
+{
+  const StepSpec& step = *aFacts.step_;
+  const std::string& rack = aWorker.facts_.rack_;
+  double factor = 1;
+  if (!step.dataRack_.empty() && step.dataRack_ != rack) {
+    factor *= aFacts.farFactor_;
+  }
+  if (step.sameRack_ && !aFacts.rackInUse_.empty() &&
+      aFacts.rackInUse_ != rack) {
+    factor *= aFacts.farFactor_;
+  }
+  return factor;
+}
+
+constexpr double kNever = std::numeric_limits<double>::infinity();
+
+double
+BackfillCost(const FleetWorker& aWorker, const StepSpec& aStep)
+{
+  const double share = BackfillShare(aWorker, aStep.cpuMilli_);
+  if (share < kLeastBackfillShare || aWorker.backfillPace_ < 100) {
+    return kNever;
+  }
+  if (aWorker.serving_ > 0 && aWorker.pressure_ > kCalmPressure) {
+    return kNever;
+  }
+  const double beside = aWorker.serving_ > 0 ? kBesideServing : 0;
+  return 1 / share + beside + UsedShare(aWorker) * 0.5;
+}
+
+double
+CostOn(const WorkerOption& aOption, const ChoiceFacts& aFacts)
+{
+  const FleetWorker& worker = *aOption.worker_;
+  const StepSpec& step = *aFacts.step_;
+  double cost = 0;
+  if (step.backfill_) {
+    cost = BackfillCost(worker, step);
+  } else if (step.latencyObjectiveMs_ > 0) {
+    cost = worker.serving_ > 0 ? 0.5 + UsedShare(worker) * 0.1
+                               : 1 + UsedShare(worker);
+  } else {
+    cost = 1 + UsedShare(worker);
+  }
+  cost *= DistanceFactor(worker, aFacts) * worker.slowness_;
+  if (Contains(aFacts.avoid_, worker.node_)) {
+    cost += kAvoided;
+  }
+  return cost;
+}
+
+bool
+IsSetAside(const WorkerOption& aOption, Instant aNow)
+{
+  return aOption.setAside_ || aNow < aOption.worker_->avoidUntil_;
+}
+
+/**
+ * Whether some worker that could take the task is trusted. If none is, those
+ * set aside are used all the same: work must not wait for ever because every
+ * worker had a bad minute.
+ */
+bool
+AnyTrusted(std::span<const WorkerOption> aOptions, const ChoiceFacts& aFacts)
+{
+  return std::any_of(
+    aOptions.begin(), aOptions.end(), [&aFacts](const WorkerOption& aOption) {
+      return MayRunOn(aOption, aFacts) && !IsSetAside(aOption, aFacts.now_);
+    });
+}
+
+}
+
+TaskRoom
+RoomOf(const StepSpec& aStep)
+{
+  TaskRoom room;
+  room.room_ = { aStep.backfill_ ? 0 : aStep.cpuMilli_,
+                 aStep.memoryMb_,
+                 aStep.accelerators_ };
+  room.backfillCpuMilli_ = aStep.backfill_ ? aStep.cpuMilli_ : 0;
+  room.serves_ = aStep.latencyObjectiveMs_ > 0;
+  return room;
+}
+
+bool
+MayRunOn(const WorkerOption& aOption, const ChoiceFacts& aFacts)
+{
+  const FleetWorker& worker = *aOption.worker_;
+  const StepSpec& step = *aFacts.step_;
+  if (!worker.synced_ || !worker.registered_ || !worker.facts_.answers_ ||
+      worker.facts_.id_.empty() || worker.facts_.service_ != aFacts.service_ ||
+      worker.facts_.draining_ || !worker.strangers_.empty()) {
+    return false;
+  }
+  if (!step.requiredLabel_.empty() &&
+      !Contains(worker.facts_.labels_, step.requiredLabel_)) {
+    return false;
+  }
+  return step.maxPerWorker_ == 0 || aOption.sameStep_ < step.maxPerWorker_;
+}
+
+bool
+HasRoomFor(const FleetWorker& aWorker, const TaskRoom& aRoom)
+{
+  const FleetRoom free = aWorker.Free();
+  return free.cpuMilli_ >= aRoom.room_.cpuMilli_ &&
+         free.memoryMb_ >= aRoom.room_.memoryMb_ &&
+         free.accelerators_ >= aRoom.room_.accelerators_;
+}
+
+std::optional<std::size_t>
+ChooseWorker(std::span<const WorkerOption> aOptions, const ChoiceFacts& aFacts)
+{
+  const TaskRoom room = RoomOf(*aFacts.step_);
+  std::optional<std::size_t> best;
+  double bestCost = kNever;
+  const bool trusted = AnyTrusted(aOptions, aFacts);
+  for (std::size_t i = 0; i < aOptions.size(); ++i) {
+    const FleetWorker& worker = *aOptions[i].worker_;
+    if (!MayRunOn(aOptions[i], aFacts) || !HasRoomFor(worker, room) ||
+        aFacts.now_ < worker.fullUntil_ ||
+        (trusted && IsSetAside(aOptions[i], aFacts.now_))) {
+      continue;
+    }
+    const double cost = CostOn(aOptions[i], aFacts);
+    if (cost < bestCost) {
+      bestCost = cost;
+      best = i;
+    }
+  }
+  return best;
+}
+
+}
--- /dev/null
+++ b/Source/Process/WorkerChoice.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Process/FleetWorker.h"
+#include "Version/JobSpec.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace cactusrail {
+
+/** What a choice of a worker for one task rests on. */
+struct ChoiceFacts
+{
+  const StepSpec* step_ = nullptr;
+  std::string_view service_;
+  /** Workers where it failed or stood still. */
+  std::span<const std::string> avoid_;
+  /** How much longer a task takes away from its data or its rack. */
+  double farFactor_ = 1;
+  /** Racks that tasks of the step use already, for steps of one rack. */
+  std::string_view rackInUse_;
+  Instant now_;
+  /** New runs may still start on a draining worker for so long. */
+  Millis drain_{ 0 };
+};
+
+/** A worker that could take the task, with how many of its step run there. */
+struct WorkerOption
+{
+  const FleetWorker* worker_ = nullptr;
+  std::uint32_t sameStep_ = 0;
+  /** Set aside for failing what it starts. */
+  bool setAside_ = false;
+};
+
+/** The room that a task of the step takes. */
+TaskRoom
+RoomOf(const StepSpec& aStep);
+
+/** Whether the worker may run the task at all, with room left or not. */
+bool
+MayRunOn(const WorkerOption& aOption, const ChoiceFacts& aFacts);
+
+/** Whether the room left is enough. */
+bool
+HasRoomFor(const FleetWorker& aWorker, const TaskRoom& aRoom);
+
+/**
+ * The best worker for a task now; none if it should rather wait. Pure.
+ *
+ * - Work with an objective for its own users is packed onto few workers, so
+ *   that backfill has workers where it disturbs nobody.
+ * - Backfill goes where it gets its processors in full, and next to work that
+ *   serves only if nothing else is left and that work is well below its
+ *   objective.
+ * - All other work is spread by the room that is left.
+ */
+std::optional<std::size_t>
+ChooseWorker(std::span<const WorkerOption> aOptions, const ChoiceFacts& aFacts);
+
+}
--- /dev/null
+++ b/Source/Process/WorkerKeeper.cxx
@@ -0,0 +1,648 @@
+#include "Process/WorkerKeeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+/** A worker on the same host answers an order within some ms; one in twenty is
+ * left without an answer on a bad day, and asking again is harmless. */
+constexpr Millis kOrderTimeout{ 400 };
+/** A pause before an order that was not taken is tried again. */
+constexpr Millis kOrderRetry{ 100 };
+/** Beyond what a hold waits by itself. */
+constexpr Millis kHoldTimeout{ 700 };
+/** A hold waits so long for an end; progress is reported as often. */
+constexpr Millis kHoldWait{ 500 };
+constexpr Millis kIdleHoldWait{ 1500 };
+/** Ends that are not stored yet make a hold return at once; the next one waits
+ * for the leader so long. */
+constexpr Millis kUnstoredPause{ 150 };
+constexpr Millis kHoldRetry{ 150 };
+/** Orders under way at once; a worker has eight slots, one is the hold's. */
+constexpr std::size_t kMaxOpenOrders = 6;
+/** A worker that has not answered for so long gets no new work. */
+constexpr Millis kSilence{ 1600 };
+/** Added to a lease's end on our clock: the way of the call. */
+constexpr Millis kLeaseMargin{ 200 };
+/** A fence that is too low, as the wall clock was set back, rises by an hour's
+ * worth: more than any correction of a clock. */
+constexpr std::uint64_t kFenceJump = 3600000;
+
+Millis
+LongestRealLease(Millis aLease)
+{
+  return std::chrono::duration_cast<Millis>(aLease / (1 - kWorkerClockDrift)) +
+         kLeaseMargin;
+}
+
+}
+
+WorkerKeeper::WorkerKeeper(const Settings& aSettings, Instant aNow)
+  : settings_(aSettings)
+  , fence_(aSettings.fence_)
+  , leasesOverAt_(aNow + LongestRealLease(aSettings.maxLease_))
+  , reportedAt_(aNow)
+{
+}
+
+std::int64_t
+WorkerKeeper::WorkerClock(Instant aNow) const
+{
+  return clockMs_ +
+         std::chrono::duration_cast<Millis>(aNow - clockReadAt_).count();
+}
+
+std::optional<std::int64_t>
+WorkerKeeper::LeaseUntil(Millis aLease, Instant aNow)
+{
+  const Millis authority =
+    std::chrono::duration_cast<Millis>(authorityUntil_ - aNow);
+  // A clock that is slow makes a lease last longer than asked for.
+  const auto allowed = std::chrono::duration_cast<Millis>(
+    authority * (1 - kWorkerClockDrift) - kLeaseMargin);
+  const Millis lease = std::min(aLease, allowed);
+  if (lease <= Millis(0) || clockReadAt_ == Instant()) {
+    return std::nullopt;
+  }
+  leasesOverAt_ = std::max(leasesOverAt_, aNow + LongestRealLease(lease));
+  return WorkerClock(aNow) + lease.count();
+}
+
+void
+WorkerKeeper::OnAnnounced(const WorkerAnnouncement& aAnnouncement, Instant aNow)
+{
+  const std::string& id = aAnnouncement.facts_.id_;
+  if (pastLives_.contains(id)) {
+    return;
+  }
+  if (facts_.id_.empty()) {
+    BeginLife(aAnnouncement, aNow);
+    return;
+  }
+  if (id != facts_.id_) {
+    // Either the worker crashed and lives anew, or this announcement of an
+    // earlier life was held up on its way: the worker itself is asked.
+    candidate_ = aAnnouncement;
+    nextHoldAt_ = aNow;
+    return;
+  }
+  if (aAnnouncement.sequence_ < sequence_) {
+    return;
+  }
+  sequence_ = aAnnouncement.sequence_;
+  const bool changed =
+    facts_.draining_ != aAnnouncement.facts_.draining_ ||
+    facts_.remainingMicros_ != aAnnouncement.facts_.remainingMicros_;
+  const bool answers = facts_.answers_;
+  facts_ = aAnnouncement.facts_;
+  facts_.answers_ = answers;
+  if (clockReadAt_ == Instant()) {
+    clockMs_ = aAnnouncement.clockMs_;
+    clockReadAt_ = aNow;
+  }
+  reportDue_ = reportDue_ || changed;
+}
+
+void
+WorkerKeeper::BeginLife(const WorkerAnnouncement& aAnnouncement, Instant aNow)
+{
+  if (!facts_.id_.empty()) {
+    pastLives_.insert(facts_.id_);
+    ForgetRuns();
+  }
+  facts_ = aAnnouncement.facts_;
+  facts_.answers_ = false;
+  sequence_ = aAnnouncement.sequence_;
+  clockMs_ = aAnnouncement.clockMs_;
+  clockReadAt_ = aNow;
+  known_ = false;
+  ends_.clear();
+  endsStored_ = 0;
+  endsReported_ = 0;
+  candidate_.reset();
+  nextHoldAt_ = aNow;
+}
+
+void
+WorkerKeeper::ForgetRuns()
+{
+  runs_.clear();
+  refused_.clear();
+  std::erase_if(calls_, [](const auto& aEntry) {
+    return aEntry.second.kind_ != OpenCall::Kind::Hold &&
+           aEntry.second.kind_ != OpenCall::Kind::Probe;
+  });
+  openOrders_ = 0;
+  reportDue_ = true;
+}
+
+void
+WorkerKeeper::OnWorkerLeft(const std::string& aWorkerId, Instant aNow)
+{
+  (void)aNow;
+  pastLives_.insert(aWorkerId);
+  if (candidate_.has_value() && candidate_->facts_.id_ == aWorkerId) {
+    candidate_.reset();
+  }
+  if (facts_.id_ != aWorkerId) {
+    return;
+  }
+  EndLife();
+}
+
+void
+WorkerKeeper::EndLife()
+{
+  // What ran there ended with it.
+  pastLives_.insert(facts_.id_);
+  facts_ = WorkerDescription();
+  ForgetRuns();
+  ends_.clear();
+  endsStored_ = 0;
+  endsReported_ = 0;
+  known_ = true;
+}
+
+void
+WorkerKeeper::OnLeaderLink(Instant aNow)
+{
+  (void)aNow;
+  linked_ = true;
+  ordersSeen_ = 0;
+  endsReported_ = endsStored_;
+  reportDue_ = true;
+}
+
+bool
+WorkerKeeper::OnOrders(const FleetOrders& aOrders, Instant aNow)
+{
+  if (aOrders.epoch_ < epoch_) {
+    return false;
+  }
+  epoch_ = aOrders.epoch_;
+  lastOrders_ = aNow;
+  ordersSeen_ = aOrders.sequence_;
+  const Instant until =
+    Instant(Micros(static_cast<std::int64_t>(aOrders.echoMicros_))) +
+    Micros(static_cast<std::int64_t>(aOrders.holdMicros_));
+  authorityUntil_ = std::max(authorityUntil_, until);
+  if (aOrders.workerId_ != facts_.id_) {
+    // Meant for a life that is over: its runs are gone, as the next report
+    // says.
+    reportDue_ = true;
+    return true;
+  }
+  if (aOrders.endsStored_ > endsStored_) {
+    endsStored_ = aOrders.endsStored_;
+    ends_.erase(ends_.begin(), ends_.upper_bound(endsStored_));
+    nextHoldAt_ = aNow;
+  }
+  for (const StartOrder& order : aOrders.starts_) {
+    const auto [entry, added] =
+      runs_.try_emplace(RunKey(order.task_, order.run_));
+    if (added) {
+      entry->second.order_ = order;
+      entry->second.nextCallAt_ = aNow;
+    }
+  }
+  for (const StopOrder& order : aOrders.stops_) {
+    const auto found = runs_.find(RunKey(order.task_, order.run_));
+    if (found == runs_.end()) {
+      reportDue_ = true;
+    } else if (found->second.phase_ != Phase::Stopping) {
+      found->second.phase_ = Phase::Stopping;
+      found->second.nextCallAt_ = aNow;
+    }
+  }
+  for (const PaceOrder& order : aOrders.paces_) {
+    const auto found = runs_.find(RunKey(order.task_, order.run_));
+    if (found != runs_.end()) {
+      found->second.pace_ = order.percent_;
+    }
+  }
+  return true;
+}
+
+void
+WorkerKeeper::OnStopping(Instant aNow)
+{
+  stopping_ = true;
+  nextHoldAt_ = aNow;
+  if (facts_.id_.empty() || runs_.empty()) {
+    stopHoldDone_ = true;
+  }
+}
+
+CallHead
+WorkerKeeper::Head(OpenCall aCall, Millis aTimeout, Instant aNow)
+{
+  CallHead head;
+  head.id_ = nextCall_++;
+  head.workerId_ = aCall.workerId_;
+  head.fence_ = fence_;
+  head.deadline_ = aNow + aTimeout;
+  aCall.sentAt_ = aNow;
+  calls_.emplace(head.id_, std::move(aCall));
+  return head;
+}
+
+bool
+WorkerKeeper::HasUnstoredEnds() const
+{
+  return !ends_.empty();
+}
+
+void
+WorkerKeeper::AddHold(std::vector<WorkerCall>& aCalls, Instant aNow)
+{
+  const bool lastHold = stopping_ && !stopHoldSent_ && !stopHoldDone_;
+  if (facts_.id_.empty() || (!lastHold && (holding_ || aNow < nextHoldAt_))) {
+    return;
+  }
+  HoldCall call;
+  OpenCall open;
+  if (candidate_.has_value() && !lastHold) {
+    open.kind_ = OpenCall::Kind::Probe;
+    open.workerId_ = candidate_->facts_.id_;
+    call.wait_ = Millis(0);
+  } else {
+    open.kind_ = OpenCall::Kind::Hold;
+    open.workerId_ = facts_.id_;
+    call.endsStored_ = endsStored_;
+    call.wait_ = runs_.empty() ? kIdleHoldWait : kHoldWait;
+    open.last_ = lastHold;
+    call.leaseUntilMs_ =
+      LeaseUntil(lastHold ? settings_.maxLease_ : kWorkerLease, aNow);
+    if (!known_ || lastHold) {
+      call.wait_ = Millis(0);
+    }
+  }
+  stopHoldSent_ = stopHoldSent_ || lastHold;
+  holding_ = true;
+  call.head_ = Head(std::move(open), call.wait_ + kHoldTimeout, aNow);
+  aCalls.emplace_back(std::move(call));
+}
+
+bool
+WorkerKeeper::AddStart(std::vector<WorkerCall>& aCalls,
+                       const RunKey& aKey,
+                       LocalRun& aRun,
+                       Instant aNow)
+{
+  const auto until = LeaseUntil(kWorkerLease, aNow);
+  if (!until.has_value()) {
+    return false;
+  }
+  OpenCall open;
+  open.kind_ = OpenCall::Kind::Start;
+  open.key_ = aKey;
+  open.workerId_ = facts_.id_;
+  StartCall call;
+  call.order_ = aRun.order_;
+  call.leaseUntilMs_ = *until;
+  call.head_ = Head(std::move(open), kOrderTimeout, aNow);
+  aCalls.emplace_back(std::move(call));
+  return true;
+}
+
+void
+WorkerKeeper::AddOrders(std::vector<WorkerCall>& aCalls, Instant aNow)
+{
+  for (auto& [key, run] : runs_) {
+    if (openOrders_ >= kMaxOpenOrders) {
+      return;
+    }
+    if (run.phase_ == Phase::Running && run.pace_ != run.paceTaken_ &&
+        !run.pacing_ && aNow >= run.nextCallAt_) {
+      OpenCall open;
+      open.kind_ = OpenCall::Kind::Pace;
+      open.key_ = key;
+      open.workerId_ = facts_.id_;
+      open.pace_ = run.pace_;
+      PaceCall call;
+      call.order_ = { key.first, key.second, run.pace_ };
+      call.head_ = Head(std::move(open), kOrderTimeout, aNow);
+      aCalls.emplace_back(std::move(call));
+      run.pacing_ = true;
+      ++openOrders_;
+    }
+    if (run.calling_ || aNow < run.nextCallAt_) {
+      continue;
+    }
+    if (run.phase_ == Phase::Starting) {
+      if (AddStart(aCalls, key, run, aNow)) {
+        run.calling_ = true;
+        ++openOrders_;
+      }
+    } else if (run.phase_ == Phase::Stopping && !run.stopAnswered_) {
+      OpenCall open;
+      open.kind_ = OpenCall::Kind::Stop;
+      open.key_ = key;
+      open.workerId_ = facts_.id_;
+      StopCall call;
+      call.order_ = { key.first, key.second };
+      call.head_ = Head(std::move(open), kOrderTimeout, aNow);
+      aCalls.emplace_back(std::move(call));
+      run.calling_ = true;
+      ++openOrders_;
+    }
+  }
+}
+
+std::vector<WorkerCall>
+WorkerKeeper::TakeCalls(Instant aNow)
+{
+  CheckLeases(aNow);
+  std::vector<WorkerCall> calls;
+  if (facts_.id_.empty()) {
+    return calls;
+  }
+  // Before the first hold was answered, calls of an earlier life of this side
+  // may still be carried out; the hold raises the fence.
+  if (known_ && !stopping_) {
+    AddOrders(calls, aNow);
+  }
+  AddHold(calls, aNow);
+  return calls;
+}
+
+void
+WorkerKeeper::CheckLeases(Instant aNow)
+{
+  const bool answers =
+    known_ && !facts_.id_.empty() && aNow - lastAnswerAt_ < kSilence;
+  if (answers != facts_.answers_) {
+    facts_.answers_ = answers;
+    reportDue_ = true;
+  }
+  if (answers || aNow <= leasesOverAt_) {
+    return;
+  }
+  // A worker that answers nothing has lost all leases by now.
+  if (!runs_.empty()) {
+    ForgetRuns();
+  }
+  known_ = known_ || facts_.id_.empty();
+}
+
+void
+WorkerKeeper::OnAnswer(std::uint64_t aCall,
+                       const CallAnswer& aAnswer,
+                       Instant aNow)
+{
+  const auto found = calls_.find(aCall);
+  if (found == calls_.end()) {
+    return;
+  }
+  const OpenCall call = found->second;
+  calls_.erase(found);
+  if (aAnswer.outcome_ == CallOutcome::Fenced) {
+    fence_ += kFenceJump;
+  }
+  const bool current = call.workerId_ == facts_.id_;
+  if (current && aAnswer.clockMs_.has_value()) {
+    clockMs_ = *aAnswer.clockMs_;
+    clockReadAt_ = aNow;
+    lastAnswerAt_ = aNow;
+  }
+  switch (call.kind_) {
+    case OpenCall::Kind::Start:
+      --openOrders_;
+      OnStartAnswer(call, aAnswer, aNow);
+      break;
+    case OpenCall::Kind::Stop:
+      --openOrders_;
+      OnStopAnswer(call, aAnswer, aNow);
+      break;
+    case OpenCall::Kind::Pace: {
+      --openOrders_;
+      const auto run = runs_.find(call.key_);
+      if (run != runs_.end()) {
+        run->second.pacing_ = false;
+        if (aAnswer.outcome_ == CallOutcome::Accepted) {
+          run->second.paceTaken_ = call.pace_;
+        } else {
+          run->second.nextCallAt_ = aNow + kOrderRetry;
+        }
+      }
+      break;
+    }
+    case OpenCall::Kind::Hold:
+      holding_ = false;
+      OnHoldAnswer(call, aAnswer, aNow);
+      break;
+    case OpenCall::Kind::Probe:
+      holding_ = false;
+      OnProbeAnswer(call, aAnswer, aNow);
+      break;
+  }
+}
+
+void
+WorkerKeeper::OnStartAnswer(const OpenCall& aCall,
+                            const CallAnswer& aAnswer,
+                            Instant aNow)
+{
+  const auto found = runs_.find(aCall.key_);
+  if (found == runs_.end()) {
+    return;
+  }
+  LocalRun& run = found->second;
+  run.calling_ = false;
+  run.nextCallAt_ = aNow;
+  StartRefusal why = StartRefusal::Other;
+  switch (aAnswer.outcome_) {
+    case CallOutcome::Accepted:
+      if (run.phase_ == Phase::Starting) {
+        run.phase_ = Phase::Running;
+      }
+      run.answeredAt_ = aNow;
+      reportDue_ = true;
+      return;
+    case CallOutcome::Doubt:
+    case CallOutcome::Fenced:
+    case CallOutcome::Late:
+    case CallOutcome::WrongLife:
+      // Asked again; a wrong life shows in the next hold.
+      run.doubted_ = run.doubted_ || aAnswer.outcome_ == CallOutcome::Doubt;
+      run.nextCallAt_ =
+        aAnswer.outcome_ == CallOutcome::Doubt ? aNow : aNow + kOrderRetry;
+      return;
+    case CallOutcome::Old:
+      why = StartRefusal::Old;
+      break;
+    case CallOutcome::NoRoom:
+      why = StartRefusal::NoRoom;
+      break;
+    case CallOutcome::Ticket:
+      why = StartRefusal::Ticket;
+      break;
+    case CallOutcome::NotDone:
+      break;
+  }
+  if (why == StartRefusal::Old) {
+    // It ran and ended before this answer: the end is listed, or was stored.
+    run.phase_ = Phase::Running;
+    run.answeredAt_ = aNow;
+    return;
+  }
+  if (run.doubted_) {
+    // An earlier try without an answer may still be carried out: a stop makes
+    // the worker refuse it for good, and only then is it surely not there.
+    run.phase_ = Phase::Stopping;
+    run.refusal_ = why;
+    return;
+  }
+  refused_.push_back({ aCall.key_.first, aCall.key_.second, why });
+  runs_.erase(found);
+  reportDue_ = true;
+}
+
+void
+WorkerKeeper::OnStopAnswer(const OpenCall& aCall,
+                           const CallAnswer& aAnswer,
+                           Instant aNow)
+{
+  const auto found = runs_.find(aCall.key_);
+  if (found == runs_.end()) {
+    return;
+  }
+  LocalRun& run = found->second;
+  run.calling_ = false;
+  const bool taken = aAnswer.outcome_ == CallOutcome::Accepted ||
+                     aAnswer.outcome_ == CallOutcome::Old;
+  if (!taken) {
+    run.nextCallAt_ = aNow + kOrderRetry;
+    return;
+  }
+  run.stopAnswered_ = true;
+  run.answeredAt_ = aNow;
+  if (run.refusal_.has_value()) {
+    refused_.push_back({ aCall.key_.first, aCall.key_.second, *run.refusal_ });
+    runs_.erase(found);
+    reportDue_ = true;
+  }
+}
+
+void
+WorkerKeeper::OnHoldAnswer(const OpenCall& aCall,
+                           const CallAnswer& aAnswer,
+                           Instant aNow)
+{
+  stopHoldDone_ = stopHoldDone_ || aCall.last_;
+  if (aCall.workerId_ != facts_.id_) {
+    nextHoldAt_ = aNow;
+    return;
+  }
+  if (aAnswer.outcome_ == CallOutcome::WrongLife && !candidate_.has_value()) {
+    // Another life answers at its address, so this one is over.
+    EndLife();
+    return;
+  }
+  if (aAnswer.outcome_ != CallOutcome::Accepted) {
+    nextHoldAt_ = aNow + kHoldRetry;
+    return;
+  }
+  known_ = true;
+  TakeRuns(aCall, aAnswer, aNow);
+  nextHoldAt_ = HasUnstoredEnds() ? aNow + kUnstoredPause : aNow;
+}
+
+void
+WorkerKeeper::TakeRuns(const OpenCall& aCall,
+                       const CallAnswer& aAnswer,
+                       Instant aNow)
+{
+  (void)aNow;
+  std::set<RunKey> listed;
+  for (const RunFact& fact : aAnswer.runs_) {
+    const RunKey key(fact.task_, fact.run_);
+    listed.insert(key);
+    LocalRun& run = runs_[key];
+    if (run.phase_ == Phase::Starting) {
+      run.phase_ = Phase::Running;
+      run.answeredAt_ = aCall.sentAt_;
+    }
+    run.checkpoint_ = fact.checkpoint_;
+    run.percent_ = fact.percent_;
+    run.measure_ = fact.measure_;
+  }
+  for (const EndFact& end : aAnswer.ends_) {
+    if (end.number_ > endsStored_ && ends_.emplace(end.number_, end).second) {
+      reportDue_ = true;
+    }
+    runs_.erase(RunKey(end.task_, end.run_));
+  }
+  if (aAnswer.endsCut_) {
+    return;
+  }
+  // What this answer does not list although it was asked for after the run's
+  // last order was answered is not there.
+  std::erase_if(runs_, [&](const auto& aEntry) {
+    const LocalRun& run = aEntry.second;
+    const bool settled = run.phase_ == Phase::Running || run.stopAnswered_;
+    return settled && !run.calling_ && run.answeredAt_ < aCall.sentAt_ &&
+           !listed.contains(aEntry.first);
+  });
+}
+
+void
+WorkerKeeper::OnProbeAnswer(const OpenCall& aCall,
+                            const CallAnswer& aAnswer,
+                            Instant aNow)
+{
+  nextHoldAt_ = aNow;
+  if (!candidate_.has_value() || candidate_->facts_.id_ != aCall.workerId_) {
+    return;
+  }
+  if (aAnswer.outcome_ == CallOutcome::Accepted) {
+    BeginLife(*candidate_, aNow);
+    return;
+  }
+  if (aAnswer.outcome_ == CallOutcome::WrongLife) {
+    pastLives_.insert(aCall.workerId_);
+    candidate_.reset();
+    return;
+  }
+  nextHoldAt_ = aNow + kHoldRetry;
+}
+
+std::optional<FleetReport>
+WorkerKeeper::TakeReport(Instant aNow)
+{
+  if (!linked_ || stopping_) {
+    return std::nullopt;
+  }
+  const bool unknown = !known_ && aNow <= leasesOverAt_;
+  if (unknown || (!reportDue_ && aNow - reportedAt_ < kReportPeriod)) {
+    return std::nullopt;
+  }
+  reportDue_ = false;
+  reportedAt_ = aNow;
+  FleetReport report;
+  report.clockMicros_ =
+    static_cast<std::uint64_t>(aNow.time_since_epoch().count());
+  report.ordersSeen_ = ordersSeen_;
+  report.worker_ = facts_;
+  for (const auto& [key, run] : runs_) {
+    RunFact fact;
+    fact.task_ = key.first;
+    fact.run_ = key.second;
+    fact.starting_ = run.phase_ == Phase::Starting;
+    fact.checkpoint_ = run.checkpoint_;
+    fact.percent_ = run.percent_;
+    fact.measure_ = run.measure_;
+    report.runs_.push_back(std::move(fact));
+  }
+  for (auto end = ends_.upper_bound(endsReported_); end != ends_.end(); ++end) {
+    report.ends_.push_back(end->second);
+    endsReported_ = end->first;
+  }
+  report.refused_ = std::exchange(refused_, {});
+  return report;
+}
+
+}
