--- a/Source/Process/CallerCall.h
+++ b/Source/Process/CallerCall.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "Process/Instant.h"
+#include "Version/JobDescription.h"
 #include "Version/JobProgress.h"
-#include "Version/JobSpec.h"
 
 #include <cstdint>
 #include <string>
@@ -13,7 +13,7 @@
 /** A caller hands a job in. */
 struct SubmitJob
 {
-  JobSpec spec_;
+  JobDescription spec_;
 };
 
 /** A caller asks what became of a job. */
--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -317,11 +317,12 @@
 
   FleetAnswerMessage NoteJob(const FleetAskMessage& aAsk)
   {
-    const Result<JobSpec> spec = DecodeRecord<JobSpec>(aAsk.record_);
+    const Result<JobDescription> spec =
+      DecodeRecord<JobDescription>(aAsk.record_);
     if (lead_ == nullptr || !Succeeded(spec)) {
       return Outcome(FleetOutcome::NotLeading);
     }
-    lead_->OnJobStored(std::get<JobSpec>(spec));
+    lead_->OnJobStored(std::get<JobDescription>(spec));
     return Outcome(FleetOutcome::Ok);
   }
 
@@ -357,13 +358,14 @@
       intake_.StoreCancel(aAsk.subject_, deadline, answer);
       return;
     }
-    const Result<JobSpec> spec = DecodeRecord<JobSpec>(aAsk.record_);
+    const Result<JobDescription> spec =
+      DecodeRecord<JobDescription>(aAsk.record_);
     if (const auto* failure = std::get_if<Failure>(&spec)) {
       LogProblem("job-unreadable", { { "reason", failure->message_ } });
       aAnswer(Outcome(FleetOutcome::NotStored));
       return;
     }
-    intake_.StoreJob(std::get<JobSpec>(spec), deadline, answer);
+    intake_.StoreJob(std::get<JobDescription>(spec), deadline, answer);
   }
 
   /** Asks the leader, which may be this entry. */
@@ -459,7 +461,7 @@
 
   void Serve(const SubmitJob& aCall, Instant aDeadline, const Answer& aAnswer)
   {
-    const JobSpec spec = aCall.spec_;
+    const JobDescription spec = aCall.spec_;
     const auto viaLeader = [this, spec, aDeadline, aAnswer] {
       StoreByLeader(FleetQuestion::StoreJob,
                     spec.id_,
--- a/Source/Process/FleetJob.cxx
+++ b/Source/Process/FleetJob.cxx
@@ -5,7 +5,7 @@
 
 namespace cactusrail {
 
-FleetJob::FleetJob(JobSpec aSpec, std::uint32_t aFirstRun)
+FleetJob::FleetJob(JobDescription aSpec, std::uint32_t aFirstRun)
   : spec_(std::move(aSpec))
   , firstRun_(aFirstRun)
 {
@@ -87,7 +87,7 @@
 }
 
 FleetTask*
-FleetJob::FindTask(const TaskName& aName)
+FleetJob::FindTask(const TaskId& aName)
 {
   FleetStep* step = FindStep(aName.occurrence_, aName.step_);
   if (step == nullptr || aName.index_ >= step->tasks_.size()) {
--- a/Source/Process/FleetJob.h
+++ b/Source/Process/FleetJob.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Process/Instant.h"
+#include "Version/JobDescription.h"
 #include "Version/JobProgress.h"
-#include "Version/JobSpec.h"
-#include "Version/TaskName.h"
+#include "Version/TaskId.h"
 
 #include <cstdint>
 #include <map>
@@ -101,7 +101,7 @@
 class FleetJob
 {
 public:
-  FleetJob(JobSpec aSpec, std::uint32_t aFirstRun);
+  FleetJob(JobDescription aSpec, std::uint32_t aFirstRun);
 
   /** Takes up what a scheduler before this one stored. */
   void Restore(const JobProgress& aProgress, Instant aNow);
@@ -112,7 +112,7 @@
   std::optional<std::int64_t> NextDue() const;
 
   FleetStep* FindStep(std::uint32_t aOccurrence, std::uint32_t aStep);
-  FleetTask* FindTask(const TaskName& aName);
+  FleetTask* FindTask(const TaskId& aName);
   std::map<std::uint32_t, FleetOccurrence>& Occurrences()
   {
     return occurrences_;
@@ -140,7 +140,7 @@
   bool EverStarted() const { return everStarted_; }
   void SetStarted() { everStarted_ = true; }
 
-  const JobSpec& Spec() const { return spec_; }
+  const JobDescription& Spec() const { return spec_; }
 
   /** What must be stored. */
   JobProgress Progress() const;
@@ -156,7 +156,7 @@
   void RestoreStep(const StepNote& aNote, Instant aNow);
   static void NoteStep(const FleetStep& aStep, JobProgress& aProgress);
 
-  JobSpec spec_;
+  JobDescription spec_;
   std::uint32_t firstRun_;
   JobState state_ = JobState::Pending;
   std::int64_t endedAtMs_ = 0;
--- a/Source/Process/FleetLead.h
+++ b/Source/Process/FleetLead.h
@@ -90,7 +90,7 @@
   /** All of the table has been read. */
   bool Loaded() const { return scheduler_.Loaded(); }
 
-  void OnJobStored(const JobSpec& aSpec)
+  void OnJobStored(const JobDescription& aSpec)
   {
     scheduler_.OnJobStored(aSpec, ReadMonotonicClock());
     Poke();
@@ -144,13 +144,13 @@
       OnCancelStored(key.substr(kCancelPrefix.size()));
       return;
     }
-    Result<JobSpec> spec = DecodeRecord<JobSpec>(aRow.value_);
+    Result<JobDescription> spec = DecodeRecord<JobDescription>(aRow.value_);
     if (const auto* failure = std::get_if<Failure>(&spec)) {
       LogProblem("job-unreadable",
                  { { "row", key }, { "reason", failure->message_ } });
       return;
     }
-    OnJobStored(std::get<JobSpec>(spec));
+    OnJobStored(std::get<JobDescription>(spec));
   }
 
   void OnWorkRead()
--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -54,7 +54,7 @@
 // Jobs.
 
 std::optional<FleetScheduler::Place>
-FleetScheduler::Find(const TaskName& aName)
+FleetScheduler::Find(const TaskId& aName)
 {
   const auto found = jobs_.find(aName.job_);
   if (found == jobs_.end()) {
@@ -72,7 +72,7 @@
 FleetScheduler::ReadyKey
 FleetScheduler::KeyOf(const FleetJob& aJob, const FleetStep& aStep)
 {
-  const JobSpec& spec = aJob.Spec();
+  const JobDescription& spec = aJob.Spec();
   return { spec.priority_,
            spec.acceptedAtMs_,
            spec.id_,
@@ -105,7 +105,7 @@
 }
 
 void
-FleetScheduler::OnJobStored(const JobSpec& aSpec, Instant aNow)
+FleetScheduler::OnJobStored(const JobDescription& aSpec, Instant aNow)
 {
   if (jobs_.contains(aSpec.id_)) {
     return;
@@ -179,7 +179,7 @@
   for (auto& [number, occurrence] : aJob.Occurrences()) {
     for (FleetStep& step : occurrence.steps_) {
       for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
-        const TaskName name{ aJob.Spec().id_, number, step.index_, i };
+        const TaskId name{ aJob.Spec().id_, number, step.index_, i };
         for (TaskRun& run : step.tasks_[i].runs_) {
           OrderStop(run.node_, name.Text(), run, "job ended");
         }
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -81,7 +81,7 @@
 
   // Facts.
   /** A job is in the table. Repeats change nothing. */
-  void OnJobStored(const JobSpec& aSpec, Instant aNow);
+  void OnJobStored(const JobDescription& aSpec, Instant aNow);
   /** A cancellation is in the table; it may come before its job. */
   void OnCancelStored(const std::string& aJob, Instant aNow);
   /** What the last leader stored of a job; while loading. */
@@ -158,7 +158,7 @@
   };
 
   // Jobs.
-  std::optional<Place> Find(const TaskName& aName);
+  std::optional<Place> Find(const TaskId& aName);
   static ReadyKey KeyOf(const FleetJob& aJob, const FleetStep& aStep);
   void MarkReady(const FleetJob& aJob, const FleetStep& aStep);
   void MarkAllReady(JobEntry& aEntry);
@@ -175,18 +175,18 @@
   void TakeEnd(FleetWorker& aWorker, const EndFact& aEnd, Instant aNow);
   bool ApplyEnd(FleetWorker& aWorker,
                 const EndFact& aEnd,
-                const TaskName& aName,
+                const TaskId& aName,
                 Place& aPlace,
                 Instant aNow);
   void OnRunDone(FleetWorker& aWorker,
                  const EndFact& aEnd,
                  Place& aPlace,
-                 const TaskName& aName,
+                 const TaskId& aName,
                  Instant aNow);
   void OnRunFailed(FleetWorker& aWorker,
                    const EndFact& aEnd,
                    Place& aPlace,
-                   const TaskName& aName,
+                   const TaskId& aName,
                    Instant aNow);
   void OnGangDone(Place& aPlace, std::uint32_t aRun, Instant aNow);
   void TakeRefusal(FleetWorker& aWorker,
@@ -201,11 +201,11 @@
                std::uint32_t aRun,
                std::string_view aWhy,
                Instant aNow);
-  void RemoveRun(const TaskName& aName,
+  void RemoveRun(const TaskId& aName,
                  Place& aPlace,
                  const std::string& aNode,
                  std::uint32_t aRun);
-  void BreakGang(Place& aPlace, const TaskName& aName);
+  void BreakGang(Place& aPlace, const TaskId& aName);
   void DropAllRuns(FleetWorker& aWorker, std::string_view aWhy, Instant aNow);
   void GiveUpUnreachable(Instant aNow);
   bool AnySuspect() const;
@@ -242,12 +242,12 @@
                  std::string_view aWhy);
   void CareForRuns(FleetWorker& aWorker, Instant aNow);
   void CareForRun(FleetWorker& aWorker,
-                  const TaskName& aName,
+                  const TaskId& aName,
                   Place& aPlace,
                   TaskRun& aRun,
                   Instant aNow);
   void LeaveDraining(FleetWorker& aWorker,
-                     const TaskName& aName,
+                     const TaskId& aName,
                      Place& aPlace,
                      TaskRun& aRun,
                      Instant aNow);
--- a/Source/Process/FleetSchedulerCare.cxx
+++ b/Source/Process/FleetSchedulerCare.cxx
@@ -111,7 +111,7 @@
   }
   aWorker.pressure_ = 0;
   for (const auto& [task, number] : keys) {
-    const auto name = TaskName::Parse(task);
+    const auto name = TaskId::Parse(task);
     std::optional<Place> place = name.has_value() ? Find(*name) : std::nullopt;
     if (!place.has_value()) {
       continue;
@@ -128,7 +128,7 @@
 
 void
 FleetScheduler::CareForRun(FleetWorker& aWorker,
-                           const TaskName& aName,
+                           const TaskId& aName,
                            Place& aPlace,
                            TaskRun& aRun,
                            Instant aNow)
@@ -182,7 +182,7 @@
 
 void
 FleetScheduler::LeaveDraining(FleetWorker& aWorker,
-                              const TaskName& aName,
+                              const TaskId& aName,
                               Place& aPlace,
                               TaskRun& aRun,
                               Instant aNow)
@@ -232,7 +232,7 @@
     if (room.backfillCpuMilli_ == 0) {
       continue;
     }
-    const auto name = TaskName::Parse(key.first);
+    const auto name = TaskId::Parse(key.first);
     const auto place = name.has_value() ? Find(*name) : std::nullopt;
     if (!place.has_value()) {
       continue;
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -233,7 +233,7 @@
     if (worker == nullptr) {
       break;
     }
-    const TaskName name{
+    const TaskId name{
       aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, i
     };
     worker->Hold(name.Text(), run, RoomOf(*aStep.spec_));
@@ -243,7 +243,7 @@
     chosen.push_back(worker);
   }
   for (std::uint32_t i = 0; i < chosen.size(); ++i) {
-    const TaskName name{
+    const TaskId name{
       aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, i
     };
     chosen[i]->Release(name.Text(), run);
@@ -269,8 +269,8 @@
                          std::uint32_t aRun,
                          Instant aNow)
 {
-  const JobSpec& spec = aEntry.job_->Spec();
-  const TaskName name{ spec.id_, aStep.occurrence_, aStep.index_, aIndex };
+  const JobDescription& spec = aEntry.job_->Spec();
+  const TaskId name{ spec.id_, aStep.occurrence_, aStep.index_, aIndex };
   FleetTask& task = aStep.tasks_[aIndex];
   TaskRun run;
   run.run_ = aRun;
@@ -297,7 +297,7 @@
 {
   std::vector<std::pair<std::string, TaskRun*>> runs;
   for (const auto& [key, room] : aWorker.held_) {
-    const auto name = TaskName::Parse(key.first);
+    const auto name = TaskId::Parse(key.first);
     const auto place = name.has_value() ? Find(*name) : std::nullopt;
     if (!place.has_value() ||
         place->entry_->job_->Spec().priority_ <= aPriority ||
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -2,7 +2,7 @@
 
 #include "Connection/FleetMessages.h"
 #include "Process/Instant.h"
-#include "Version/TaskName.h"
+#include "Version/TaskId.h"
 
 #include <cstdint>
 #include <deque>
--- a/Source/Process/JobIntake.h
+++ b/Source/Process/JobIntake.h
@@ -3,7 +3,7 @@
 #include "Connection/RowStore.h"
 #include "Process/FleetRecords.h"
 #include "Process/Log.h"
-#include "Version/JobSpec.h"
+#include "Version/JobDescription.h"
 #include "Version/RecordCodec.h"
 
 #include <QObject>
@@ -49,7 +49,9 @@
   {
   }
 
-  void StoreJob(const JobSpec& aSpec, Instant aDeadline, Callback aCallback)
+  void StoreJob(const JobDescription& aSpec,
+                Instant aDeadline,
+                Callback aCallback)
   {
     Add(aSpec.id_,
         { JobRowId(aSpec.id_), EncodeRecord(aSpec) },
--- a/Source/Process/WorkerChoice.h
+++ b/Source/Process/WorkerChoice.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Process/FleetWorker.h"
-#include "Version/JobSpec.h"
+#include "Version/JobDescription.h"
 
 #include <optional>
 #include <span>
--- a/Source/Version/JobSpec.h
+++ b/Source/Version/JobDescription.h
@@ -74,7 +74,7 @@
 };
 
 /** A job as a caller handed it in. */
-struct JobSpec
+struct JobDescription
 {
   /** Chosen by the caller; a repeat of it is the same job. */
   std::string id_;
--- a/Source/Version/TaskName.h
+++ b/Source/Version/TaskId.h
@@ -9,20 +9,20 @@
 namespace cactusrail {
 
 /** Which task of which occurrence of a job. */
-struct TaskName
+struct TaskId
 {
   std::string job_;
   std::uint32_t occurrence_ = 0;
   std::uint32_t step_ = 0;
   std::uint32_t index_ = 0;
 
-  auto operator<=>(const TaskName&) const = default;
+  auto operator<=>(const TaskId&) const = default;
 
   /** "JOB.OCCURRENCE.STEP.INDEX". */
   std::string Text() const;
 
   /** The name in a text of that form; none for any other text. */
-  static std::optional<TaskName> Parse(std::string_view aText);
+  static std::optional<TaskId> Parse(std::string_view aText);
 };
 
 }
