--- a/Source/Process/FleetLead.h
+++ b/Source/Process/FleetLead.h
@@ -4,6 +4,7 @@
 #include "Connection/SideLink.h"
 #include "Process/FleetRecords.h"
 #include "Process/FleetScheduler.h"
+#include "Process/Guarded.h"
 #include "Process/LeaderLease.h"
 #include "Process/Log.h"
 #include "Process/ProgressWriter.h"
@@ -382,14 +383,33 @@
         transaction.removals_.push_back(JobRowId(id));
         transaction.removals_.push_back(CancelRowId(id));
       }
-      store_.Write(
-        transaction, aNow + kRemoveTimeout, [this, ids](const Commit& aCommit) {
-          OnJobsRemoved(ids, aCommit);
-        });
+      store_.Write(transaction,
+                   aNow + kRemoveTimeout,
+                   Guarded(this, [this, ids](const Commit& aCommit) {
+                     OnJobsRemoved(ids, aCommit);
+                   }));
     }
     for (const std::string& node : scheduler_.Removable(aNow)) {
       RemoveMember(node, aNow);
     }
+    for (const auto& [node, worker] : scheduler_.Workers()) {
+      LogChange("worker-view",
+                { { "side", node },
+                  { "worker", worker.facts_.id_ },
+                  { "rack", worker.facts_.rack_ },
+                  { "cpu",
+                    std::to_string(worker.used_.cpuMilli_) + "/" +
+                      std::to_string(worker.facts_.room_.cpuMilli_) },
+                  { "memory",
+                    std::to_string(worker.used_.memoryMb_) + "/" +
+                      std::to_string(worker.facts_.room_.memoryMb_) },
+                  { "backfill", std::to_string(worker.backfillCpuMilli_) },
+                  { "serving", std::to_string(worker.serving_) },
+                  { "runs", std::to_string(worker.held_.size()) },
+                  { "pace", std::to_string(worker.backfillPace_) },
+                  { "pressure", std::to_string(worker.pressure_) },
+                  { "slowness", std::to_string(worker.slowness_) } });
+    }
   }
 
   void OnJobsRemoved(const std::vector<std::string>& aIds,
--- a/Source/Process/FleetSide.h
+++ b/Source/Process/FleetSide.h
@@ -5,6 +5,7 @@
 #include "Connection/SideLink.h"
 #include "Process/FleetRecords.h"
 #include "Process/FleetSettings.h"
+#include "Process/Guarded.h"
 #include "Process/KeyKeeper.h"
 #include "Process/LinkListener.h"
 #include "Process/Log.h"
@@ -182,13 +183,13 @@
       { MemberRowId(settings_.fleet_.name_), EncodeRecord(record) });
     store_.Write(transaction,
                  registeredAt_ + kRegisterTimeout,
-                 [this](const Commit& aCommit) {
+                 Guarded(this, [this](const Commit& aCommit) {
                    registering_ = false;
                    if (aCommit.outcome_ != CommitOutcome::Done) {
                      QTimer::singleShot(
                        kRegisterRetry, this, [this] { Register(); });
                    }
-                 });
+                 }));
   }
 
   void OnLink(SideLink* aLink)
--- a/Source/Process/Instant.h
+++ b/Source/Process/Instant.h
@@ -37,9 +37,9 @@
 {
   timespec time{};
   clock_gettime(CLOCK_BOOTTIME, &time);
-  return Instant(std::chrono::duration_cast<Micros>(
-    std::chrono::seconds(time.tv_sec) +
-    std::chrono::nanoseconds(time.tv_nsec)));
+  return Instant(
+    std::chrono::duration_cast<Micros>(std::chrono::seconds(time.tv_sec) +
+                                       std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 /** Reads the wall clock, in microseconds since 1970, for people and logs. */
--- a/Source/Process/JobIntake.h
+++ b/Source/Process/JobIntake.h
@@ -2,6 +2,7 @@
 
 #include "Connection/RowStore.h"
 #include "Process/FleetRecords.h"
+#include "Process/Guarded.h"
 #include "Process/Log.h"
 #include "Version/JobDescription.h"
 #include "Version/RecordCodec.h"
@@ -124,10 +125,11 @@
     }
     part.busy_ = true;
     const Instant deadline = ReadMonotonicClock() + kCallTimeout;
-    store_.Write(
-      transaction, deadline, [this, aPart, batch](const Commit& aCommit) {
-        OnWritten(aPart, *batch, aCommit);
-      });
+    store_.Write(transaction,
+                 deadline,
+                 Guarded(this, [this, aPart, batch](const Commit& aCommit) {
+                   OnWritten(aPart, *batch, aCommit);
+                 }));
   }
 
   void OnWritten(std::size_t aPart,
--- a/Source/Process/KeyKeeper.h
+++ b/Source/Process/KeyKeeper.h
@@ -3,6 +3,7 @@
 #include "Connection/KeyRing.h"
 #include "Connection/RowStore.h"
 #include "Process/FleetRecords.h"
+#include "Process/Guarded.h"
 #include "Process/Log.h"
 
 #include <QObject>
@@ -48,7 +49,7 @@
     const RowId id = KeyRowId();
     store_.Read({ id.table_, id.part_, id.key_, {} },
                 ReadMonotonicClock() + kTimeout,
-                [this, id](Result<RowPage> aPage) {
+                Guarded(this, [this, id](Result<RowPage> aPage) {
                   const auto* page = std::get_if<RowPage>(&aPage);
                   if (page == nullptr) {
                     Retry();
@@ -58,7 +59,7 @@
                   } else {
                     Use(page->rows_.front().value_);
                   }
-                });
+                }));
   }
 
   void Write()
@@ -75,7 +76,7 @@
     // Whoever wrote it, the row is read: an answer may be lost.
     store_.Write(transaction,
                  ReadMonotonicClock() + kTimeout,
-                 [this](const Commit&) { Retry(); });
+                 Guarded(this, [this](const Commit&) { Retry(); }));
   }
 
   void Use(const std::string& aText)
--- a/Source/Process/LeaseRunner.h
+++ b/Source/Process/LeaseRunner.h
@@ -2,6 +2,7 @@
 
 #include "Connection/RowStore.h"
 #include "Process/FleetRecords.h"
+#include "Process/Guarded.h"
 #include "Process/LeaderLease.h"
 #include "Process/Log.h"
 #include "Version/RecordCodec.h"
@@ -77,9 +78,9 @@
     const RowId id = LeadRowId();
     store_.Read({ id.table_, id.part_, id.key_, {} },
                 aSentAt + kCallTimeout,
-                [this, aSentAt](Result<RowPage> aPage) {
+                Guarded(this, [this, aSentAt](Result<RowPage> aPage) {
                   OnPage(std::move(aPage), aSentAt);
-                });
+                }));
   }
 
   void OnPage(Result<RowPage> aPage, Instant aSentAt)
@@ -114,9 +115,10 @@
     RowTransaction transaction;
     transaction.conditions_.push_back({ LeadRowId(), lease_.RowVersion() });
     transaction.puts_.push_back({ LeadRowId(), EncodeRecord(lease_.Wanted()) });
-    store_.Write(transaction,
-                 aSentAt + kCallTimeout,
-                 [this](const Commit& aCommit) { OnCommit(aCommit); });
+    store_.Write(
+      transaction,
+      aSentAt + kCallTimeout,
+      Guarded(this, [this](const Commit& aCommit) { OnCommit(aCommit); }));
   }
 
   void OnCommit(const Commit& aCommit)
--- a/Source/Process/Log.cxx
+++ b/Source/Process/Log.cxx
@@ -81,8 +81,11 @@
 {
   TheLog().name_ = aProcessName;
   TheLog().options_ = aOptions;
+  LogCollapse::Limits limits;
+  limits.linesAWindow_ = aOptions.linesAWindow_;
+  TheLog().collapse_ = LogCollapse(limits);
   boost::log::add_console_log(
-    std::clog, keywords::format = "%Message%", keywords::auto_flush = true);
+    aOptions.standardOutput_ ? std::cout : std::clog, keywords::format = "%Message%", keywords::auto_flush = true);
   boost::log::core::get()->set_filter(
     boost::log::trivial::severity >=
     (aOptions.problemsOnly_ ? Severity::warning : Severity::info));
--- a/Source/Process/Log.h
+++ b/Source/Process/Log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -20,16 +21,20 @@
   bool json_ = false;
   /** Only lines of LogProblem(). */
   bool problemsOnly_ = false;
+  /** To standard output; otherwise to standard error. */
+  bool standardOutput_ = false;
+  /** Lines of one event that are written in ten seconds; more are counted. */
+  std::uint64_t linesAWindow_ = 10;
 };
 
-/** Sets up the log of this process: one line a change of state, on stderr. */
+/** Sets up the log of this process: one line a change of state. */
 void
 StartLog(std::string_view aProcessName, const LogOptions& aOptions = {});
 
 /**
  * Logs a change of state. Events of single requests are counted, not logged.
- * From the eleventh line of one event within ten seconds on, lines are only
- * counted; a line "collapsed" states how many. Safe from any thread.
+ * Beyond so many lines of one event within ten seconds, lines are only counted;
+ * a line "collapsed" states how many. Safe from any thread.
  */
 void
 LogChange(std::string_view aEvent, std::initializer_list<LogField> aFields);
--- a/Source/Process/ProgressWriter.h
+++ b/Source/Process/ProgressWriter.h
@@ -3,6 +3,7 @@
 #include "Connection/RowStore.h"
 #include "Process/FleetRecords.h"
 #include "Process/FleetScheduler.h"
+#include "Process/Guarded.h"
 #include "Process/Log.h"
 #include "Version/RecordCodec.h"
 
@@ -76,7 +77,9 @@
     const RowId id = ProgressHeadId();
     store_.Read({ id.table_, id.part_, id.key_, {} },
                 ReadMonotonicClock() + kTimeout,
-                [this](Result<RowPage> aPage) { OnHead(std::move(aPage)); });
+                Guarded(this, [this](Result<RowPage> aPage) {
+                  OnHead(std::move(aPage));
+                }));
   }
 
   void OnHead(Result<RowPage> aPage)
@@ -131,9 +134,10 @@
            removalCount_ < removals_.size()) {
       transaction.removals_.push_back(removals_[removalCount_++]);
     }
-    store_.Write(transaction,
-                 ReadMonotonicClock() + kTimeout,
-                 [this](const Commit& aCommit) { OnCommit(aCommit); });
+    store_.Write(
+      transaction,
+      ReadMonotonicClock() + kTimeout,
+      Guarded(this, [this](const Commit& aCommit) { OnCommit(aCommit); }));
   }
 
   void OnCommit(const Commit& aCommit)
--- a/Source/Process/RoleRunner.h
+++ b/Source/Process/RoleRunner.h
@@ -28,6 +28,8 @@
 RunFleetRole(const CommandLine& aLine)
 {
   constexpr Millis kLogFlush{ 2000 };
+  // Enough for each decision on some 200 starts a second.
+  constexpr std::uint64_t kLinesAWindow = 2000;
   StopSignal signal;
   const std::string path = aLine.Text("FILE");
   const Result<Settings> loaded = Settings::Load(path);
@@ -36,8 +38,9 @@
     return ExitCode::Usage;
   }
   const auto& settings = std::get<Settings>(loaded);
-  StartLog(settings.fleet_.name_,
-           { true, settings.fleet_.logLevel_ == "warning" });
+  StartLog(
+    settings.fleet_.name_,
+    { true, settings.fleet_.logLevel_ == "warning", true, kLinesAWindow });
   Result<std::unique_ptr<Process>> started = Process::Start(settings);
   if (const auto* failure = std::get_if<Failure>(&started)) {
     std::cerr << failure->message_ << '\n';
--- a/Source/Process/TableWatch.h
+++ b/Source/Process/TableWatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Connection/RowStore.h"
+#include "Process/Guarded.h"
 #include "Process/Log.h"
 
 #include <QObject>
@@ -65,9 +66,9 @@
   {
     store_.Read({ table_, parts_.at(part_), aFirst, {} },
                 ReadMonotonicClock() + kReadTimeout,
-                [this, aFirst](Result<RowPage> aPage) {
+                Guarded(this, [this, aFirst](Result<RowPage> aPage) {
                   OnPage(std::move(aPage), aFirst);
-                });
+                }));
   }
 
   void OnPage(Result<RowPage> aPage, const std::string& aFirst)
@@ -103,9 +104,12 @@
 
   void Follow()
   {
-    store_.Watch(table_, version_, kWait, [this](Result<RowChanges> aChanges) {
-      OnChanges(std::move(aChanges));
-    });
+    store_.Watch(table_,
+                 version_,
+                 kWait,
+                 Guarded(this, [this](Result<RowChanges> aChanges) {
+                   OnChanges(std::move(aChanges));
+                 }));
   }
 
   void OnChanges(Result<RowChanges> aChanges)
