Fleet: Learn which backfill disturbs which serving tasks, and place by it

Cause: nearly all workers hold tasks that serve (50 of 3 cores on 11 workers of 16 to 24), and backfill was kept off them or paced by a common factor: 45 of 50 payout batches never ended. Logged figures show that most pairs of images don't disturb each other at all and a few make the latency 3 to 30 times as long. Ruled out: room (half of the processors were unused), start latency (41 ms).

--- a/Source/Process/FleetLead.h
+++ b/Source/Process/FleetLead.h
@@ -406,7 +406,7 @@
                   { "backfill", std::to_string(worker.backfillCpuMilli_) },
                   { "serving", std::to_string(worker.serving_) },
                   { "runs", std::to_string(worker.held_.size()) },
-                  { "pace", std::to_string(worker.backfillPace_) },
+                  { "share", std::to_string(worker.backfillShare_) },
                   { "pressure", std::to_string(worker.pressure_) },
                   { "slowness", std::to_string(worker.slowness_) } });
     }
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Connection/FleetMessages.h"
+#include "Process/BackfillInterference.h"
 #include "Process/FleetJob.h"
 #include "Process/FleetTimings.h"
 #include "Process/FleetWorker.h"
@@ -251,7 +252,8 @@
                      Place& aPlace,
                      TaskRun& aRun,
                      Instant aNow);
-  void PaceBackfill(FleetWorker& aWorker, Instant aNow);
+  void WatchServing(FleetWorker& aWorker, Instant aNow);
+  void RelieveServing(FleetWorker& aWorker, Instant aNow);
   double ExpectedMicros(const FleetJob& aJob, const StepSpec& aStep) const;
   void LearnDuration(FleetWorker& aWorker,
                      const FleetJob& aJob,
@@ -284,6 +286,7 @@
   Instant loadedAt_;
   std::int64_t wallMs_ = 0;
   WorkerHealth health_;
+  BackfillInterference interference_;
   /** Per queue: how long tasks really take over their estimate; smoothed. */
   std::map<std::string, double> durationRatio_;
   std::vector<FleetEvent> events_;
--- a/Source/Process/FleetSchedulerCare.cxx
+++ b/Source/Process/FleetSchedulerCare.cxx
@@ -34,16 +34,16 @@
 /** What was learned of a worker's slowness fades by this part a report. */
 constexpr double kForgetSlowness = 0.05;
 
-/** Tail latency over its objective: above the first, backfill is slowed; below
- * the second, it is let go faster again. */
-constexpr double kPressed = 0.85;
-constexpr double kRelaxed = 0.5;
-/** The measure is of the last half second, and a new pace takes 0.1 s. */
-constexpr Millis kPaceSettle{ 600 };
-constexpr Millis kPaceRelease{ 1200 };
-/** From full speed to this first; then to a stop. */
-constexpr std::uint32_t kFirstPace = 30;
-constexpr std::uint32_t kPaceStep = 25;
+/** Tail latency over its objective above which backfill beside it gives way. */
+constexpr double kPressed = 0.9;
+/** Slowdown by one backfill task that is worth acting on. */
+constexpr double kBlamed = 0.3;
+/** What a backfill task uses is measured over half a second. */
+constexpr Millis kMeasured{ 900 };
+/** Weight of the newest share that backfill got. */
+constexpr double kLearnShare = 0.2;
+/** ...and how fast it is forgotten where no backfill runs. */
+constexpr double kForgetShare = 0.1;
 
 }
 
@@ -109,7 +109,6 @@
   for (const auto& [key, room] : aWorker.held_) {
     keys.push_back(key);
   }
-  aWorker.pressure_ = 0;
   for (const auto& [task, number] : keys) {
     const auto name = TaskId::Parse(task);
     std::optional<Place> place = name.has_value() ? Find(*name) : std::nullopt;
@@ -123,7 +122,7 @@
       }
     }
   }
-  PaceBackfill(aWorker, aNow);
+  WatchServing(aWorker, aNow);
 }
 
 void
@@ -135,12 +134,6 @@
 {
   const StepSpec& spec = *aPlace.step_->spec_;
   FleetTask& task = *aPlace.task_;
-  if (spec.latencyObjectiveMs_ > 0 && aRun.percent_ >= 100) {
-    aWorker.pressure_ =
-      std::max(aWorker.pressure_,
-               static_cast<double>(aRun.measure_) /
-                 static_cast<double>(spec.latencyObjectiveMs_));
-  }
   if (aWorker.facts_.draining_) {
     LeaveDraining(aWorker, aName, aPlace, aRun, aNow);
     return;
@@ -212,22 +205,66 @@
 }
 
 void
-FleetScheduler::PaceBackfill(FleetWorker& aWorker, Instant aNow)
+FleetScheduler::WatchServing(FleetWorker& aWorker, Instant aNow)
 {
-  std::uint32_t pace = aWorker.backfillPace_;
-  const Millis since =
-    std::chrono::duration_cast<Millis>(aNow - aWorker.pacedAt_);
-  if (aWorker.pressure_ > kPressed && pace > 0 && since >= kPaceSettle) {
-    pace = pace > kFirstPace ? kFirstPace : 0;
-  } else if (aWorker.pressure_ < kRelaxed && pace < 100 &&
-             since >= kPaceRelease) {
-    pace = std::min(100U, pace + kPaceStep);
-  }
-  if (pace == aWorker.backfillPace_) {
-    return;
+  std::vector<BackfillSample> backfill;
+  double asked = 0;
+  double used = 0;
+  aWorker.servingSamples_.clear();
+  aWorker.pressure_ = 0;
+  for (const auto& [key, room] : aWorker.held_) {
+    if (!room.serves_ && room.backfillCpuMilli_ == 0) {
+      continue;
+    }
+    const auto name = TaskId::Parse(key.first);
+    const auto place = name.has_value() ? Find(*name) : std::nullopt;
+    if (!place.has_value()) {
+      continue;
+    }
+    const StepSpec& spec = *place->step_->spec_;
+    for (const TaskRun& run : place->task_->runs_) {
+      if (run.run_ != key.second || run.node_ != aWorker.node_ ||
+          !run.reported_) {
+        continue;
+      }
+      if (room.serves_ && run.percent_ >= 100) {
+        const double pressure = static_cast<double>(run.measure_) /
+                                static_cast<double>(spec.latencyObjectiveMs_);
+        aWorker.pressure_ = std::max(aWorker.pressure_, pressure);
+        aWorker.servingSamples_.push_back(
+          { key.first + "/" + std::to_string(key.second),
+            spec.image_,
+            pressure });
+      } else if (!room.serves_) {
+        backfill.push_back({ spec.image_, run.pace_ / 100.0 });
+        if (aNow - run.startedAt_ > kMeasured && run.pace_ == 100 &&
+            run.measure_ > 0) {
+          asked += static_cast<double>(spec.cpuMilli_);
+          used += static_cast<double>(run.measure_);
+        }
+      }
+    }
+  }
+  const double share = asked > 0 ? std::min(1.0, used / asked) : 1;
+  aWorker.backfillShare_ +=
+    (asked > 0 ? kLearnShare : kForgetShare) * (share - aWorker.backfillShare_);
+  interference_.Record(aWorker.node_, backfill, aNow);
+  interference_.Measure(aWorker.node_, aWorker.servingSamples_, aNow);
+  if (aWorker.pressure_ > kPressed && !backfill.empty()) {
+    RelieveServing(aWorker, aNow);
+  }
+}
+
+void
+FleetScheduler::RelieveServing(FleetWorker& aWorker, Instant aNow)
+{
+  (void)aNow;
+  std::vector<ServingSample> pressed;
+  for (const ServingSample& sample : aWorker.servingSamples_) {
+    if (sample.pressure_ > kPressed) {
+      pressed.push_back(sample);
+    }
   }
-  aWorker.backfillPace_ = pace;
-  aWorker.pacedAt_ = aNow;
   for (const auto& [key, room] : aWorker.held_) {
     if (room.backfillCpuMilli_ == 0) {
       continue;
@@ -237,19 +274,20 @@
     if (!place.has_value()) {
       continue;
     }
+    const BackfillImpact impact =
+      interference_.Impact(pressed, place->step_->spec_->image_);
+    if (impact.cost_ < kBlamed) {
+      continue;
+    }
     for (TaskRun& run : place->task_->runs_) {
       if (run.run_ == key.second && run.node_ == aWorker.node_) {
-        run.pace_ = pace;
-        run.progressAt_ = aNow;
-        OrdersFor(aWorker).paces_.push_back({ key.first, key.second, pace });
+        OrderStop(aWorker.node_,
+                  key.first,
+                  run,
+                  "it slows a serving task by " + std::to_string(impact.cost_));
       }
     }
   }
-  Note("backfill-paced",
-       {},
-       aWorker.node_,
-       std::to_string(pace) + " percent at pressure " +
-         std::to_string(aWorker.pressure_));
 }
 
 }
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -149,9 +149,17 @@
   options_.clear();
   for (const auto& [node, worker] : workers_) {
     const auto same = sameStep.find(node);
-    options_.push_back({ &worker,
-                         same == sameStep.end() ? 0 : same->second,
-                         health_.IsSetAside(node, aNow) });
+    WorkerOption option;
+    option.worker_ = &worker;
+    option.sameStep_ = same == sameStep.end() ? 0 : same->second;
+    option.setAside_ = health_.IsSetAside(node, aNow);
+    if (aStep.spec_->backfill_ && worker.serving_ > 0) {
+      option.impact_ =
+        interference_.Impact(worker.servingSamples_, aStep.spec_->image_);
+      option.impact_.known_ = option.impact_.known_ &&
+                              worker.servingSamples_.size() >= worker.serving_;
+    }
+    options_.push_back(option);
   }
 }
 
@@ -188,8 +196,14 @@
   facts.rackInUse_ = rack;
   facts.now_ = aNow;
   const std::optional<std::size_t> chosen = ChooseWorker(options_, facts);
-  return chosen.has_value() ? &workers_.at(options_[*chosen].worker_->node_)
-                            : nullptr;
+  if (!chosen.has_value()) {
+    return nullptr;
+  }
+  FleetWorker& worker = workers_.at(options_[*chosen].worker_->node_);
+  if (!options_[*chosen].impact_.known_) {
+    worker.triedAt_ = aNow;
+  }
+  return &worker;
 }
 
 bool
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -132,8 +132,8 @@
   aWorker.avoidUntil_ = Instant();
   aWorker.fullUntil_ = Instant();
   aWorker.slowness_ = 1;
-  aWorker.backfillPace_ = 100;
   aWorker.pressure_ = 0;
+  aWorker.backfillShare_ = 1;
 }
 
 void
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Connection/FleetMessages.h"
+#include "Process/BackfillInterference.h"
 #include "Process/Instant.h"
 #include "Version/TaskId.h"
 
@@ -9,6 +10,8 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace cactusrail {
 
@@ -79,11 +82,16 @@
   Instant avoidUntil_;
   /** How much longer work takes here than elsewhere; smoothed. */
   double slowness_ = 1;
-  /** Share of full speed that backfill tasks may use. */
-  std::uint32_t backfillPace_ = 100;
-  Instant pacedAt_;
-  /** Worst tail latency over its objective among tasks that serve. */
+  /** Tasks that serve there, as last reported. */
+  std::vector<ServingSample> servingSamples_;
+  /** Worst tail latency over its objective among them. */
   double pressure_ = 0;
+  /** Processors that backfill used over those that it asked for. */
+  double backfillShare_ = 1;
+  /** Processors declared by tasks that serve; they use a part of them. */
+  std::int64_t servingCpuMilli_ = 0;
+  /** A backfill task whose effect there is not known started then. */
+  Instant triedAt_;
 
   FleetRoom Free() const
   {
@@ -117,7 +125,10 @@
     used_.memoryMb_ += aSign * aRoom.room_.memoryMb_;
     used_.accelerators_ += aSign * aRoom.room_.accelerators_;
     backfillCpuMilli_ += aSign * aRoom.backfillCpuMilli_;
-    serving_ += static_cast<std::uint32_t>(aSign * (aRoom.serves_ ? 1 : 0));
+    if (aRoom.serves_) {
+      serving_ += static_cast<std::uint32_t>(aSign);
+      servingCpuMilli_ += aSign * aRoom.room_.cpuMilli_;
+    }
   }
 };
 
--- a/Source/Process/Log.cxx
+++ b/Source/Process/Log.cxx
@@ -84,8 +84,9 @@
   LogCollapse::Limits limits;
   limits.linesAWindow_ = aOptions.linesAWindow_;
   TheLog().collapse_ = LogCollapse(limits);
-  boost::log::add_console_log(
-    aOptions.standardOutput_ ? std::cout : std::clog, keywords::format = "%Message%", keywords::auto_flush = true);
+  boost::log::add_console_log(aOptions.standardOutput_ ? std::cout : std::clog,
+                              keywords::format = "%Message%",
+                              keywords::auto_flush = true);
   boost::log::core::get()->set_filter(
     boost::log::trivial::severity >=
     (aOptions.problemsOnly_ ? Severity::warning : Severity::info));
--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -13,12 +13,23 @@
  */
 constexpr double kLeastBackfillShare = 0.8;
 
-/** Backfill joins a worker whose serving tasks are below this part of their
- * objective; what it adds is seen within a second and paced. */
-constexpr double kCalmPressure = 0.5;
+/** Part of their processors that tasks which serve are taken to use: what they
+ * do use is not reported. Too much shows in the share that backfill gets. */
+constexpr double kServingUse = 0.6;
+/** Where backfill gets less than this of what it asked for, no more starts. */
+constexpr double kSaturated = 0.7;
+
+/** Slowdown of a serving task that one backfill task may add. */
+constexpr double kMaxImpact = 0.25;
+/** A task whose effect is unknown starts beside serving ones below this part of
+ * their objective, and one at a time. */
+constexpr double kCalmPressure = 0.7;
+constexpr Millis kTryEvery{ 1500 };
 
 /** Weights of a choice, in units of "a task takes so many times as long". */
-constexpr double kBesideServing = 1.5;
+constexpr double kBesideServing = 0.2;
+constexpr double kUnknownImpact = 1.0;
+constexpr double kImpactWeight = 4;
 constexpr double kAvoided = 20;
 
 bool
@@ -47,7 +58,9 @@
 double
 BackfillShare(const FleetWorker& aWorker, std::int64_t aCpuMilli)
 {
-  const auto left = static_cast<double>(aWorker.Free().cpuMilli_);
+  const double unused =
+    (1 - kServingUse) * static_cast<double>(aWorker.servingCpuMilli_);
+  const double left = static_cast<double>(aWorker.Free().cpuMilli_) + unused;
   const auto wanted =
     static_cast<double>(aWorker.backfillCpuMilli_ + aCpuMilli);
   if (left <= 0) {
@@ -75,17 +88,27 @@
 constexpr double kNever = std::numeric_limits<double>::infinity();
 
 double
-BackfillCost(const FleetWorker& aWorker, const StepSpec& aStep)
+BackfillCost(const WorkerOption& aOption, const ChoiceFacts& aFacts)
 {
-  const double share = BackfillShare(aWorker, aStep.cpuMilli_);
-  if (share < kLeastBackfillShare || aWorker.backfillPace_ < 100) {
+  const FleetWorker& worker = *aOption.worker_;
+  const double share = BackfillShare(worker, aFacts.step_->cpuMilli_);
+  if (share < kLeastBackfillShare || worker.backfillShare_ < kSaturated) {
     return kNever;
   }
-  if (aWorker.serving_ > 0 && aWorker.pressure_ > kCalmPressure) {
+  double cost = 1 / share + UsedShare(worker) * 0.5;
+  if (worker.serving_ == 0) {
+    return cost;
+  }
+  const BackfillImpact& impact = aOption.impact_;
+  if (!impact.known_) {
+    const bool mayTry = worker.pressure_ < kCalmPressure &&
+                        aFacts.now_ - worker.triedAt_ > kTryEvery;
+    return mayTry ? cost + kUnknownImpact : kNever;
+  }
+  if (impact.cost_ > kMaxImpact) {
     return kNever;
   }
-  const double beside = aWorker.serving_ > 0 ? kBesideServing : 0;
-  return 1 / share + beside + UsedShare(aWorker) * 0.5;
+  return cost + kBesideServing + kImpactWeight * impact.cost_;
 }
 
 double
@@ -95,7 +118,7 @@
   const StepSpec& step = *aFacts.step_;
   double cost = 0;
   if (step.backfill_) {
-    cost = BackfillCost(worker, step);
+    cost = BackfillCost(aOption, aFacts);
   } else if (step.latencyObjectiveMs_ > 0) {
     cost = worker.serving_ > 0 ? 0.5 + UsedShare(worker) * 0.1
                                : 1 + UsedShare(worker);
--- a/Source/Process/WorkerChoice.h
+++ b/Source/Process/WorkerChoice.h
@@ -33,6 +33,8 @@
   std::uint32_t sameStep_ = 0;
   /** Set aside for failing what it starts. */
   bool setAside_ = false;
+  /** For a backfill task: what it would do to those that serve there. */
+  BackfillImpact impact_;
 };
 
 /** The room that a task of the step takes. */
@@ -52,9 +54,9 @@
  *
  * - Work with an objective for its own users is packed onto few workers, so
  *   that backfill has workers where it disturbs nobody.
- * - Backfill goes where it gets its processors in full, and next to work that
- *   serves only if nothing else is left and that work is well below its
- *   objective.
+ * - Backfill goes where it gets its processors in full; next to work that
+ *   serves only where it is known not to disturb it, or one at a time to learn
+ *   whether it does.
  * - All other work is spread by the room that is left.
  */
 std::optional<std::size_t>
