--- a/Source/Connection/FleetMessages.h
+++ b/Source/Connection/FleetMessages.h
@@ -144,6 +144,8 @@
   /** The last orders that this report takes into account. */
   std::uint64_t ordersSeen_ = 0;
   WorkerDescription worker_;
+  /** How old what is said of the runs' work is. */
+  std::uint64_t measuredMicrosAgo_ = 0;
   std::vector<RunFact> runs_;
   /** Ends that were not reported on this link before. */
   std::vector<EndFact> ends_;
@@ -152,7 +154,13 @@
   template<class Archive>
   void serialize(Archive& ar)
   {
-    ar(clockMicros_, ordersSeen_, worker_, runs_, ends_, refused_);
+    ar(clockMicros_,
+       ordersSeen_,
+       worker_,
+       measuredMicrosAgo_,
+       runs_,
+       ends_,
+       refused_);
   }
 };
 
--- a/Source/Process/BackfillInterference.cxx
+++ b/Source/Process/BackfillInterference.cxx
@@ -6,10 +6,8 @@
 
 namespace {
 
-/** The reported figure is of the last half second; it is some 50 ms old when it
- * arrives. */
-constexpr Millis kFigureWindow{ 550 };
-constexpr Millis kFigureAge{ 50 };
+/** The reported figure is of the half second before it was taken. */
+constexpr Millis kFigureWindow{ 500 };
 /** A run's figures overlap if they are taken more often. */
 constexpr Millis kFigureEvery{ 400 };
 /** Figures of runs that are long gone are forgotten beyond so many. */
@@ -61,25 +59,25 @@
 void
 BackfillInterference::Measure(std::string_view aWorker,
                               std::span<const ServingSample> aServing,
-                              Instant aNow)
+                              Instant aMeasuredAt)
 {
   if (taken_.size() > kMaxRuns) {
     taken_.clear();
   }
   const std::vector<Neighbour> neighbours =
-    history_.Mean(aWorker, aNow - kFigureWindow, aNow - kFigureAge);
+    history_.Mean(aWorker, aMeasuredAt - kFigureWindow, aMeasuredAt);
   for (const ServingSample& sample : aServing) {
     Instant& taken = taken_[sample.run_];
-    if (aNow - taken < kFigureEvery || sample.pressure_ <= 0) {
+    if (aMeasuredAt - taken < kFigureEvery || sample.pressure_ <= 0) {
       continue;
     }
-    taken = aNow;
+    taken = aMeasuredAt;
     model_.OnMeasured(model_.Number(sample.image_),
                       neighbours,
                       kLoad,
                       sample.pressure_,
                       1,
-                      aNow);
+                      aMeasuredAt);
   }
 }
 
--- a/Source/Process/BackfillInterference.h
+++ b/Source/Process/BackfillInterference.h
@@ -57,10 +57,10 @@
               std::span<const BackfillSample> aBackfill,
               Instant aNow);
 
-  /** Tail latencies as reported just now. */
+  /** Tail latencies as they were measured at that time. */
   void Measure(std::string_view aWorker,
                std::span<const ServingSample> aServing,
-               Instant aNow);
+               Instant aMeasuredAt);
 
   BackfillImpact Impact(std::span<const ServingSample> aServing,
                         std::string_view aBackfillImage) const;
--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -119,6 +119,10 @@
   /** Left of a caller's time for the answer's way. */
   static constexpr Millis kAnswerMargin{ 250 };
   static constexpr Millis kRetryAfter{ 1000 };
+  /** For the leader to store something, its own retries included. */
+  static constexpr Millis kStoreTimeout{ 1200 };
+  /** Between writes of something that may be stored already. */
+  static constexpr Millis kDoubtRetry{ 100 };
 
   using Answer = std::function<void(const CallerReply&)>;
 
@@ -162,10 +166,6 @@
       return *failure;
     }
     readiness_ = std::move(std::get<std::unique_ptr<HttpFront>>(readiness));
-    connect(
-      &leader_, &LeaderLink::LeaderRefuses, this, [this](const QString& aLife) {
-        lease_.OnLeaderGone(aLife.toStdString());
-      });
     configurationWatch_.Start();
     key_.Start();
     return true;
@@ -500,21 +500,62 @@
     const Instant now = ReadMonotonicClock();
     const Millis left =
       std::chrono::duration_cast<Millis>(aDeadline - kAnswerMargin - now);
-    AskLeader(
-      aQuestion,
-      aJob,
-      std::move(aRecord),
-      std::max(left, kAskTimeout),
-      [aAnswer](const std::optional<FleetAnswerMessage>& aReply) {
-        if (!aReply.has_value() || aReply->outcome_ == FleetOutcome::InDoubt) {
-          aAnswer(Simple(CallerOutcome::InDoubt,
-                         "The entry that leads did not answer in time."));
-        } else if (aReply->outcome_ == FleetOutcome::Ok) {
-          aAnswer(Simple(CallerOutcome::Stored));
-        } else {
-          aAnswer(TryLater("The table service takes nothing now."));
-        }
-      });
+    const std::string record = aRecord;
+    AskLeader(aQuestion,
+              aJob,
+              std::move(aRecord),
+              std::clamp(left, kAskTimeout, kStoreTimeout),
+              [this, aQuestion, aJob, record, aDeadline, aAnswer](
+                const std::optional<FleetAnswerMessage>& aReply) {
+                if (!aReply.has_value() ||
+                    aReply->outcome_ == FleetOutcome::InDoubt) {
+                  // It may be stored, or not: the same write again makes sure.
+                  StoreInDoubt(aQuestion, aJob, record, aDeadline, aAnswer);
+                } else if (aReply->outcome_ == FleetOutcome::Ok) {
+                  aAnswer(Simple(CallerOutcome::Stored));
+                } else {
+                  aAnswer(TryLater("The table service takes nothing now."));
+                }
+              });
+  }
+
+  /** Stores what may be stored already; never says that it is not. */
+  void StoreInDoubt(FleetQuestion aQuestion,
+                    const std::string& aJob,
+                    const std::string& aRecord,
+                    Instant aDeadline,
+                    const Answer& aAnswer)
+  {
+    const auto done = [this, aQuestion, aJob, aRecord, aDeadline, aAnswer](
+                        IntakeOutcome aOutcome) {
+      if (aOutcome == IntakeOutcome::Stored) {
+        TellLeader(aQuestion == FleetQuestion::StoreJob
+                     ? FleetQuestion::JobStored
+                     : FleetQuestion::CancelStored,
+                   aJob,
+                   aRecord);
+        aAnswer(Simple(CallerOutcome::Stored));
+        return;
+      }
+      if (aOutcome == IntakeOutcome::NotStored &&
+          ReadMonotonicClock() + kDoubtRetry < aDeadline - kAnswerMargin) {
+        QTimer::singleShot(
+          kDoubtRetry,
+          this,
+          [this, aQuestion, aJob, aRecord, aDeadline, aAnswer] {
+            StoreInDoubt(aQuestion, aJob, aRecord, aDeadline, aAnswer);
+          });
+        return;
+      }
+      aAnswer(Simple(CallerOutcome::InDoubt,
+                     "The table service did not answer in time."));
+    };
+    const Result<JobDescription> spec = DecodeRecord<JobDescription>(aRecord);
+    if (aQuestion == FleetQuestion::StoreCancel) {
+      intake_.StoreCancel(aJob, aDeadline - kAnswerMargin, done);
+    } else if (const auto* job = std::get_if<JobDescription>(&spec)) {
+      intake_.StoreJob(*job, aDeadline - kAnswerMargin, done);
+    }
   }
 
   void Serve(const AskJobState& aCall, Instant, const Answer& aAnswer)
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -253,6 +253,8 @@
                      TaskRun& aRun,
                      Instant aNow);
   void WatchServing(FleetWorker& aWorker, Instant aNow);
+  void PauseBackfill(FleetWorker& aWorker, Instant aNow);
+  void SetBackfillPace(FleetWorker& aWorker, std::uint32_t aPace, Instant aNow);
   void RelieveServing(FleetWorker& aWorker, Instant aNow);
   double ExpectedMicros(const FleetJob& aJob, const StepSpec& aStep) const;
   void LearnDuration(FleetWorker& aWorker,
--- a/Source/Process/FleetSchedulerCare.cxx
+++ b/Source/Process/FleetSchedulerCare.cxx
@@ -38,6 +38,11 @@
 constexpr double kPressed = 0.9;
 /** Slowdown by one backfill task that is worth acting on. */
 constexpr double kBlamed = 0.3;
+/** A serving task over its objective for so long, for whatever cause, makes all
+ * backfill beside it stand still until it has recovered: guards against harm by
+ * many that seem harmless one by one, within the 4 s that users allow. */
+constexpr Millis kPauseAfter{ 1800 };
+constexpr double kRecovered = 0.75;
 /** What a backfill task uses is measured over half a second. */
 constexpr Millis kMeasured{ 900 };
 /** Weight of the newest share that backfill got. */
@@ -249,12 +254,70 @@
   aWorker.backfillShare_ +=
     (asked > 0 ? kLearnShare : kForgetShare) * (share - aWorker.backfillShare_);
   interference_.Record(aWorker.node_, backfill, aNow);
-  interference_.Measure(aWorker.node_, aWorker.servingSamples_, aNow);
+  interference_.Measure(
+    aWorker.node_, aWorker.servingSamples_, aWorker.measuredAt_);
+  PauseBackfill(aWorker, aNow);
   if (aWorker.pressure_ > kPressed && !backfill.empty()) {
     RelieveServing(aWorker, aNow);
   }
 }
 
+void
+FleetScheduler::PauseBackfill(FleetWorker& aWorker, Instant aNow)
+{
+  std::map<std::string, Instant> over;
+  bool pause = false;
+  for (const ServingSample& sample : aWorker.servingSamples_) {
+    if (sample.pressure_ <= 1) {
+      continue;
+    }
+    const auto known = aWorker.overSince_.find(sample.run_);
+    const Instant since =
+      known == aWorker.overSince_.end() ? aNow : known->second;
+    over.emplace(sample.run_, since);
+    pause = pause || aNow - since > kPauseAfter;
+  }
+  aWorker.overSince_ = std::move(over);
+  if (!aWorker.backfillPaused_ && pause && aWorker.backfillCpuMilli_ > 0) {
+    aWorker.backfillPaused_ = true;
+    SetBackfillPace(aWorker, 0, aNow);
+  } else if (aWorker.backfillPaused_ && aWorker.pressure_ < kRecovered) {
+    aWorker.backfillPaused_ = false;
+    SetBackfillPace(aWorker, 100, aNow);
+  }
+}
+
+void
+FleetScheduler::SetBackfillPace(FleetWorker& aWorker,
+                                std::uint32_t aPace,
+                                Instant aNow)
+{
+  for (const auto& [key, room] : aWorker.held_) {
+    if (room.backfillCpuMilli_ == 0) {
+      continue;
+    }
+    const auto name = TaskId::Parse(key.first);
+    const auto place = name.has_value() ? Find(*name) : std::nullopt;
+    if (!place.has_value()) {
+      continue;
+    }
+    for (TaskRun& run : place->task_->runs_) {
+      if (run.run_ == key.second && run.node_ == aWorker.node_) {
+        run.pace_ = aPace;
+        run.progressAt_ = aNow;
+        run.firstReportAt_ = aNow;
+        run.firstPercent_ = run.percent_;
+        OrdersFor(aWorker).paces_.push_back({ key.first, key.second, aPace });
+      }
+    }
+  }
+  Note("backfill-paced",
+       {},
+       aWorker.node_,
+       std::to_string(aPace) + " percent at pressure " +
+         std::to_string(aWorker.pressure_));
+}
+
 void
 FleetScheduler::RelieveServing(FleetWorker& aWorker, Instant aNow)
 {
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -92,6 +92,8 @@
     Note("worker-draining", {}, aNode, aReport.worker_.id_);
   }
   worker.facts_ = aReport.worker_;
+  worker.measuredAt_ =
+    aNow - Micros(static_cast<std::int64_t>(aReport.measuredMicrosAgo_));
   worker.synced_ = true;
   worker.suspect_ = false;
   for (const EndFact& end : aReport.ends_) {
@@ -134,6 +136,8 @@
   aWorker.slowness_ = 1;
   aWorker.pressure_ = 0;
   aWorker.backfillShare_ = 1;
+  aWorker.overSince_.clear();
+  aWorker.backfillPaused_ = false;
 }
 
 void
--- a/Source/Process/FleetSide.h
+++ b/Source/Process/FleetSide.h
@@ -93,6 +93,8 @@
 
 private:
   static constexpr Millis kTick{ 50 };
+  /** Two readings of the clocks in a row differ by less. */
+  static constexpr Millis kSuspended{ 20 };
   static constexpr Millis kStopBound{ 1500 };
   static constexpr Millis kRegisterTimeout{ 1500 };
   static constexpr Millis kRegisterRetry{ 300 };
@@ -271,9 +273,23 @@
     Pump();
   }
 
+  /** Tells the keeper how long the host was suspended since the last time. */
+  void NoteSuspension(Instant aNow)
+  {
+    const Micros apart = aNow - ReadRunningClock();
+    const auto gap = std::chrono::duration_cast<Millis>(apart - clocksApart_);
+    if (clocksKnown_ && gap > kSuspended) {
+      LogChange("host-suspended", { { "ms", std::to_string(gap.count()) } });
+      keeper_.OnSuspended(gap);
+    }
+    clocksKnown_ = true;
+    clocksApart_ = apart;
+  }
+
   void Pump()
   {
     const Instant now = ReadMonotonicClock();
+    NoteSuspension(now);
     for (const WorkerCall& call : keeper_.TakeCalls(now)) {
       const std::uint64_t id =
         std::visit([](const auto& aCall) { return aCall.head_.id_; }, call);
@@ -307,6 +323,9 @@
   Instant registeredAt_;
   bool registering_ = false;
   QTimer tick_;
+  /** The lease clock less the one that stands still when suspended. */
+  Micros clocksApart_{ 0 };
+  bool clocksKnown_ = false;
   Instant stopBound_;
   std::function<void()> stopped_;
 };
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -82,6 +82,12 @@
   Instant avoidUntil_;
   /** How much longer work takes here than elsewhere; smoothed. */
   double slowness_ = 1;
+  /** When what was last reported of its runs was measured. */
+  Instant measuredAt_;
+  /** Since when a task that serves has been over its objective. */
+  std::map<std::string, Instant> overSince_;
+  /** Backfill stands still until the tasks that serve have recovered. */
+  bool backfillPaused_ = false;
   /** Tasks that serve there, as last reported. */
   std::vector<ServingSample> servingSamples_;
   /** Worst tail latency over its objective among them. */
--- a/Source/Process/Instant.h
+++ b/Source/Process/Instant.h
@@ -42,6 +42,14 @@
                                        std::chrono::nanoseconds(time.tv_nsec)));
 }
 
+/** Reads the clock that stands still while the host is suspended. */
+inline Instant
+ReadRunningClock()
+{
+  return Instant(std::chrono::duration_cast<Micros>(
+    std::chrono::steady_clock::now().time_since_epoch()));
+}
+
 /** Reads the wall clock, in microseconds since 1970, for people and logs. */
 inline std::int64_t
 ReadWallClock()
--- a/Source/Process/LeaderLease.cxx
+++ b/Source/Process/LeaderLease.cxx
@@ -72,9 +72,6 @@
   if (leader.address_ == self_.address_ && leader.life_ != self_.life_) {
     return true;
   }
-  if (!goneLife_.empty() && leader.life_ == goneLife_) {
-    return true;
-  }
   return aNow - seenSince_ > kLeaderLease + kLeaderLeaseSlack;
 }
 
@@ -134,7 +131,6 @@
   row_.record_ = wanted_;
   row_.version_ = aVersion;
   seenSince_ = aNow;
-  goneLife_.clear();
   holds_ = IsOwn(wanted_);
   if (!holds_) {
     steppedDown_ = true;
@@ -172,16 +168,6 @@
   nextAt_ = aNow + kRetry;
 }
 
-void
-LeaderLease::OnLeaderGone(const std::string& aLife, Instant aNow)
-{
-  if (holds_ || row_.record_.life_ != aLife) {
-    return;
-  }
-  goneLife_ = aLife;
-  nextAt_ = aNow;
-}
-
 void
 LeaderLease::StepDown()
 {
--- a/Source/Process/LeaderLease.h
+++ b/Source/Process/LeaderLease.h
@@ -89,12 +89,6 @@
   /** It surely was not written. */
   void OnNotWritten(Instant aNow);
 
-  /**
-   * The leader's process is surely over: its host refused a connection on the
-   * port where it listened. The next step takes over at once.
-   */
-  void OnLeaderGone(const std::string& aLife, Instant aNow);
-
   /** A planned stop: the next write gives the lease up. */
   void StepDown();
 
@@ -128,7 +122,6 @@
   bool inDoubt_ = false;
   bool stepDown_ = false;
   bool steppedDown_ = false;
-  std::string goneLife_;
   Instant sentAt_;
   Instant nextAt_;
   /** Until when this process may lead. */
--- a/Source/Process/LeaderLink.cxx
+++ b/Source/Process/LeaderLink.cxx
@@ -85,31 +85,20 @@
           &SideLink::Received,
           this,
           [this](const WireMessage& aMessage) { OnMessage(aMessage); });
-  connect(link_,
-          &SideLink::Lost,
-          this,
-          [this](bool aNeverConnected, const QString& aReason) {
-            OnLost(aNeverConnected, aReason);
-          });
+  connect(link_, &SideLink::Lost, this, [this](bool, const QString& aReason) {
+    OnLost(aReason);
+  });
   link_->Send(FleetHelloMessage{ node_, false, 0 });
   return link_;
 }
 
 void
-LeaderLink::OnLost(bool aNeverConnected, const QString& aReason)
+LeaderLink::OnLost(const QString& aReason)
 {
   LogChange("leader-link-lost",
             { { "leader", address_ }, { "reason", aReason.toStdString() } });
-  const bool refused =
-    aNeverConnected && aReason.contains(QLatin1String("refused"));
-  const std::string life = life_;
   retryAt_ = ReadMonotonicClock() + kRetry;
   Drop();
-  if (refused) {
-    Q_EMIT LeaderRefuses(QString::fromStdString(life));
-    return;
-  }
-  // Whether the process is over shows at the next try.
   QTimer::singleShot(kRetry, this, [this] { Link(); });
 }
 
--- a/Source/Process/LeaderLink.h
+++ b/Source/Process/LeaderLink.h
@@ -43,14 +43,10 @@
   /** The leader answered not long ago. */
   bool Usable() const;
 
-Q_SIGNALS:
-  /** The leader's host refuses connections: its process is over. */
-  void LeaderRefuses(const QString& aLife);
-
 private:
   SideLink* Link();
   void OnMessage(const WireMessage& aMessage);
-  void OnLost(bool aNeverConnected, const QString& aReason);
+  void OnLost(const QString& aReason);
   void Drop();
   void FailAll();
 
--- a/Source/Process/LeaseRunner.h
+++ b/Source/Process/LeaseRunner.h
@@ -45,12 +45,6 @@
     Step();
   }
 
-  void OnLeaderGone(const std::string& aLife)
-  {
-    lease_.OnLeaderGone(aLife, ReadMonotonicClock());
-    Step();
-  }
-
   const LeaderLease& Lease() const { return lease_; }
 
 private:
--- a/Source/Process/TableWatch.h
+++ b/Source/Process/TableWatch.h
@@ -58,9 +58,11 @@
 private:
   static constexpr Millis kReadTimeout{ 2000 };
   static constexpr Millis kRetry{ 200 };
-  /** A watch without a change returns after this; short enough that a silent
-   * connection is noticed, as the client gives up soon after. */
-  static constexpr Millis kWait{ 3000 };
+  /** A watch without a change returns after this. A connection may fall silent
+   * without an end (a cut, a frozen peer): the client gives the watch up soon
+   * after, so a change is missed for less than two seconds after the cut. With
+   * 3 s an entry went on for 4.5 s with an old configuration. */
+  static constexpr Millis kWait{ 800 };
 
   void ReadFrom(const std::string& aFirst)
   {
--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -19,6 +19,8 @@
 /** Where backfill gets less than this of what it asked for, no more starts. */
 constexpr double kSaturated = 0.7;
 
+/** No backfill joins a worker where a task is that close to its objective. */
+constexpr double kPressed = 0.9;
 /** Slowdown of a serving task that one backfill task may add. */
 constexpr double kMaxImpact = 0.25;
 /** A task whose effect is unknown starts beside serving ones below this part of
@@ -99,6 +101,9 @@
   if (worker.serving_ == 0) {
     return cost;
   }
+  if (worker.backfillPaused_ || worker.pressure_ > kPressed) {
+    return kNever;
+  }
   const BackfillImpact& impact = aOption.impact_;
   if (!impact.known_) {
     const bool mayTry = worker.pressure_ < kCalmPressure &&
--- a/Source/Process/WorkerKeeper.cxx
+++ b/Source/Process/WorkerKeeper.cxx
@@ -75,7 +75,7 @@
 WorkerKeeper::OnAnnounced(const WorkerAnnouncement& aAnnouncement, Instant aNow)
 {
   const std::string& id = aAnnouncement.facts_.id_;
-  if (pastLives_.contains(id)) {
+  if (pastLives_.contains(id) || (leaving_ && id == facts_.id_)) {
     return;
   }
   if (facts_.id_.empty()) {
@@ -115,6 +115,7 @@
   }
   facts_ = aAnnouncement.facts_;
   facts_.answers_ = false;
+  leaving_ = false;
   sequence_ = aAnnouncement.sequence_;
   clockMs_ = aAnnouncement.clockMs_;
   clockReadAt_ = aNow;
@@ -142,21 +143,24 @@
 void
 WorkerKeeper::OnWorkerLeft(const std::string& aWorkerId, Instant aNow)
 {
-  (void)aNow;
-  pastLives_.insert(aWorkerId);
+  // It ends once its farewell is answered, or some seconds later if the answer
+  // is lost; until its port refuses, what runs there may still run.
   if (candidate_.has_value() && candidate_->facts_.id_ == aWorkerId) {
     candidate_.reset();
   }
-  if (facts_.id_ != aWorkerId) {
-    return;
+  if (facts_.id_ == aWorkerId) {
+    leaving_ = true;
+    nextHoldAt_ = aNow;
+    facts_.draining_ = true;
+    reportDue_ = true;
   }
-  EndLife();
 }
 
 void
 WorkerKeeper::EndLife()
 {
   // What ran there ended with it.
+  leaving_ = false;
   pastLives_.insert(facts_.id_);
   facts_ = WorkerDescription();
   ForgetRuns();
@@ -226,6 +230,16 @@
   return true;
 }
 
+void
+WorkerKeeper::OnSuspended(Millis aGap)
+{
+  // The worker's clock stood still as well: counting on from its last reading
+  // would place a lease's end that much too late.
+  if (clockReadAt_ != Instant()) {
+    clockReadAt_ += aGap;
+  }
+}
+
 void
 WorkerKeeper::OnStopping(Instant aNow)
 {
@@ -382,7 +396,9 @@
     return;
   }
   // A worker that answers nothing has lost all leases by now.
-  if (!runs_.empty()) {
+  if (leaving_) {
+    EndLife();
+  } else if (!runs_.empty()) {
     ForgetRuns();
   }
   known_ = known_ || facts_.id_.empty();
@@ -542,11 +558,16 @@
     EndLife();
     return;
   }
+  if (aAnswer.outcome_ == CallOutcome::NotDone && leaving_) {
+    EndLife();
+    return;
+  }
   if (aAnswer.outcome_ != CallOutcome::Accepted) {
     nextHoldAt_ = aNow + kHoldRetry;
     return;
   }
   known_ = true;
+  measuredAt_ = aNow;
   TakeRuns(aCall, aAnswer, aNow);
   nextHoldAt_ = HasUnstoredEnds() ? aNow + kUnstoredPause : aNow;
 }
@@ -627,6 +648,8 @@
     static_cast<std::uint64_t>(aNow.time_since_epoch().count());
   report.ordersSeen_ = ordersSeen_;
   report.worker_ = facts_;
+  report.measuredMicrosAgo_ =
+    static_cast<std::uint64_t>((aNow - measuredAt_).count());
   for (const auto& [key, run] : runs_) {
     RunFact fact;
     fact.task_ = key.first;
--- a/Source/Process/WorkerKeeper.h
+++ b/Source/Process/WorkerKeeper.h
@@ -141,6 +141,8 @@
   /** False: an entry that leads no more; its link must be ended. */
   bool OnOrders(const FleetOrders& aOrders, Instant aNow);
   void OnAnswer(std::uint64_t aCall, const CallAnswer& aAnswer, Instant aNow);
+  /** The host was suspended for so long, by the clock that counts it. */
+  void OnSuspended(Millis aGap);
   /** A planned stop: leases are taken as long as allowed, no more reports. */
   void OnStopping(Instant aNow);
 
@@ -271,6 +273,10 @@
   Instant reportedAt_;
   bool linked_ = false;
   bool stopping_ = false;
+  /** The worker said that it ends. */
+  bool leaving_ = false;
+  /** When the worker last said what runs. */
+  Instant measuredAt_;
   bool stopHoldSent_ = false;
   bool stopHoldDone_ = false;
 };
