--- a/Source/Process/FleetSettings.cxx
+++ b/Source/Process/FleetSettings.cxx
@@ -79,7 +79,13 @@
     "how many times as long a task takes away from its data" },
 } };
 
-constexpr std::array<SettingSpec, 3> kSide{ {
+constexpr std::array<SettingSpec, 4> kSide{ {
+  NumberSetting("bounds.stop-timeout-ms",
+                "1000",
+                0,
+                kHourMs,
+                "ms",
+                "time that a worker takes to stop a run"),
   RequiredSetting("fleet.announcements",
                   SettingKind::Address,
                   "IP:PORT that the worker announces itself at"),
@@ -174,6 +180,7 @@
   settings.announcements_ = file.Address("fleet.announcements");
   settings.worker_ = file.Address("fleet.worker");
   settings.maxLease_ = Millis(file.Number("bounds.max-lease-ms"));
+  settings.stopTimeout_ = Millis(file.Number("bounds.stop-timeout-ms"));
   return settings;
 }
 
--- a/Source/Process/FleetSettings.h
+++ b/Source/Process/FleetSettings.h
@@ -49,6 +49,8 @@
   SocketAddress worker_;
   /** The longest lease that the worker grants. */
   Millis maxLease_{ 0 };
+  /** A worker stops a run within this. */
+  Millis stopTimeout_{ 0 };
 
   static std::span<const SettingSpec> Specs();
   static Result<FleetSideSettings> Load(const std::string& aPath);
--- a/Source/Process/FleetSide.h
+++ b/Source/Process/FleetSide.h
@@ -109,6 +109,7 @@
     // The wall clock rises from life to life; should it be set back, the first
     // refusal makes up for it.
     , keeper_({ aSettings.maxLease_,
+                aSettings.stopTimeout_,
                 static_cast<std::uint64_t>(ReadWallClock() / 1000) },
               ReadMonotonicClock())
     , key_(store_, [this] { OnKey(); })
--- a/Source/Process/WorkerKeeper.cxx
+++ b/Source/Process/WorkerKeeper.cxx
@@ -10,6 +10,8 @@
 /** A worker on the same host answers an order within some ms; one in twenty is
  * left without an answer on a bad day, and asking again is harmless. */
 constexpr Millis kOrderTimeout{ 400 };
+/** Added to the time that a stop takes at most. */
+constexpr Millis kStopMargin{ 100 };
 /** A pause before an order that was not taken is tried again. */
 constexpr Millis kOrderRetry{ 100 };
 /** Beyond what a hold waits by itself. */
@@ -109,6 +111,8 @@
 void
 WorkerKeeper::BeginLife(const WorkerAnnouncement& aAnnouncement, Instant aNow)
 {
+  inherited_ = !seenLife_;
+  seenLife_ = true;
   if (!facts_.id_.empty()) {
     pastLives_.insert(facts_.id_);
     ForgetRuns();
@@ -376,7 +380,7 @@
   }
   // Before the first hold was answered, calls of an earlier life of this side
   // may still be carried out; the hold raises the fence.
-  if (known_ && !stopping_) {
+  if (known_ && aNow >= settledAt_ && !stopping_) {
     AddOrders(calls, aNow);
   }
   AddHold(calls, aNow);
@@ -566,6 +570,10 @@
     nextHoldAt_ = aNow + kHoldRetry;
     return;
   }
+  if (!known_) {
+    settledAt_ =
+      inherited_ ? aNow + settings_.stopTimeout_ + kStopMargin : aNow;
+  }
   known_ = true;
   measuredAt_ = aNow;
   TakeRuns(aCall, aAnswer, aNow);
@@ -577,7 +585,6 @@
                        const CallAnswer& aAnswer,
                        Instant aNow)
 {
-  (void)aNow;
   std::set<RunKey> listed;
   for (const RunFact& fact : aAnswer.runs_) {
     const RunKey key(fact.task_, fact.run_);
@@ -600,14 +607,37 @@
   if (aAnswer.endsCut_) {
     return;
   }
-  // What this answer does not list although it was asked for after the run's
-  // last order was answered is not there.
-  std::erase_if(runs_, [&](const auto& aEntry) {
-    const LocalRun& run = aEntry.second;
+  ForgetMissing(aCall, listed, aNow);
+}
+
+void
+WorkerKeeper::ForgetMissing(const OpenCall& aCall,
+                            const std::set<RunKey>& aListed,
+                            Instant aNow)
+{
+  // What is listed nowhere, although it was asked for after the run's last
+  // order was answered, may still be stopping: it keeps its room until a stop
+  // must be over. Forgotten at once, its task started elsewhere while it still
+  // ran, and its room was given away twice.
+  for (auto entry = runs_.begin(); entry != runs_.end();) {
+    LocalRun& run = entry->second;
     const bool settled = run.phase_ == Phase::Running || run.stopAnswered_;
-    return settled && !run.calling_ && run.answeredAt_ < aCall.sentAt_ &&
-           !listed.contains(aEntry.first);
-  });
+    const bool missing = settled && !run.calling_ &&
+                         run.answeredAt_ < aCall.sentAt_ &&
+                         !aListed.contains(entry->first);
+    if (!missing) {
+      run.missingSince_.reset();
+      ++entry;
+      continue;
+    }
+    run.missingSince_ = run.missingSince_.value_or(aNow);
+    if (aNow - *run.missingSince_ < settings_.stopTimeout_ + kStopMargin) {
+      ++entry;
+      continue;
+    }
+    entry = runs_.erase(entry);
+    reportDue_ = true;
+  }
 }
 
 void
@@ -637,7 +667,7 @@
   if (!linked_ || stopping_) {
     return std::nullopt;
   }
-  const bool unknown = !known_ && aNow <= leasesOverAt_;
+  const bool unknown = (!known_ && aNow <= leasesOverAt_) || aNow < settledAt_;
   if (unknown || (!reportDue_ && aNow - reportedAt_ < kReportPeriod)) {
     return std::nullopt;
   }
--- a/Source/Process/WorkerKeeper.h
+++ b/Source/Process/WorkerKeeper.h
@@ -127,6 +127,9 @@
   {
     /** The longest lease that a worker grants. */
     Millis maxLease_{ 10000 };
+    /** A stop takes at most this; until then the run holds its room, though
+     * the worker may list it neither as running nor as ended. */
+    Millis stopTimeout_{ 1000 };
     /** The first fence; later ones rise from it. */
     std::uint64_t fence_ = 1;
   };
@@ -182,6 +185,8 @@
     /** The worker answered the last order then. */
     Instant answeredAt_;
     bool stopAnswered_ = false;
+    /** Since when the worker has listed it nowhere. */
+    std::optional<Instant> missingSince_;
     std::string checkpoint_;
     std::uint32_t percent_ = 0;
     std::uint32_t measure_ = 0;
@@ -235,6 +240,9 @@
                      const CallAnswer& aAnswer,
                      Instant aNow);
   void TakeRuns(const OpenCall& aCall, const CallAnswer& aAnswer, Instant aNow);
+  void ForgetMissing(const OpenCall& aCall,
+                     const std::set<RunKey>& aListed,
+                     Instant aNow);
   void BeginLife(const WorkerAnnouncement& aAnnouncement, Instant aNow);
   void EndLife();
   void ForgetRuns();
@@ -257,6 +265,11 @@
   Instant lastAnswerAt_;
   /** The worker was asked successfully in this life of both. */
   bool known_ = false;
+  /** Stops that an earlier life of this side ordered are over then. */
+  Instant settledAt_;
+  /** The worker's life began before this side's. */
+  bool inherited_ = true;
+  bool seenLife_ = false;
   /** No lease that was asked for can last beyond this. */
   Instant leasesOverAt_;
   std::map<RunKey, LocalRun> runs_;
