--- /dev/null
+++ b/Tests/Fleet/FleetFailureTest.cxx
@@ -0,0 +1,351 @@
+#include "FleetWorld.h"
+
+#include <criterion/criterion.h>
+
+using namespace cactusrail;
+
+namespace {
+
+/** The longest that a leader waits for an unreachable host, and then some. */
+constexpr Millis kGivenUp{ 9500 };
+
+std::string
+FirstTask(const std::string& aJob)
+{
+  return aJob + ".0.0.0";
+}
+
+}
+
+Test(FleetFailure, JobRunsToItsEnd)
+{
+  FleetWorld world(3);
+  world.Run(Millis(1500));
+  world.Submit(MakeJob("a", 6, 1000));
+  world.Run(Millis(400));
+  cr_assert_eq(world.StateOf("a"), JobState::Running);
+  world.Run(Millis(2000));
+  cr_assert_eq(world.StateOf("a"), JobState::Completed);
+  cr_assert_eq(world.MostRunsAtOnce(), 1);
+}
+
+Test(FleetFailure, StepsWaitForThoseBeforeThem)
+{
+  FleetWorld world(3);
+  world.Run(Millis(1500));
+  JobDescription job = MakeJob("a", 2, 1000);
+  job.steps_.push_back(job.steps_.front());
+  job.steps_.back().after_ = { 0 };
+  world.Submit(job);
+  world.Run(Millis(700));
+  cr_assert_eq(world.Starts("a.0.0.0"), 1);
+  cr_assert_eq(world.Starts("a.0.1.0"), 0);
+  world.Run(Millis(2000));
+  cr_assert_eq(world.StateOf("a"), JobState::Completed);
+}
+
+// A clerk's valuation is stopped, and while it still winds down its worker
+// lists it neither as running nor as ended. The side took it for gone, the
+// leader started it elsewhere: for half a second it ran twice.
+Test(FleetFailure, StoppedRunIsNotStartedElsewhereBeforeItEnded)
+{
+  FleetWorld world(2, { 1000, 64000, 0 });
+  world.Run(Millis(1500));
+  JobDescription batch = MakeJob("batch", 2, 1000);
+  batch.priority_ = 2;
+  world.Submit(batch);
+  world.Host(0).worker_.taskTime_ = Millis(10000);
+  world.Host(1).worker_.taskTime_ = Millis(10000);
+  world.Run(Millis(500));
+  JobDescription urgent = MakeJob("urgent", 1, 1000);
+  world.Submit(urgent);
+  world.Run(Millis(400));
+  cr_assert_eq(world.Starts(FirstTask("urgent")),
+               0,
+               "the stopped run still holds its room");
+  world.Run(Millis(1500));
+  cr_assert_eq(world.Starts(FirstTask("urgent")), 1);
+  cr_assert_eq(world.MostRunsAtOnce(), 1);
+  cr_assert_not(world.EverOverRoom());
+}
+
+// The side's process dies right after it told its worker to stop a run, and
+// its next life asks the worker before that stop is over. The run shows
+// nowhere, so its room was given to another task: the worker was over its room.
+Test(FleetFailure, RestartedSideWaitsForStopsOfItsFormerLife)
+{
+  FleetWorld world(2, { 1000, 64000, 0 });
+  world.Run(Millis(1500));
+  JobDescription batch = MakeJob("batch", 2, 1000);
+  batch.priority_ = 2;
+  world.Submit(batch);
+  for (std::size_t i = 0; i < 2; ++i) {
+    world.Host(i).worker_.taskTime_ = Millis(10000);
+  }
+  world.Run(Millis(300));
+  world.Submit(MakeJob("urgent", 2, 1000));
+  world.Run(Millis(30));
+  world.RestartSide(0);
+  world.RestartSide(1);
+  world.Run(Millis(3000));
+  cr_assert_not(world.EverOverRoom());
+  cr_assert_eq(world.MostRunsAtOnce(), 1);
+  cr_assert_eq(world.Starts(FirstTask("urgent")), 1);
+}
+
+// The host with a payout's task is cut off. Starting it again at once would pay
+// twice, never starting it again would lose it: it starts elsewhere once its
+// lease there is surely over.
+Test(FleetFailure, TaskOfAnUnreachableHostStartsElsewhereAfterItsLease)
+{
+  FleetWorld world(2);
+  world.Run(Millis(1500));
+  world.Host(0).worker_.taskTime_ = Millis(60000);
+  world.Host(1).worker_.taskTime_ = Millis(60000);
+  world.Submit(MakeJob("payout", 1, 16000));
+  world.Run(Millis(300));
+  const std::size_t holder = world.Host(0).worker_.runs_.empty() ? 1 : 0;
+  world.Cut(holder, true);
+  world.Run(Millis(3000));
+  cr_assert_eq(world.Starts(FirstTask("payout")), 1, "it may still run there");
+  world.Run(kGivenUp);
+  cr_assert_eq(world.Starts(FirstTask("payout")), 2);
+  cr_assert_eq(world.MostRunsAtOnce(), 1);
+}
+
+// A short cut must not cost the work: the side goes on holding it meanwhile.
+Test(FleetFailure, TaskOutlivesAShortCut)
+{
+  FleetWorld world(2);
+  world.Run(Millis(1500));
+  world.Host(0).worker_.taskTime_ = Millis(7000);
+  world.Host(1).worker_.taskTime_ = Millis(7000);
+  world.Submit(MakeJob("payout", 1, 16000));
+  world.Run(Millis(300));
+  world.Cut(0, true);
+  world.Cut(1, true);
+  world.Run(Millis(5500));
+  world.Cut(0, false);
+  world.Cut(1, false);
+  world.Run(Millis(4000));
+  cr_assert_eq(world.StateOf("payout"), JobState::Completed);
+  cr_assert_eq(world.Starts(FirstTask("payout")), 1);
+}
+
+// The leader dies; what runs is taken over by the next one as it is.
+Test(FleetFailure, NewLeaderAdoptsWhatRuns)
+{
+  FleetWorld world(3);
+  world.Run(Millis(1500));
+  world.Submit(MakeJob("a", 6, 1000));
+  world.Run(Millis(500));
+  world.ChangeLeader();
+  world.Run(Millis(3000));
+  cr_assert_eq(world.StateOf("a"), JobState::Completed);
+  for (std::uint32_t i = 0; i < 6; ++i) {
+    cr_assert_eq(world.Starts("a.0.0." + std::to_string(i)), 1);
+  }
+}
+
+// The leader dies and one host is out of reach. A task that the new leader
+// knows nothing of may run there: old work waits, new work does not.
+Test(FleetFailure, NewLeaderStartsNoOldWorkWhileAHostIsUnheard)
+{
+  FleetWorld world(2, { 1000, 64000, 0 });
+  world.Run(Millis(1500));
+  world.Host(0).worker_.taskTime_ = Millis(60000);
+  world.Host(1).worker_.taskTime_ = Millis(60000);
+  world.Submit(MakeJob("old", 1, 1000));
+  world.Run(Millis(300));
+  const std::size_t holder = world.Host(0).worker_.runs_.empty() ? 1 : 0;
+  world.Cut(holder, true);
+  world.ChangeLeader();
+  world.Run(Millis(1000));
+  cr_assert_eq(world.Starts(FirstTask("old")), 1);
+  world.Submit(MakeJob("fresh", 1, 1000));
+  world.Run(Millis(500));
+  cr_assert_eq(world.Starts(FirstTask("fresh")), 1);
+  world.Run(kGivenUp);
+  cr_assert_eq(world.MostRunsAtOnce(), 1);
+}
+
+// The table is away when a task ends; the leader dies with the news. The worker
+// must still list the end for the next leader, or the payout would run again.
+Test(FleetFailure, EndIsAcknowledgedOnlyOnceItIsStored)
+{
+  FleetWorld world(1);
+  world.Run(Millis(1500));
+  world.Submit(MakeJob("payout", 1, 1000));
+  world.Run(Millis(300));
+  world.storeAway_ = true;
+  world.Run(Millis(2000));
+  cr_assert_neq(world.StateOf("payout"), JobState::Completed);
+  cr_assert_eq(world.Host(0).worker_.acknowledged_, 0);
+  world.ChangeLeader();
+  world.storeAway_ = false;
+  world.Run(Millis(2000));
+  cr_assert_eq(world.StateOf("payout"), JobState::Completed);
+  cr_assert_eq(world.Starts(FirstTask("payout")), 1);
+  cr_assert_eq(world.Host(0).worker_.acknowledged_, 1);
+}
+
+// A worker crashes and lives anew at the same address: its work is gone.
+Test(FleetFailure, WorkOfACrashedWorkerStartsAgain)
+{
+  FleetWorld world(1);
+  world.Run(Millis(1500));
+  world.Submit(MakeJob("a", 1, 1000));
+  world.Run(Millis(300));
+  world.Host(0).worker_.Crash("w0-2");
+  world.Run(Millis(3000));
+  cr_assert_eq(world.StateOf("a"), JobState::Completed);
+  cr_assert_eq(world.Starts(FirstTask("a")), 2);
+}
+
+// A task that fails wherever it runs must not go round for ever; one that a bad
+// worker fails gets its second attempt elsewhere.
+Test(FleetFailure, HopelessJobFailsAfterItsAttempts)
+{
+  FleetWorld world(3);
+  world.Run(Millis(1500));
+  for (std::size_t i = 0; i < 3; ++i) {
+    world.Host(i).worker_.fails_ = true;
+  }
+  world.Submit(MakeJob("a", 1, 1000));
+  world.Run(Millis(4000));
+  cr_assert_eq(world.StateOf("a"), JobState::Failed);
+  cr_assert_eq(world.Starts(FirstTask("a")), 2);
+}
+
+Test(FleetFailure, SecondAttemptGoesToAnotherWorker)
+{
+  FleetWorld world(2);
+  world.Run(Millis(1500));
+  world.Host(0).worker_.fails_ = true;
+  for (int i = 0; i < 4; ++i) {
+    world.Submit(MakeJob("job" + std::to_string(i), 1, 1000));
+    world.Run(Millis(50));
+  }
+  world.Run(Millis(4000));
+  for (int i = 0; i < 4; ++i) {
+    cr_assert_eq(world.StateOf("job" + std::to_string(i)), JobState::Completed);
+  }
+}
+
+// The count of failed runs outlives the leader; an end that is reported twice
+// counts once, or a good job would fail before its time.
+Test(FleetFailure, FailedRunCountsOnceAcrossLeaders)
+{
+  FleetWorld world(1);
+  world.Run(Millis(1500));
+  JobDescription job = MakeJob("a", 1, 1000);
+  job.maxAttempts_ = 3;
+  world.Submit(job);
+  world.Host(0).worker_.fails_ = true;
+  world.Run(Millis(1150));
+  world.ChangeLeader();
+  world.Run(Millis(300));
+  world.Host(0).worker_.fails_ = false;
+  world.Run(Millis(4000));
+  cr_assert_eq(world.StateOf("a"), JobState::Completed);
+}
+
+Test(FleetFailure, CancelledJobIsStoppedAndStartsNothing)
+{
+  FleetWorld world(1, { 1000, 64000, 0 });
+  world.Run(Millis(1500));
+  world.Host(0).worker_.taskTime_ = Millis(60000);
+  world.Submit(MakeJob("a", 3, 1000));
+  world.Run(Millis(300));
+  world.Cancel("a");
+  world.Run(Millis(1500));
+  cr_assert_eq(world.StateOf("a"), JobState::Cancelled);
+  cr_assert(world.Host(0).worker_.runs_.empty());
+  cr_assert_eq(world.Starts("a.0.0.1") + world.Starts("a.0.0.2"), 0);
+}
+
+// A caller cancels so fast that the word comes before the job.
+Test(FleetFailure, CancellationMayComeBeforeItsJob)
+{
+  FleetWorld world(1);
+  world.Run(Millis(1500));
+  world.Cancel("a");
+  world.Submit(MakeJob("a", 1, 1000));
+  world.Run(Millis(1000));
+  cr_assert_eq(world.StateOf("a"), JobState::Cancelled);
+  cr_assert_eq(world.Starts(FirstTask("a")), 0);
+}
+
+Test(FleetFailure, LongRunningTaskIsStartedAgainHoweverItEnds)
+{
+  FleetWorld world(2);
+  world.Run(Millis(1500));
+  JobDescription job = MakeJob("watch", 1, 1000);
+  job.steps_.front().longRunning_ = true;
+  world.Submit(job);
+  world.Host(0).worker_.fails_ = true;
+  world.Run(Millis(6000));
+  cr_assert_eq(world.StateOf("watch"), JobState::Running);
+  cr_assert_geq(world.Starts(FirstTask("watch")), 4);
+  cr_assert_eq(world.MostRunsAtOnce(), 1);
+}
+
+Test(FleetFailure, RoomIsNeverExceeded)
+{
+  FleetWorld world(2, { 4000, 64000, 0 });
+  world.Run(Millis(1500));
+  world.Submit(MakeJob("a", 20, 1500));
+  world.Run(Millis(14000));
+  cr_assert_eq(world.StateOf("a"), JobState::Completed);
+  cr_assert_not(world.EverOverRoom());
+}
+
+Test(FleetFailure, GangStartsTogetherOrNotAtAll)
+{
+  FleetWorld world(2, { 2000, 64000, 0 });
+  world.Run(Millis(1500));
+  JobDescription gang = MakeJob("gang", 3, 2000);
+  gang.steps_.front().gang_ = true;
+  world.Submit(gang);
+  world.Run(Millis(2000));
+  cr_assert_eq(world.Starts("gang.0.0.0"), 0, "two workers hold two members");
+  JobDescription fits = MakeJob("fits", 2, 2000);
+  fits.steps_.front().gang_ = true;
+  world.Submit(fits);
+  world.Run(Millis(2000));
+  cr_assert_eq(world.StateOf("fits"), JobState::Completed);
+  cr_assert_eq(world.Host(0).worker_.started_.size() +
+                 world.Host(1).worker_.started_.size(),
+               2);
+}
+
+Test(FleetFailure, TimedJobRunsOnceEachTimeAndNotBefore)
+{
+  FleetWorld world(1);
+  world.Run(Millis(1500));
+  JobDescription job = MakeJob("timed", 1, 1000);
+  job.occurrences_ = 3;
+  // The world's wall clock is ahead of its other clock by a fixed amount.
+  job.startAtMs_ = 1700000000000 + 1000000 + 3500;
+  job.intervalMs_ = 2000;
+  world.Submit(job);
+  world.Run(Millis(1900));
+  cr_assert_eq(world.Starts("timed.0.0.0"), 0);
+  world.Run(Millis(8000));
+  cr_assert_eq(world.StateOf("timed"), JobState::Completed);
+  for (int k = 0; k < 3; ++k) {
+    cr_assert_eq(world.Starts("timed." + std::to_string(k) + ".0.0"), 1);
+  }
+}
+
+Test(FleetFailure, WaitingCountsJobsOfAQueueThatNeverStarted)
+{
+  FleetWorld world(1, { 1000, 64000, 0 });
+  world.Run(Millis(1500));
+  world.Submit(MakeJob("a", 1, 1000));
+  world.Submit(MakeJob("b", 1, 1000));
+  world.Submit(MakeJob("c", 1, 1000));
+  world.Run(Millis(200));
+  cr_assert_eq(world.Scheduler().Waiting("host/queue/"), 2);
+  cr_assert_eq(world.Scheduler().Waiting("other/"), 0);
+}
--- /dev/null
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -0,0 +1,419 @@
+#include "FleetWorld.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+constexpr Millis kStep{ 10 };
+constexpr std::int64_t kWallMs = 1700000000000;
+
+std::int64_t
+MillisOf(Instant aTime)
+{
+  return std::chrono::duration_cast<Millis>(aTime.time_since_epoch()).count();
+}
+
+}
+
+Instant
+At(std::int64_t aMillis)
+{
+  return Instant(Millis(aMillis));
+}
+
+JobDescription
+MakeJob(const std::string& aId, std::uint32_t aTasks, std::int64_t aCpuMilli)
+{
+  JobDescription job;
+  job.id_ = aId;
+  job.queue_ = "host/queue/";
+  job.service_ = "service";
+  job.maxAttempts_ = 2;
+  job.payload_ = "payload of " + aId;
+  StepSpec step;
+  step.count_ = aTasks;
+  step.cpuMilli_ = aCpuMilli;
+  step.memoryMb_ = 100;
+  step.estimateMs_ = 1000;
+  job.steps_.push_back(step);
+  return job;
+}
+
+// The worker.
+
+CallAnswer
+WorkerFake::Take(const WorkerCall& aCall, Instant aNow)
+{
+  Advance(aNow);
+  const CallHead& head = std::visit(
+    [](const auto& aOne) -> const CallHead& { return aOne.head_; }, aCall);
+  CallAnswer answer;
+  if (head.workerId_ != id_) {
+    answer.outcome_ = CallOutcome::WrongLife;
+    return answer;
+  }
+  answer.clockMs_ = MillisOf(aNow);
+  if (head.fence_ < fence_) {
+    answer.outcome_ = CallOutcome::Fenced;
+    return answer;
+  }
+  fence_ = head.fence_;
+  if (const auto* start = std::get_if<StartCall>(&aCall)) {
+    return Start(*start, aNow);
+  }
+  if (const auto* stop = std::get_if<StopCall>(&aCall)) {
+    return Stop(*stop, aNow);
+  }
+  if (const auto* hold = std::get_if<HoldCall>(&aCall)) {
+    return Hold(*hold, aNow);
+  }
+  answer.outcome_ = CallOutcome::Accepted;
+  return answer;
+}
+
+CallAnswer
+WorkerFake::Start(const StartCall& aCall, Instant aNow)
+{
+  CallAnswer answer;
+  answer.clockMs_ = MillisOf(aNow);
+  answer.outcome_ = CallOutcome::Accepted;
+  const StartOrder& order = aCall.order_;
+  for (const Run& run : runs_) {
+    if (run.task_ == order.task_ && run.run_ == order.run_) {
+      return answer;
+    }
+  }
+  const auto ended = highestEnded_.find(order.task_);
+  if (ended != highestEnded_.end() && order.run_ <= ended->second) {
+    answer.outcome_ = CallOutcome::Old;
+    return answer;
+  }
+  if (aCall.leaseUntilMs_ <= MillisOf(aNow)) {
+    answer.outcome_ = CallOutcome::Late;
+    return answer;
+  }
+  leaseUntil_ = std::max(leaseUntil_, At(aCall.leaseUntilMs_));
+  runs_.push_back({ order.task_,
+                    order.run_,
+                    order.checkpoint_,
+                    aNow + taskTime_,
+                    std::nullopt });
+  started_.push_back(order.task_ + "/" + std::to_string(order.run_));
+  return answer;
+}
+
+CallAnswer
+WorkerFake::Stop(const StopCall& aCall, Instant aNow)
+{
+  CallAnswer answer;
+  answer.clockMs_ = MillisOf(aNow);
+  answer.outcome_ = CallOutcome::Accepted;
+  for (Run& run : runs_) {
+    if (run.task_ == aCall.order_.task_ && run.run_ == aCall.order_.run_ &&
+        !run.stopsAt_.has_value()) {
+      run.stopsAt_ = aNow + stopTime_;
+    }
+  }
+  std::uint32_t& highest = highestEnded_[aCall.order_.task_];
+  highest = std::max(highest, aCall.order_.run_);
+  return answer;
+}
+
+CallAnswer
+WorkerFake::Hold(const HoldCall& aCall, Instant aNow)
+{
+  CallAnswer answer;
+  answer.clockMs_ = MillisOf(aNow);
+  answer.outcome_ = CallOutcome::Accepted;
+  if (aCall.leaseUntilMs_.has_value()) {
+    leaseUntil_ = std::max(leaseUntil_, At(*aCall.leaseUntilMs_));
+  }
+  acknowledged_ = std::max(acknowledged_, aCall.endsStored_);
+  while (!ends_.empty() && ends_.front().number_ <= acknowledged_) {
+    ends_.pop_front();
+  }
+  for (const Run& run : runs_) {
+    // What is being stopped shows nowhere until it has ended.
+    if (run.stopsAt_.has_value()) {
+      continue;
+    }
+    const auto left = std::chrono::duration_cast<Millis>(run.endsAt_ - aNow);
+    const auto percent =
+      100 - 100 * std::max<std::int64_t>(0, left.count()) / taskTime_.count();
+    answer.runs_.push_back({ run.task_,
+                             run.run_,
+                             false,
+                             run.checkpoint_,
+                             static_cast<std::uint32_t>(percent),
+                             0 });
+  }
+  answer.ends_.assign(ends_.begin(), ends_.end());
+  return answer;
+}
+
+void
+WorkerFake::End(const Run& aRun, EndKind aKind)
+{
+  EndFact end{ nextEnd_++, aRun.task_, aRun.run_, aKind, aRun.checkpoint_ };
+  std::uint32_t& highest = highestEnded_[aRun.task_];
+  highest = std::max(highest, aRun.run_);
+  ends_.push_back(end);
+}
+
+void
+WorkerFake::Advance(Instant aNow)
+{
+  std::vector<Run> left;
+  for (const Run& run : runs_) {
+    if (aNow >= leaseUntil_) {
+      End(run, EndKind::Lapsed);
+    } else if (run.stopsAt_.has_value() && aNow >= *run.stopsAt_) {
+      End(run, EndKind::Stopped);
+    } else if (!run.stopsAt_.has_value() && aNow >= run.endsAt_) {
+      End(run, fails_ ? EndKind::Failed : EndKind::Done);
+    } else {
+      left.push_back(run);
+    }
+  }
+  runs_ = std::move(left);
+}
+
+void
+WorkerFake::Crash(std::string aNewId)
+{
+  id_ = std::move(aNewId);
+  runs_.clear();
+  ends_.clear();
+  highestEnded_.clear();
+  fence_ = 0;
+  acknowledged_ = 0;
+  nextEnd_ = 1;
+  leaseUntil_ = Instant();
+}
+
+std::size_t
+WorkerFake::RunsOf(const std::string& aTask) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(runs_.begin(), runs_.end(), [&aTask](const Run& aRun) {
+      return aRun.task_ == aTask;
+    }));
+}
+
+// The world.
+
+FleetWorld::FleetWorld(std::size_t aHosts, FleetRoom aRoom)
+  : now_(At(1000000))
+{
+  for (std::size_t i = 0; i < aHosts; ++i) {
+    const std::string number = std::to_string(i);
+    HostFake host{ "side" + number, nullptr, WorkerFake("w" + number + "-1"),
+                   aRoom,           "r1",    {},
+                   false,           false,   0 };
+    WorkerKeeper::Settings settings;
+    settings.fence_ = 1;
+    settings.stopTimeout_ = Millis(500);
+    host.keeper_ = std::make_unique<WorkerKeeper>(settings, now_);
+    hosts_.push_back(std::move(host));
+  }
+  StartLeader(1);
+}
+
+void
+FleetWorld::StartLeader(std::uint64_t aEpoch)
+{
+  epoch_ = aEpoch;
+  writing_.reset();
+  scheduler_ = std::make_unique<FleetScheduler>(aEpoch, FleetBounds());
+  for (const auto& [id, job] : jobs_) {
+    scheduler_->OnJobStored(job, now_);
+  }
+  for (const std::string& id : cancelled_) {
+    scheduler_->OnCancelStored(id, now_);
+  }
+  for (const auto& [id, progress] : progress_) {
+    scheduler_->OnProgressLoaded(id, progress, now_);
+  }
+  for (HostFake& host : hosts_) {
+    scheduler_->OnSideRegistered(host.node_, now_);
+    host.linked_ = false;
+  }
+  scheduler_->OnLoaded(now_);
+}
+
+void
+FleetWorld::ChangeLeader()
+{
+  StartLeader(epoch_ + 1);
+}
+
+void
+FleetWorld::RestartSide(std::size_t aHost)
+{
+  HostFake& host = hosts_.at(aHost);
+  WorkerKeeper::Settings settings;
+  settings.fence_ = host.worker_.fence_ + 1;
+  settings.stopTimeout_ = Millis(500);
+  host.keeper_ = std::make_unique<WorkerKeeper>(settings, now_);
+  if (host.linked_) {
+    host.linked_ = false;
+    scheduler_->OnLinkLost(host.node_, now_);
+  }
+}
+
+void
+FleetWorld::Cut(std::size_t aHost, bool aCut)
+{
+  HostFake& host = hosts_.at(aHost);
+  host.cut_ = aCut;
+  if (aCut && host.linked_) {
+    host.linked_ = false;
+    scheduler_->OnLinkLost(host.node_, now_);
+  }
+}
+
+void
+FleetWorld::Submit(const JobDescription& aJob)
+{
+  jobs_.emplace(aJob.id_, aJob);
+  scheduler_->OnJobStored(aJob, now_);
+}
+
+void
+FleetWorld::Cancel(const std::string& aJob)
+{
+  cancelled_.push_back(aJob);
+  scheduler_->OnCancelStored(aJob, now_);
+}
+
+JobState
+FleetWorld::StateOf(const std::string& aJob)
+{
+  return scheduler_->StateOf(aJob).value_or(JobState::Pending);
+}
+
+std::size_t
+FleetWorld::Starts(const std::string& aTask) const
+{
+  std::size_t starts = 0;
+  for (const HostFake& host : hosts_) {
+    for (const std::string& started : host.worker_.started_) {
+      starts += started.starts_with(aTask + "/") ? 1 : 0;
+    }
+  }
+  return starts;
+}
+
+void
+FleetWorld::Run(Millis aFor)
+{
+  const Instant until = now_ + aFor;
+  while (now_ < until) {
+    now_ += kStep;
+    Step();
+  }
+}
+
+void
+FleetWorld::Announce(HostFake& aHost)
+{
+  WorkerAnnouncement announcement;
+  announcement.facts_.id_ = aHost.worker_.id_;
+  announcement.facts_.service_ = "service";
+  announcement.facts_.rack_ = aHost.rack_;
+  announcement.facts_.labels_ = aHost.labels_;
+  announcement.facts_.room_ = aHost.room_;
+  announcement.clockMs_ = MillisOf(now_);
+  announcement.sequence_ = ++aHost.sequence_;
+  aHost.keeper_->OnAnnounced(announcement, now_);
+}
+
+void
+FleetWorld::StepHost(HostFake& aHost)
+{
+  if (MillisOf(now_) % 1000 == 0 ||
+      aHost.keeper_->WorkerId() != aHost.worker_.id_) {
+    Announce(aHost);
+  }
+  aHost.worker_.Advance(now_);
+  for (const WorkerCall& call : aHost.keeper_->TakeCalls(now_)) {
+    const std::uint64_t id =
+      std::visit([](const auto& aOne) { return aOne.head_.id_; }, call);
+    aHost.keeper_->OnAnswer(id, aHost.worker_.Take(call, now_), now_);
+  }
+  if (aHost.cut_) {
+    return;
+  }
+  if (!aHost.linked_) {
+    aHost.linked_ = true;
+    aHost.keeper_->OnLeaderLink(now_);
+    scheduler_->OnLinkUp(aHost.node_, now_);
+  }
+  if (const auto report = aHost.keeper_->TakeReport(now_)) {
+    scheduler_->OnReport(aHost.node_, *report, now_);
+  }
+}
+
+void
+FleetWorld::StepLeader()
+{
+  const std::int64_t wall = kWallMs + MillisOf(now_);
+  for (const SideOrders& orders : scheduler_->TakeOrders(now_, wall)) {
+    for (HostFake& host : hosts_) {
+      if (host.node_ == orders.node_ && host.linked_) {
+        host.keeper_->OnOrders(orders.orders_, now_);
+      }
+    }
+  }
+  if (storeAway_) {
+    return;
+  }
+  if (!writing_.has_value()) {
+    writing_ = scheduler_->TakeBatch();
+  }
+  if (writing_.has_value()) {
+    for (const auto& [id, progress] : writing_->jobs_) {
+      progress_[id] = progress;
+    }
+    const std::uint64_t number = writing_->number_;
+    writing_.reset();
+    scheduler_->OnBatchStored(number, now_);
+  }
+  scheduler_->TakeEvents();
+}
+
+void
+FleetWorld::Check()
+{
+  std::map<std::string, std::size_t> running;
+  for (const HostFake& host : hosts_) {
+    std::int64_t cpu = 0;
+    for (const WorkerFake::Run& run : host.worker_.runs_) {
+      ++running[run.task_];
+      const auto name = TaskId::Parse(run.task_);
+      const auto job = jobs_.find(name->job_);
+      const StepSpec& step = job->second.steps_.at(name->step_);
+      cpu += step.backfill_ ? 0 : step.cpuMilli_;
+    }
+    overRoom_ = overRoom_ || cpu > host.room_.cpuMilli_;
+  }
+  for (const auto& [task, count] : running) {
+    mostAtOnce_ = std::max(mostAtOnce_, count);
+  }
+}
+
+void
+FleetWorld::Step()
+{
+  for (HostFake& host : hosts_) {
+    StepHost(host);
+  }
+  StepLeader();
+  Check();
+}
+
+}
--- /dev/null
+++ b/Tests/Fleet/FleetWorld.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "Process/FleetScheduler.h"
+#include "Process/WorkerKeeper.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cactusrail {
+
+/** A time of the virtual clock. */
+Instant
+At(std::int64_t aMillis);
+
+/**
+ * A worker that keeps to the rules of the users' platform: leases on its own
+ * clock, fences, run numbers, ends that it lists until they are acknowledged,
+ * stops that take time and meanwhile show nowhere.
+ */
+class WorkerFake
+{
+public:
+  struct Run
+  {
+    std::string task_;
+    std::uint32_t run_ = 0;
+    std::string checkpoint_;
+    Instant endsAt_;
+    std::optional<Instant> stopsAt_;
+  };
+
+  explicit WorkerFake(std::string aId)
+    : id_(std::move(aId))
+  {
+  }
+
+  CallAnswer Take(const WorkerCall& aCall, Instant aNow);
+  /** Ends what is due. */
+  void Advance(Instant aNow);
+  /** A crash: nothing is left, and a new life begins. */
+  void Crash(std::string aNewId);
+  /** How many runs of a task go on now, those being stopped included. */
+  std::size_t RunsOf(const std::string& aTask) const;
+
+  std::string id_;
+  Millis taskTime_{ 1000 };
+  Millis stopTime_{ 500 };
+  bool fails_ = false;
+  std::vector<Run> runs_;
+  std::deque<EndFact> ends_;
+  std::uint64_t fence_ = 0;
+  std::uint64_t acknowledged_ = 0;
+  /** Starts that were taken, as "task/run". */
+  std::vector<std::string> started_;
+
+private:
+  CallAnswer Start(const StartCall& aCall, Instant aNow);
+  CallAnswer Stop(const StopCall& aCall, Instant aNow);
+  CallAnswer Hold(const HoldCall& aCall, Instant aNow);
+  void End(const Run& aRun, EndKind aKind);
+
+  Instant leaseUntil_;
+  std::uint64_t nextEnd_ = 1;
+  std::map<std::string, std::uint32_t> highestEnded_;
+};
+
+/** A side with its worker, as they run on one host. */
+struct HostFake
+{
+  std::string node_;
+  std::unique_ptr<WorkerKeeper> keeper_;
+  WorkerFake worker_;
+  FleetRoom room_;
+  std::string rack_;
+  std::vector<std::string> labels_;
+  bool linked_ = false;
+  bool cut_ = false;
+  std::uint64_t sequence_ = 0;
+};
+
+/**
+ * A leading scheduler and hosts on one virtual clock, with messages that take
+ * no time. A store that can be away: changes are then not stored.
+ */
+class FleetWorld
+{
+public:
+  explicit FleetWorld(std::size_t aHosts,
+                      FleetRoom aRoom = { 16000, 64000, 0 });
+
+  /** Lets time pass in steps of 10 ms. */
+  void Run(Millis aFor);
+  void Submit(const JobDescription& aJob);
+  void Cancel(const std::string& aJob);
+  /** The leader dies and another one takes over at once. */
+  void ChangeLeader();
+  /** The side's process dies and starts again. */
+  void RestartSide(std::size_t aHost);
+  /** A cut between the leader and the host. */
+  void Cut(std::size_t aHost, bool aCut);
+
+  FleetScheduler& Scheduler() { return *scheduler_; }
+  HostFake& Host(std::size_t aHost) { return hosts_.at(aHost); }
+  Instant Now() const { return now_; }
+  JobState StateOf(const std::string& aJob);
+  /** Most runs of one task that ever went on at the same time. */
+  std::size_t MostRunsAtOnce() const { return mostAtOnce_; }
+  /** A worker held more than its room at some time. */
+  bool EverOverRoom() const { return overRoom_; }
+  std::size_t Starts(const std::string& aTask) const;
+
+  bool storeAway_ = false;
+
+private:
+  void Step();
+  void StepHost(HostFake& aHost);
+  void StepLeader();
+  void Announce(HostFake& aHost);
+  void Check();
+  void StartLeader(std::uint64_t aEpoch);
+
+  Instant now_;
+  std::uint64_t epoch_ = 1;
+  std::unique_ptr<FleetScheduler> scheduler_;
+  std::vector<HostFake> hosts_;
+  std::map<std::string, JobDescription> jobs_;
+  std::map<std::string, JobProgress> progress_;
+  std::vector<std::string> cancelled_;
+  std::optional<ProgressBatch> writing_;
+  std::size_t mostAtOnce_ = 0;
+  bool overRoom_ = false;
+};
+
+/** A job of one step. */
+JobDescription
+MakeJob(const std::string& aId, std::uint32_t aTasks, std::int64_t aCpuMilli);
+
+}
--- /dev/null
+++ b/Tests/Fleet/LeaderLeaseTest.cxx
@@ -0,0 +1,161 @@
+#include "Process/LeaderLease.h"
+#include "FleetWorld.h"
+
+#include <criterion/criterion.h>
+
+using namespace cactusrail;
+
+namespace {
+
+LeaderLease
+Make(const std::string& aNode)
+{
+  return LeaderLease({ aNode, aNode + "-1", aNode + ":1" });
+}
+
+/** The table with its one row. */
+struct Table
+{
+  LeaderRow row_;
+
+  bool Write(LeaderLease& aLease, Instant aNow)
+  {
+    if (aLease.RowVersion() != row_.version_) {
+      aLease.OnConflict(aNow);
+      return false;
+    }
+    row_.record_ = aLease.Wanted();
+    ++row_.version_;
+    return true;
+  }
+};
+
+/** Carries out the lease's steps until the time; its table always answers. */
+void
+Play(LeaderLease& aLease, Table& aTable, std::int64_t aFrom, std::int64_t aTo)
+{
+  for (std::int64_t now = aFrom; now < aTo; now += 50) {
+    switch (aLease.Next(At(now))) {
+      case LeaseStep::Nothing:
+        break;
+      case LeaseStep::Read:
+        aLease.OnRead(aTable.row_, At(now), At(now));
+        break;
+      case LeaseStep::Write:
+        if (aTable.Write(aLease, At(now))) {
+          aLease.OnWritten(aTable.row_.version_, At(now));
+        }
+        break;
+    }
+  }
+}
+
+}
+
+Test(LeaderLease, FirstOneLeadsAndOthersFollow)
+{
+  Table table;
+  LeaderLease first = Make("a");
+  LeaderLease second = Make("b");
+  Play(first, table, 1000, 2000);
+  Play(second, table, 1000, 2000);
+  cr_assert(first.Leads(At(2000)));
+  cr_assert_not(second.Holds());
+  cr_assert_eq(second.Leader().node_, "a");
+}
+
+// The leader is frozen for some seconds. When it wakes it must not order
+// anything, as another entry leads by now.
+Test(LeaderLease, FrozenLeaderLeadsNoMoreWhenItWakes)
+{
+  Table table;
+  LeaderLease first = Make("a");
+  LeaderLease second = Make("b");
+  Play(first, table, 1000, 2000);
+  Play(second, table, 1000, 8000);
+  cr_assert(second.Leads(At(8000)));
+  cr_assert_not(first.Leads(At(8000)));
+  cr_assert_eq(second.Epoch(), 2);
+  Play(first, table, 8000, 9000);
+  cr_assert_not(first.Holds());
+}
+
+// At no time do both lead, whenever the first one freezes.
+Test(LeaderLease, NeverTwoAtOnce)
+{
+  for (std::int64_t freeze = 1500; freeze < 6000; freeze += 130) {
+    Table table;
+    LeaderLease first = Make("a");
+    LeaderLease second = Make("b");
+    for (std::int64_t now = 1000; now < 14000; now += 50) {
+      if (now < freeze) {
+        Play(first, table, now, now + 50);
+      }
+      Play(second, table, now, now + 50);
+      cr_assert_not(first.Leads(At(now)) && second.Leads(At(now)));
+    }
+    cr_assert(second.Leads(At(13999)));
+  }
+}
+
+// The table is away for a while, for everyone. The leader pauses and goes on
+// under the same epoch: nobody else could take over.
+Test(LeaderLease, OutageOfTheTableChangesNoLeader)
+{
+  Table table;
+  LeaderLease first = Make("a");
+  Play(first, table, 1000, 2000);
+  for (std::int64_t now = 2000; now < 9000; now += 50) {
+    if (first.Next(At(now)) != LeaseStep::Nothing) {
+      first.OnNotWritten(At(now));
+    }
+  }
+  cr_assert_not(first.Leads(At(9000)));
+  cr_assert(first.Holds());
+  Play(first, table, 9000, 10000);
+  cr_assert(first.Leads(At(10000)));
+  cr_assert_eq(first.Epoch(), 1);
+}
+
+// The takeover's answer is lost, and the write takes effect.
+Test(LeaderLease, TakeoverWithoutAnAnswerIsFoundByReading)
+{
+  Table table;
+  LeaderLease lease = Make("a");
+  cr_assert_eq(lease.Next(At(1000)), LeaseStep::Read);
+  lease.OnRead(table.row_, At(1000), At(1000));
+  cr_assert_eq(lease.Next(At(1000)), LeaseStep::Write);
+  table.Write(lease, At(1000));
+  lease.OnDoubt(At(2000));
+  cr_assert_not(lease.Leads(At(2000)));
+  Play(lease, table, 2500, 3500);
+  cr_assert(lease.Leads(At(3500)));
+}
+
+Test(LeaderLease, PlannedStopHandsOverAtOnce)
+{
+  Table table;
+  LeaderLease first = Make("a");
+  LeaderLease second = Make("b");
+  Play(first, table, 1000, 2000);
+  Play(second, table, 1000, 2000);
+  first.StepDown();
+  cr_assert_not(first.Leads(At(2000)));
+  Play(first, table, 2000, 2200);
+  cr_assert(first.SteppedDown());
+  Play(second, table, 2200, 3500);
+  cr_assert(second.Leads(At(3500)));
+}
+
+// The leader's process is killed and starts again within the lease: nobody
+// else listens on its address, so it need not wait for its own old lease.
+Test(LeaderLease, RestartedLeaderTakesItsOwnPlace)
+{
+  Table table;
+  LeaderLease first = Make("a");
+  Play(first, table, 1000, 2000);
+  LeaderLease again({ "a", "a-2", "a:1" });
+  Play(again, table, 2200, 2500);
+  cr_assert(again.Leads(At(2500)));
+  cr_assert_eq(again.Epoch(), 2);
+}
