Fleet: Send orders only on a link whose first report has come

Ruled out: leases, fences, stops that take long (all in the trace as they should be). A leader that loads states the time of day first.

--- a/Source/Connection/HttpCaller.cxx
+++ b/Source/Connection/HttpCaller.cxx
@@ -97,6 +97,7 @@
 
   QNetworkAccessManager* TakeManager();
   QNetworkReply* Send(QNetworkAccessManager& aManager, HttpCall& aCall);
+  void DropConnections(QNetworkAccessManager* aManager);
   void Finish(std::uint64_t aCallId);
   static Result<HttpReply> Read(const Running& aRunning);
 
@@ -185,6 +186,26 @@
   return answer;
 }
 
+/**
+ * Forgets connections after a call without an answer.
+ *
+ * Failure guarded against: a cut or a frozen peer leaves connections silent
+ * without an end, and one that was being made waits for TCP's next try, seconds
+ * after the cut has healed. The library keeps such a connection when its call
+ * is aborted and hands it to the next call, so an entry was without its table
+ * for four seconds more. The other idle ones lead to the same server and are
+ * doubtful as well; new ones cost a handshake each.
+ */
+void
+HttpCaller::Private::DropConnections(QNetworkAccessManager* aManager)
+{
+  aManager->deleteLater();
+  for (QNetworkAccessManager* manager : idle_) {
+    manager->deleteLater();
+  }
+  idle_.clear();
+}
+
 void
 HttpCaller::Private::Finish(std::uint64_t aCallId)
 {
@@ -196,7 +217,11 @@
   running_.erase(found);
   Result<HttpReply> result = Read(running);
   running.reply_->deleteLater();
-  idle_.push_back(running.manager_);
+  if (running.timedOut_) {
+    DropConnections(running.manager_);
+  } else {
+    idle_.push_back(running.manager_);
+  }
   running.callback_(std::move(result));
 }
 
--- a/Source/Process/FleetLead.h
+++ b/Source/Process/FleetLead.h
@@ -45,7 +45,7 @@
     , epoch_(aLease.Epoch())
     , node_(std::move(aNode))
     , deposed_(std::move(aDeposed))
-    , scheduler_(epoch_, aBounds)
+    , scheduler_(epoch_, aBounds, ReadWallClock() / 1000)
     , writer_(aStore, epoch_)
     , work_(
         aStore,
@@ -181,12 +181,12 @@
   {
     const std::string& node = aRow.id_.key_;
     if (aRow.removed_) {
-      scheduler_.OnSideRemoved(node);
       const auto found = sides_.find(node);
       if (found != sides_.end() && found->second.rowVersion_ < aRow.version_) {
-        DropLink(found->second);
+        LoseLink(node, found->second);
         sides_.erase(found);
       }
+      scheduler_.OnSideRemoved(node);
       return;
     }
     const Result<MemberRecord> record = DecodeRecord<MemberRecord>(aRow.value_);
@@ -199,13 +199,13 @@
     Side& side = sides_[node];
     side.rowVersion_ = aRow.version_;
     if (side.address_ != member.address_ || side.life_ != member.life_) {
-      DropLink(side);
+      LoseLink(node, side);
       side.address_ = member.address_;
       side.life_ = member.life_;
       side.retryAt_ = Instant();
     }
     if (scheduler_.OnSideRegistered(node, ReadMonotonicClock())) {
-      DropLink(side);
+      LoseLink(node, side);
       side.retryAt_ = Instant();
     }
     if (Loaded()) {
@@ -218,7 +218,7 @@
     if (Loaded()) {
       return;
     }
-    scheduler_.OnLoaded(ReadMonotonicClock());
+    scheduler_.OnLoaded(ReadMonotonicClock(), ReadWallClock() / 1000);
     tick_.start(kTick);
     CheckLinks();
     Pump();
@@ -235,6 +235,20 @@
     aSide.up_ = false;
   }
 
+  /**
+   * Ends a link, and tells the scheduler so.
+   *
+   * Failure guarded against: a row of the side's former life that was written
+   * late made the leader link anew, and the scheduler was not told. Orders went
+   * out on the new link before its first report; that report did not know of
+   * them, so their tasks were taken for not started and started twice.
+   */
+  void LoseLink(const std::string& aNode, Side& aSide)
+  {
+    DropLink(aSide);
+    scheduler_.OnLinkLost(aNode, ReadMonotonicClock());
+  }
+
   void OpenLink(const std::string& aNode, Side& aSide)
   {
     const Result<SocketAddress> address = ParseSocketAddress(aSide.address_);
@@ -266,9 +280,8 @@
     if (found->second.up_) {
       LogChange("side-lost", { { "side", aNode } });
     }
-    DropLink(found->second);
+    LoseLink(aNode, found->second);
     found->second.retryAt_ = ReadMonotonicClock() + kLinkRetry;
-    scheduler_.OnLinkLost(aNode, ReadMonotonicClock());
     Poke();
   }
 
@@ -334,7 +347,8 @@
     for (SideOrders& orders :
          scheduler_.TakeOrders(now, ReadWallClock() / 1000)) {
       const auto found = sides_.find(orders.node_);
-      if (found != sides_.end() && !found->second.link_.isNull()) {
+      if (found != sides_.end() && found->second.up_ &&
+          !found->second.link_.isNull()) {
         found->second.link_->Send(std::move(orders.orders_));
       }
     }
--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -27,10 +27,13 @@
 
 }
 
-FleetScheduler::FleetScheduler(std::uint64_t aEpoch, const FleetBounds& aBounds)
+FleetScheduler::FleetScheduler(std::uint64_t aEpoch,
+                               const FleetBounds& aBounds,
+                               std::int64_t aWallMs)
   : epoch_(aEpoch)
   , firstRun_(static_cast<std::uint32_t>(aEpoch - 1) * kRunsPerEpoch + 1)
   , bounds_(aBounds)
+  , wallMs_(aWallMs)
   , health_(HealthRules())
 {
 }
@@ -224,8 +227,9 @@
 }
 
 void
-FleetScheduler::OnLoaded(Instant aNow)
+FleetScheduler::OnLoaded(Instant aNow, std::int64_t aWallMs)
 {
+  wallMs_ = aWallMs;
   loaded_ = true;
   loadedAt_ = aNow;
   std::size_t open = 0;
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -78,7 +78,10 @@
 class FleetScheduler
 {
 public:
-  FleetScheduler(std::uint64_t aEpoch, const FleetBounds& aBounds);
+  /** aWallMs: the wall clock in ms since 1970, for the ends of jobs. */
+  FleetScheduler(std::uint64_t aEpoch,
+                 const FleetBounds& aBounds,
+                 std::int64_t aWallMs);
 
   // Facts.
   /** A job is in the table. Repeats change nothing. */
@@ -94,7 +97,7 @@
   /** The row was removed, by its side or by Removable(). */
   void OnSideRemoved(const std::string& aNode);
   /** Everything in the table has been read. */
-  void OnLoaded(Instant aNow);
+  void OnLoaded(Instant aNow, std::int64_t aWallMs);
   void OnLinkUp(const std::string& aNode, Instant aNow);
   void OnLinkLost(const std::string& aNode, Instant aNow);
   void OnReport(const std::string& aNode,
--- a/Tests/Fleet/FleetFailureTest.cxx
+++ b/Tests/Fleet/FleetFailureTest.cxx
@@ -264,6 +264,24 @@
   cr_assert_eq(world.Starts("a.0.0.1") + world.Starts("a.0.0.2"), 0);
 }
 
+// A job is cancelled and its leader dies before it noted the end. The next one
+// reads the cancellation first of all; without the time of day at that point it
+// took the job for long over and forgot it: its caller was told "no such job".
+Test(FleetFailure, JobCancelledBeforeATakeoverIsStillKnown)
+{
+  FleetWorld world(1);
+  world.Run(Millis(1500));
+  world.Submit(MakeJob("a", 1, 1000));
+  world.storeAway_ = true;
+  world.Cancel("a");
+  world.ChangeLeader();
+  world.storeAway_ = false;
+  world.Run(Millis(1500));
+  const auto state = world.Scheduler().StateOf("a");
+  cr_assert(state.has_value());
+  cr_assert_eq(*state, JobState::Cancelled);
+}
+
 // A caller cancels so fast that the word comes before the job.
 Test(FleetFailure, CancellationMayComeBeforeItsJob)
 {
--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -228,7 +228,8 @@
 {
   epoch_ = aEpoch;
   writing_.reset();
-  scheduler_ = std::make_unique<FleetScheduler>(aEpoch, FleetBounds());
+  scheduler_ = std::make_unique<FleetScheduler>(
+    aEpoch, FleetBounds(), kWallMs + MillisOf(now_));
   for (const auto& [id, job] : jobs_) {
     scheduler_->OnJobStored(job, now_);
   }
@@ -242,7 +243,7 @@
     scheduler_->OnSideRegistered(host.node_, now_);
     host.linked_ = false;
   }
-  scheduler_->OnLoaded(now_);
+  scheduler_->OnLoaded(now_, kWallMs + MillisOf(now_));
 }
 
 void
@@ -383,6 +384,9 @@
     writing_.reset();
     scheduler_->OnBatchStored(number, now_);
   }
+  for (const std::string& id : scheduler_->Expired(wall)) {
+    scheduler_->Forget(id);
+  }
   scheduler_->TakeEvents();
 }
 
--- /dev/null
+++ b/Tests/Fleet/MemoryStore.cxx
@@ -0,0 +1,156 @@
+#include "MemoryStore.h"
+
+#include <QCoreApplication>
+#include <QTimer>
+
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+constexpr Millis kLook{ 5 };
+
+Failure
+Away()
+{
+  return NotRun(FailureKind::Refused, "The table is away.");
+}
+
+void
+WatchUntil(const std::string& aTable,
+           std::uint64_t aAfter,
+           Instant aUntil,
+           const ChangesCallback& aCallback)
+{
+  const MemoryTables& tables = MemoryTables::OfTest();
+  if (tables.away_) {
+    aCallback(Away());
+    return;
+  }
+  RowChanges changes = tables.Changes(aTable, aAfter);
+  if (!changes.rows_.empty() || ReadMonotonicClock() >= aUntil) {
+    aCallback(std::move(changes));
+    return;
+  }
+  QTimer::singleShot(
+    kLook, QCoreApplication::instance(), [aTable, aAfter, aUntil, aCallback] {
+      WatchUntil(aTable, aAfter, aUntil, aCallback);
+    });
+}
+
+}
+
+MemoryTables&
+MemoryTables::OfTest()
+{
+  static MemoryTables tables;
+  return tables;
+}
+
+Commit
+MemoryTables::Apply(const RowTransaction& aTransaction)
+{
+  for (const RowCondition& condition : aTransaction.conditions_) {
+    const auto found = rows_.find(condition.id_);
+    const std::uint64_t known =
+      found == rows_.end() ? 0 : found->second.version_;
+    if (known != condition.version_) {
+      return { CommitOutcome::Conflict, 0 };
+    }
+  }
+  ++version_;
+  for (const RowPut& put : aTransaction.puts_) {
+    rows_[put.id_] = { put.id_, put.value_, version_, false };
+    history_.push_back(rows_[put.id_]);
+  }
+  for (const RowId& id : aTransaction.removals_) {
+    rows_.erase(id);
+    history_.push_back({ id, {}, version_, true });
+  }
+  return { CommitOutcome::Done, version_ };
+}
+
+RowPage
+MemoryTables::Page(const RowRange& aRange) const
+{
+  RowPage page;
+  page.version_ = version_;
+  for (const auto& [id, row] : rows_) {
+    if (id.table_ == aRange.table_ && id.part_ == aRange.part_ &&
+        id.key_ >= aRange.first_ &&
+        (aRange.until_.empty() || id.key_ < aRange.until_)) {
+      page.rows_.push_back(row);
+    }
+  }
+  return page;
+}
+
+RowChanges
+MemoryTables::Changes(const std::string& aTable, std::uint64_t aAfter) const
+{
+  RowChanges changes;
+  changes.version_ = version_;
+  for (const Row& row : history_) {
+    if (row.id_.table_ == aTable && row.version_ > aAfter) {
+      changes.rows_.push_back(row);
+    }
+  }
+  return changes;
+}
+
+void
+MemoryStore::Write(const RowTransaction& aTransaction,
+                   Instant aDeadline,
+                   CommitCallback aCallback)
+{
+  MemoryTables& tables = MemoryTables::OfTest();
+  Commit commit{ CommitOutcome::NotDone, 0 };
+  Millis after(0);
+  if (!tables.away_) {
+    commit = tables.Apply(aTransaction);
+  }
+  if (tables.losesAnswers_) {
+    commit = { CommitOutcome::Doubt, 0 };
+    after =
+      std::chrono::duration_cast<Millis>(aDeadline - ReadMonotonicClock());
+  }
+  QTimer::singleShot(
+    after,
+    QCoreApplication::instance(),
+    [commit, callback = std::move(aCallback)] { callback(commit); });
+}
+
+void
+MemoryStore::Read(const RowRange& aRange,
+                  Instant aDeadline,
+                  PageCallback aCallback)
+{
+  (void)aDeadline;
+  const MemoryTables& tables = MemoryTables::OfTest();
+  Result<RowPage> page = Away();
+  if (!tables.away_) {
+    page = tables.Page(aRange);
+  }
+  QTimer::singleShot(0,
+                     QCoreApplication::instance(),
+                     [page = std::move(page), callback = std::move(aCallback)] {
+                       callback(page);
+                     });
+}
+
+void
+MemoryStore::Watch(const std::string& aTable,
+                   std::uint64_t aAfter,
+                   Millis aWait,
+                   ChangesCallback aCallback)
+{
+  const Instant until = ReadMonotonicClock() + aWait;
+  QTimer::singleShot(kLook,
+                     QCoreApplication::instance(),
+                     [aTable, aAfter, until, callback = std::move(aCallback)] {
+                       WatchUntil(aTable, aAfter, until, callback);
+                     });
+}
+
+}
--- /dev/null
+++ b/Tests/Fleet/ProcessFleet.cxx
@@ -0,0 +1,264 @@
+#include "ProcessFleet.h"
+
+#include <QCoreApplication>
+#include <QEventLoop>
+
+#include <unistd.h>
+
+#include <map>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+constexpr std::string_view kQueue = "/queue/";
+constexpr std::string_view kWorker = "/worker/";
+
+/** A loopback address of this process alone: ports need not be searched. */
+std::string
+LoopbackOf(std::size_t aNode)
+{
+  const auto process = static_cast<unsigned>(::getpid());
+  return "127." + std::to_string(1 + process % 200) + "." +
+         std::to_string(1 + process / 200 % 200) + "." + std::to_string(aNode);
+}
+
+FleetSettings
+CommonOf(const std::string& aName, const std::string& aIp)
+{
+  FleetSettings settings;
+  settings.name_ = aName;
+  settings.links_ = { aIp, 7001 };
+  settings.metrics_ = { aIp, 7002 };
+  settings.stopBound_ = Millis(6000);
+  return settings;
+}
+
+}
+
+WorkerClientFake::WorkerClientFake(const SocketAddress& aAddress)
+  : address_(aAddress.Text())
+{
+}
+
+WorkerFake&
+WorkerClientFake::At(const std::string& aAddress)
+{
+  static std::map<std::string, WorkerFake> workers;
+  return workers.try_emplace(aAddress, WorkerFake("w" + aAddress))
+    .first->second;
+}
+
+void
+WorkerClientFake::Send(const WorkerCall& aCall,
+                       std::function<void(const CallAnswer&)> aCallback)
+{
+  const CallAnswer answer = At(address_).Take(aCall, ReadMonotonicClock());
+  constexpr Millis kWay{ 5 };
+  QTimer::singleShot(
+    kWay,
+    QCoreApplication::instance(),
+    [answer, callback = std::move(aCallback)] { callback(answer); });
+}
+
+Result<FleetConfiguration>
+TestPlatform::DecodeConfiguration(const std::string&)
+{
+  FleetConfiguration configuration;
+  configuration.version_ = 1;
+  QueueRule queue;
+  queue.pathPrefix_ = kQueue;
+  queue.service_ = "service";
+  queue.maxAttempts_ = 3;
+  configuration.queues_.push_back(queue);
+  return configuration;
+}
+
+CallerCall
+TestPlatform::DecodeCaller(const HttpExchange& aExchange,
+                           const FleetConfiguration* aConfiguration)
+{
+  CallerCall call;
+  call.deadline_ = ReadMonotonicClock() + Millis(3000);
+  if (aConfiguration == nullptr) {
+    call.what_ = RefuseCall{ CallerRefusal::NotReady, "Not yet." };
+    return call;
+  }
+  const std::string id = aExchange.Path().substr(kQueue.size());
+  if (aExchange.Method() == "GET") {
+    call.what_ = AskJobState{ id };
+  } else if (aExchange.Method() == "DELETE") {
+    call.what_ = CancelJob{ id };
+  } else {
+    const auto tasks = static_cast<std::uint32_t>(std::stoul(aExchange.Body()));
+    call.what_ = SubmitJob{ MakeJob(id, tasks, 1000) };
+  }
+  return call;
+}
+
+HttpAnswer
+TestPlatform::EncodeReply(const CallerReply& aReply)
+{
+  HttpAnswer answer;
+  switch (aReply.outcome_) {
+    case CallerOutcome::Stored:
+      break;
+    case CallerOutcome::State:
+      answer.body_ = JobStateText(aReply.state_);
+      break;
+    case CallerOutcome::Waiting:
+      answer.body_ = std::to_string(aReply.waiting_);
+      break;
+    case CallerOutcome::NoSuchJob:
+      answer.status_ = 410;
+      break;
+    case CallerOutcome::NoSuchQueue:
+      answer.status_ = 404;
+      break;
+    case CallerOutcome::BadRequest:
+      answer.status_ = 400;
+      break;
+    case CallerOutcome::TryLater:
+      answer.status_ = 503;
+      break;
+    case CallerOutcome::InDoubt:
+      answer.status_ = 504;
+      break;
+  }
+  return answer;
+}
+
+Result<WorkerNotice>
+TestPlatform::DecodeNotice(const HttpExchange& aExchange)
+{
+  WorkerAnnouncement announcement;
+  announcement.facts_.id_ = aExchange.Path().substr(kWorker.size());
+  announcement.facts_.service_ = "service";
+  announcement.facts_.room_ = { 4000, 64000, 0 };
+  announcement.clockMs_ =
+    std::chrono::duration_cast<Millis>(ReadMonotonicClock().time_since_epoch())
+      .count();
+  announcement.sequence_ = static_cast<std::uint64_t>(announcement.clockMs_);
+  return WorkerNotice(announcement);
+}
+
+ProcessFleet::ProcessFleet(std::size_t aEntries, std::size_t aSides)
+{
+  MemoryTables& tables = MemoryTables::OfTest();
+  RowTransaction configuration;
+  configuration.puts_.push_back({ TestPlatform::ConfigurationRow(), "one" });
+  tables.Apply(configuration);
+  for (std::size_t i = 0; i < aEntries; ++i) {
+    const std::string ip = LoopbackOf(1 + i);
+    FleetEntrySettings settings;
+    settings.fleet_ = CommonOf("entry" + std::to_string(i), ip);
+    settings.callers_ = { ip, 7003 };
+    settings.readiness_ = { ip, 7004 };
+    entrySettings_.push_back(settings);
+    entries_.push_back(std::get<std::unique_ptr<TestEntry>>(
+      TestEntry::Start(entrySettings_.back())));
+  }
+  for (std::size_t i = 0; i < aSides; ++i) {
+    const std::string ip = LoopbackOf(100 + i);
+    FleetSideSettings settings;
+    settings.fleet_ = CommonOf("side" + std::to_string(i), ip);
+    settings.announcements_ = { ip, 7003 };
+    settings.worker_ = { ip, 7005 };
+    settings.maxLease_ = Millis(10000);
+    settings.stopTimeout_ = Millis(100);
+    sideSettings_.push_back(settings);
+    WorkerClientFake::At(settings.worker_.Text()).stopTime_ = Millis(50);
+    sides_.push_back(std::get<std::unique_ptr<TestSide>>(
+      TestSide::Start(sideSettings_.back())));
+  }
+  QObject::connect(&announcer_, &QTimer::timeout, [this] { Announce(); });
+  constexpr Millis kAnnounce{ 300 };
+  announcer_.start(kAnnounce);
+  Announce();
+}
+
+void
+ProcessFleet::Announce()
+{
+  for (std::size_t i = 0; i < sides_.size(); ++i) {
+    HttpCall call;
+    call.method_ = "PUT";
+    call.url_ = "http://" + sideSettings_[i].announcements_.Text() +
+                std::string(kWorker) + Worker(i).id_;
+    call.body_ = "{}";
+    call.deadline_ = ReadMonotonicClock() + Millis(1000);
+    caller_.Start(std::move(call), [](const Result<HttpReply>&) {});
+  }
+}
+
+bool
+ProcessFleet::Wait(const std::function<bool()>& aHolds)
+{
+  const Instant until = ReadMonotonicClock() + Millis(60000);
+  while (!aHolds()) {
+    if (ReadMonotonicClock() > until) {
+      return false;
+    }
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
+  }
+  return true;
+}
+
+HttpReply
+ProcessFleet::Ask(std::size_t aEntry,
+                  const std::string& aMethod,
+                  const std::string& aPath,
+                  const std::string& aBody)
+{
+  HttpCall call;
+  call.method_ = aMethod;
+  call.url_ = "http://" + entrySettings_.at(aEntry).callers_.Text() +
+              std::string(kQueue) + aPath;
+  call.body_ = aBody;
+  call.deadline_ = ReadMonotonicClock() + Millis(5000);
+  std::optional<Result<HttpReply>> answer;
+  caller_.Start(std::move(call), [&answer](Result<HttpReply> aReply) {
+    answer = std::move(aReply);
+  });
+  Wait([&answer] { return answer.has_value(); });
+  const auto* reply = std::get_if<HttpReply>(&*answer);
+  return reply == nullptr ? HttpReply() : *reply;
+}
+
+bool
+ProcessFleet::Completes(std::size_t aEntry, const std::string& aJob)
+{
+  return Wait([this, aEntry, &aJob] {
+    return Ask(aEntry, "GET", aJob).body_ == "completed";
+  });
+}
+
+void
+ProcessFleet::StopEntry(std::size_t aEntry)
+{
+  bool stopped = false;
+  entries_.at(aEntry)->Stop([&stopped] { stopped = true; });
+  Wait([&stopped] { return stopped; });
+  entries_.at(aEntry).reset();
+}
+
+WorkerFake&
+ProcessFleet::Worker(std::size_t aSide)
+{
+  return WorkerClientFake::At(sideSettings_.at(aSide).worker_.Text());
+}
+
+std::string
+ProcessFleet::SideName(std::size_t aSide) const
+{
+  return sideSettings_.at(aSide).fleet_.name_;
+}
+
+std::string
+ProcessFleet::SideLinks(std::size_t aSide) const
+{
+  return sideSettings_.at(aSide).fleet_.links_.Text();
+}
+
+}
--- a/Tests/Fleet/WorkerKeeperTest.cxx
+++ b/Tests/Fleet/WorkerKeeperTest.cxx
@@ -203,7 +203,8 @@
 {
   Bench bench;
   bench.Order(2, 10800);
-  const auto starts = Only<StartCall>(bench.keeper_.TakeCalls(At(10800)));
+  const std::vector<WorkerCall> calls = bench.AnswerHold(10800, {});
+  const auto starts = Only<StartCall>(calls);
   bench.keeper_.OnAnswer(
     starts[0].head_.id_, Answer(CallOutcome::Accepted, 1300), At(10810));
   bench.keeper_.OnWorkerLeft("w1", At(10900));
