Side: Knock at the worker's port after a start; a refusal says that nothing runs

Cause: after a loss of power everywhere a leader waited for each side's worker to announce itself, up to the longest lease.

--- a/Source/Process/WorkerKeeper.cxx
+++ b/Source/Process/WorkerKeeper.cxx
@@ -23,6 +23,9 @@
  * for the leader so long. */
 constexpr Millis kUnstoredPause{ 150 };
 constexpr Millis kHoldRetry{ 150 };
+/** A worker's port that refuses so many times in a row, 150 ms apart, after
+ * this side started has no worker behind it. */
+constexpr std::uint32_t kRefusalsOfNothing = 3;
 /** Orders under way at once; a worker has eight slots, one is the hold's. */
 constexpr std::size_t kMaxOpenOrders = 6;
 /** A worker that has not answered for so long gets no new work. */
@@ -137,8 +140,9 @@
   runs_.clear();
   refused_.clear();
   std::erase_if(calls_, [](const auto& aEntry) {
-    return aEntry.second.kind_ != OpenCall::Kind::Hold &&
-           aEntry.second.kind_ != OpenCall::Kind::Probe;
+    return aEntry.second.kind_ == OpenCall::Kind::Start ||
+           aEntry.second.kind_ == OpenCall::Kind::Stop ||
+           aEntry.second.kind_ == OpenCall::Kind::Pace;
   });
   openOrders_ = 0;
   reportDue_ = true;
@@ -376,6 +380,7 @@
   CheckLeases(aNow);
   std::vector<WorkerCall> calls;
   if (facts_.id_.empty()) {
+    AddKnock(calls, aNow);
     return calls;
   }
   // Before the first hold was answered, calls of an earlier life of this side
@@ -387,6 +392,39 @@
   return calls;
 }
 
+bool
+WorkerKeeper::AddKnock(std::vector<WorkerCall>& aCalls, Instant aNow)
+{
+  if (seenLife_ || known_ || holding_ || aNow < nextHoldAt_) {
+    return false;
+  }
+  OpenCall open;
+  open.kind_ = OpenCall::Kind::Knock;
+  HoldCall call;
+  holding_ = true;
+  call.head_ = Head(std::move(open), kHoldTimeout, aNow);
+  aCalls.emplace_back(std::move(call));
+  return true;
+}
+
+void
+WorkerKeeper::OnKnockAnswer(const CallAnswer& aAnswer, Instant aNow)
+{
+  nextHoldAt_ = aNow + kHoldRetry;
+  if (aAnswer.outcome_ != CallOutcome::NotDone) {
+    refusals_ = 0;
+    return;
+  }
+  // Its host came up anew and the worker has not: nothing runs there. Without
+  // this a leader waits for all leases that might exist, some ten seconds after
+  // a loss of power.
+  if (++refusals_ >= kRefusalsOfNothing) {
+    known_ = true;
+    settledAt_ = aNow;
+    reportDue_ = true;
+  }
+}
+
 void
 WorkerKeeper::CheckLeases(Instant aNow)
 {
@@ -454,6 +492,10 @@
       holding_ = false;
       OnHoldAnswer(call, aAnswer, aNow);
       break;
+    case OpenCall::Kind::Knock:
+      holding_ = false;
+      OnKnockAnswer(aAnswer, aNow);
+      break;
     case OpenCall::Kind::Probe:
       holding_ = false;
       OnProbeAnswer(call, aAnswer, aNow);
--- a/Source/Process/WorkerKeeper.h
+++ b/Source/Process/WorkerKeeper.h
@@ -208,6 +208,8 @@
       Hold,
       /** A hold that asks whether a new life is there. */
       Probe,
+      /** A hold that asks whether anything is there at all. */
+      Knock,
     };
     Kind kind_ = Kind::Hold;
     RunKey key_;
@@ -236,6 +238,8 @@
   void OnHoldAnswer(const OpenCall& aCall,
                     const CallAnswer& aAnswer,
                     Instant aNow);
+  bool AddKnock(std::vector<WorkerCall>& aCalls, Instant aNow);
+  void OnKnockAnswer(const CallAnswer& aAnswer, Instant aNow);
   void OnProbeAnswer(const OpenCall& aCall,
                      const CallAnswer& aAnswer,
                      Instant aNow);
@@ -270,6 +274,8 @@
   /** The worker's life began before this side's. */
   bool inherited_ = true;
   bool seenLife_ = false;
+  /** Times in a row that the worker's port refused before any life was seen. */
+  std::uint32_t refusals_ = 0;
   /** No lease that was asked for can last beyond this. */
   Instant leasesOverAt_;
   std::map<RunKey, LocalRun> runs_;
