Fleet: Give backfill pairs the benefit of noise; let a starving job run slowly

Harm is bimodal: next to nothing, or 2 to 30 times. The bounds are now 0.8 and 0.6, and what was learned fades.

--- a/Source/Process/BackfillInterference.cxx
+++ b/Source/Process/BackfillInterference.cxx
@@ -30,8 +30,8 @@
   InterferenceModel::Rules rules;
   rules.priorMean_ = 0.3;
   rules.priorDeviation_ = 3;
-  rules.driftPerSecond_ = 1e-4;
-  rules.sampleDeviation_ = 0.35;
+  rules.driftPerSecond_ = 0.04;
+  rules.sampleDeviation_ = 0.5;
   rules.modelDeviation_ = 0.2;
   return rules;
 }
@@ -82,25 +82,17 @@
 }
 
 BackfillImpact
-BackfillInterference::Impact(std::span<const ServingSample> aServing,
+BackfillInterference::Impact(std::string_view aServingImage,
                              std::string_view aBackfillImage) const
 {
-  BackfillImpact impact;
+  const InterferenceModel::Program victim = model_.Find(aServingImage);
   const InterferenceModel::Program aggressor = model_.Find(aBackfillImage);
-  for (const ServingSample& sample : aServing) {
-    const InterferenceModel::Program victim = model_.Find(sample.image_);
-    if (victim == InterferenceModel::kUnknown ||
-        aggressor == InterferenceModel::kUnknown) {
-      impact.known_ = false;
-      continue;
-    }
-    impact.cost_ =
-      std::max(impact.cost_, model_.Cost(victim, aggressor, kLoad));
-    if (model_.Doubt(victim, aggressor, kLoad) > kKnownDoubt) {
-      impact.known_ = false;
-    }
+  if (victim == InterferenceModel::kUnknown ||
+      aggressor == InterferenceModel::kUnknown) {
+    return { 0, false };
   }
-  return impact;
+  return { model_.Cost(victim, aggressor, kLoad),
+           model_.Doubt(victim, aggressor, kLoad) <= kKnownDoubt };
 }
 
 double
--- a/Source/Process/BackfillInterference.h
+++ b/Source/Process/BackfillInterference.h
@@ -32,7 +32,7 @@
   double pace_ = 1;
 };
 
-/** What one more task of an image would do to those that serve on a worker. */
+/** What one more backfill task does to one that serves. */
 struct BackfillImpact
 {
   /** Slowdown that it adds to the one it disturbs most; 0 is none. */
@@ -62,7 +62,7 @@
                std::span<const ServingSample> aServing,
                Instant aMeasuredAt);
 
-  BackfillImpact Impact(std::span<const ServingSample> aServing,
+  BackfillImpact Impact(std::string_view aServingImage,
                         std::string_view aBackfillImage) const;
 
   /** The pressure of a serving task with no backfill beside it, as learned. */
--- a/Source/Process/FleetJob.cxx
+++ b/Source/Process/FleetJob.cxx
@@ -147,6 +147,23 @@
          std::all_of(occurrences_.begin(), occurrences_.end(), isDone);
 }
 
+bool
+FleetJob::Idle() const
+{
+  for (const auto& [number, occurrence] : occurrences_) {
+    for (const FleetStep& step : occurrence.steps_) {
+      const bool idle =
+        std::all_of(step.tasks_.begin(),
+                    step.tasks_.end(),
+                    [](const FleetTask& aTask) { return aTask.runs_.empty(); });
+      if (!idle) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 void
 FleetJob::ForgetDone()
 {
--- a/Source/Process/FleetJob.h
+++ b/Source/Process/FleetJob.h
@@ -40,6 +40,8 @@
   Instant firstReportAt_;
   bool reported_ = false;
   std::uint32_t pace_ = 100;
+  /** It never works faster than this, as it would disturb others. */
+  std::uint32_t paceLimit_ = 100;
   /** As reported: tail latency in ms, or thousandths of a core in use. */
   std::uint32_t measure_ = 0;
 };
@@ -136,6 +138,9 @@
   bool IsOver() const { return IsFinal(state_); }
   std::int64_t EndedAtMs() const { return endedAtMs_; }
 
+  /** None of its tasks has a run. */
+  bool Idle() const;
+
   /** Some task was started once. */
   bool EverStarted() const { return everStarted_; }
   void SetStarted() { everStarted_ = true; }
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -140,6 +141,8 @@
     JobState storedState_ = JobState::Pending;
     /** The state in the batch that is being stored. */
     JobState batchState_ = JobState::Pending;
+    /** Since when it has had nothing running although a task could. */
+    std::optional<Instant> idleSince_;
   };
 
   /** Ready work in the order in which it is placed. */
@@ -151,7 +154,15 @@
     std::uint32_t occurrence_ = 0;
     std::uint32_t step_ = 0;
 
-    auto operator<=>(const ReadyKey&) const = default;
+    bool operator<(const ReadyKey& aOther) const
+    {
+      return std::tie(priority_, acceptedAtMs_, job_, occurrence_, step_) <
+             std::tie(aOther.priority_,
+                      aOther.acceptedAtMs_,
+                      aOther.job_,
+                      aOther.occurrence_,
+                      aOther.step_);
+    }
   };
 
   struct Place
@@ -221,12 +232,20 @@
                  FleetStep& aStep,
                  std::uint32_t aIndex,
                  Instant aNow);
+  bool PlaceStarving(JobEntry& aEntry,
+                     FleetStep& aStep,
+                     std::uint32_t aIndex,
+                     Instant aNow);
   bool PlaceGang(JobEntry& aEntry, FleetStep& aStep, Instant aNow);
   FleetWorker* Choose(const FleetJob& aJob,
                       const FleetStep& aStep,
                       const FleetTask& aTask,
-                      Instant aNow);
+                      Instant aNow,
+                      bool aStarving = false);
   void FillOptions(const FleetStep& aStep, Instant aNow);
+  /** What a backfill task would do to those that serve on the worker. */
+  BackfillImpact ImpactOn(const FleetWorker& aWorker,
+                          const std::string& aBackfillImage) const;
   std::string RackInUse(const FleetStep& aStep) const;
   void StartRun(JobEntry& aEntry,
                 FleetStep& aStep,
--- a/Source/Process/FleetSchedulerCare.cxx
+++ b/Source/Process/FleetSchedulerCare.cxx
@@ -37,7 +37,7 @@
 /** Tail latency over its objective above which backfill beside it gives way. */
 constexpr double kPressed = 0.9;
 /** Slowdown by one backfill task that is worth acting on. */
-constexpr double kBlamed = 0.3;
+constexpr double kBlamed = 0.6;
 /** A serving task over its objective for so long, for whatever cause, makes all
  * backfill beside it stand still until it has recovered: guards against harm by
  * many that seem harmless one by one, within the 4 s that users allow. */
@@ -303,11 +303,12 @@
     }
     for (TaskRun& run : place->task_->runs_) {
       if (run.run_ == key.second && run.node_ == aWorker.node_) {
-        run.pace_ = aPace;
+        run.pace_ = std::min(aPace, run.paceLimit_);
         run.progressAt_ = aNow;
         run.firstReportAt_ = aNow;
         run.firstPercent_ = run.percent_;
-        OrdersFor(aWorker).paces_.push_back({ key.first, key.second, aPace });
+        OrdersFor(aWorker).paces_.push_back(
+          { key.first, key.second, run.pace_ });
       }
     }
   }
@@ -337,13 +338,19 @@
     if (!place.has_value()) {
       continue;
     }
-    const BackfillImpact impact =
-      interference_.Impact(pressed, place->step_->spec_->image_);
+    BackfillImpact impact;
+    for (const ServingSample& sample : pressed) {
+      impact.cost_ = std::max(
+        impact.cost_,
+        interference_.Impact(sample.image_, place->step_->spec_->image_).cost_);
+    }
     if (impact.cost_ < kBlamed) {
       continue;
     }
     for (TaskRun& run : place->task_->runs_) {
-      if (run.run_ == key.second && run.node_ == aWorker.node_) {
+      // One at a lower pace starved before: it gives way by PauseBackfill().
+      if (run.run_ == key.second && run.node_ == aWorker.node_ &&
+          run.paceLimit_ == 100) {
         OrderStop(aWorker.node_,
                   key.first,
                   run,
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -9,6 +9,13 @@
 
 namespace {
 
+/** A job of backfill with nothing running takes any worker after this; users
+ * count one as lost after three seconds. */
+constexpr Millis kStarved{ 1500 };
+/** Slowdown that a task kept at a lower pace may cause, and the least pace. */
+constexpr double kHarmlessCost = 0.5;
+constexpr std::uint32_t kLeastPace = 5;
+
 FleetRoom
 Sum(const FleetRoom& aLeft, const FleetRoom& aRight)
 {
@@ -127,7 +134,8 @@
       allPlaced = false;
       continue;
     }
-    if (!PlaceTask(entry, step, i, aNow)) {
+    if (!PlaceTask(entry, step, i, aNow) &&
+        !PlaceStarving(entry, step, i, aNow)) {
       MakeRoom(*entry.job_, step, aNow);
       return false;
     }
@@ -154,15 +162,25 @@
     option.sameStep_ = same == sameStep.end() ? 0 : same->second;
     option.setAside_ = health_.IsSetAside(node, aNow);
     if (aStep.spec_->backfill_ && worker.serving_ > 0) {
-      option.impact_ =
-        interference_.Impact(worker.servingSamples_, aStep.spec_->image_);
-      option.impact_.known_ = option.impact_.known_ &&
-                              worker.servingSamples_.size() >= worker.serving_;
+      option.impact_ = ImpactOn(worker, aStep.spec_->image_);
     }
     options_.push_back(option);
   }
 }
 
+BackfillImpact
+FleetScheduler::ImpactOn(const FleetWorker& aWorker,
+                         const std::string& aBackfillImage) const
+{
+  BackfillImpact worst;
+  for (const auto& [image, count] : aWorker.servingImages_) {
+    const BackfillImpact one = interference_.Impact(image, aBackfillImage);
+    worst.cost_ = std::max(worst.cost_, one.cost_);
+    worst.known_ = worst.known_ && one.known_;
+  }
+  return worst;
+}
+
 std::string
 FleetScheduler::RackInUse(const FleetStep& aStep) const
 {
@@ -184,7 +202,8 @@
 FleetScheduler::Choose(const FleetJob& aJob,
                        const FleetStep& aStep,
                        const FleetTask& aTask,
-                       Instant aNow)
+                       Instant aNow,
+                       bool aStarving)
 {
   FillOptions(aStep, aNow);
   const std::string rack = RackInUse(aStep);
@@ -195,6 +214,7 @@
   facts.farFactor_ = bounds_.farFactor_;
   facts.rackInUse_ = rack;
   facts.now_ = aNow;
+  facts.starving_ = aStarving;
   const std::optional<std::size_t> chosen = ChooseWorker(options_, facts);
   if (!chosen.has_value()) {
     return nullptr;
@@ -221,6 +241,45 @@
   return true;
 }
 
+bool
+FleetScheduler::PlaceStarving(JobEntry& aEntry,
+                              FleetStep& aStep,
+                              std::uint32_t aIndex,
+                              Instant aNow)
+{
+  // A job whose backfill would disturb someone wherever it went must still get
+  // on: slowly, where it disturbs least, at a pace that keeps it harmless.
+  if (!aStep.spec_->backfill_ || !aEntry.job_->Idle()) {
+    aEntry.idleSince_.reset();
+    return false;
+  }
+  aEntry.idleSince_ = aEntry.idleSince_.value_or(aNow);
+  if (aNow - *aEntry.idleSince_ < kStarved) {
+    return false;
+  }
+  FleetTask& task = aStep.tasks_[aIndex];
+  FleetWorker* worker = Choose(*aEntry.job_, aStep, task, aNow, true);
+  if (worker == nullptr) {
+    return false;
+  }
+  aEntry.idleSince_.reset();
+  StartRun(aEntry, aStep, aIndex, *worker, aEntry.job_->NextRun(task), aNow);
+  const double cost = ImpactOn(*worker, aStep.spec_->image_).cost_;
+  if (cost > kHarmlessCost) {
+    TaskRun& run = task.runs_.back();
+    run.paceLimit_ = std::max<std::uint32_t>(
+      kLeastPace, static_cast<std::uint32_t>(100 * kHarmlessCost / cost));
+    run.pace_ = run.paceLimit_;
+    OrdersFor(*worker).paces_.push_back(
+      { TaskId{
+          aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, aIndex }
+          .Text(),
+        run.run_,
+        run.pace_ });
+  }
+  return true;
+}
+
 bool
 FleetScheduler::PlaceGang(JobEntry& aEntry, FleetStep& aStep, Instant aNow)
 {
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -23,6 +23,8 @@
   std::int64_t backfillCpuMilli_ = 0;
   /** It serves its own users and has a latency objective. */
   bool serves_ = false;
+  /** What it runs. */
+  std::string image_;
 };
 
 /** A run that holds room on a worker. */
@@ -96,6 +98,8 @@
   double backfillShare_ = 1;
   /** Processors declared by tasks that serve; they use a part of them. */
   std::int64_t servingCpuMilli_ = 0;
+  /** Images of tasks that serve there, and how many of each. */
+  std::map<std::string, std::uint32_t> servingImages_;
   /** A backfill task whose effect there is not known started then. */
   Instant triedAt_;
 
@@ -134,6 +138,11 @@
     if (aRoom.serves_) {
       serving_ += static_cast<std::uint32_t>(aSign);
       servingCpuMilli_ += aSign * aRoom.room_.cpuMilli_;
+      std::uint32_t& count = servingImages_[aRoom.image_];
+      count += static_cast<std::uint32_t>(aSign);
+      if (count == 0) {
+        servingImages_.erase(aRoom.image_);
+      }
     }
   }
 };
--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -22,7 +22,10 @@
 /** No backfill joins a worker where a task is that close to its objective. */
 constexpr double kPressed = 0.9;
 /** Slowdown of a serving task that one backfill task may add. */
-constexpr double kMaxImpact = 0.25;
+constexpr double kMaxImpact = 0.8;
+/** One that slows it by this much is not tried again to see whether it still
+ * does; what was learned of the others fades, and they are. */
+constexpr double kHarmful = 3;
 /** A task whose effect is unknown starts beside serving ones below this part of
  * their objective, and one at a time. */
 constexpr double kCalmPressure = 0.7;
@@ -94,6 +97,9 @@
 {
   const FleetWorker& worker = *aOption.worker_;
   const double share = BackfillShare(worker, aFacts.step_->cpuMilli_);
+  if (aFacts.starving_) {
+    return kImpactWeight * aOption.impact_.cost_ + 1 / std::max(share, 0.05);
+  }
   if (share < kLeastBackfillShare || worker.backfillShare_ < kSaturated) {
     return kNever;
   }
@@ -105,6 +111,9 @@
     return kNever;
   }
   const BackfillImpact& impact = aOption.impact_;
+  if (impact.cost_ > kHarmful) {
+    return kNever;
+  }
   if (!impact.known_) {
     const bool mayTry = worker.pressure_ < kCalmPressure &&
                         aFacts.now_ - worker.triedAt_ > kTryEvery;
@@ -168,6 +177,7 @@
                  aStep.accelerators_ };
   room.backfillCpuMilli_ = aStep.backfill_ ? aStep.cpuMilli_ : 0;
   room.serves_ = aStep.latencyObjectiveMs_ > 0;
+  room.image_ = aStep.image_;
   return room;
 }
 
--- a/Source/Process/WorkerChoice.h
+++ b/Source/Process/WorkerChoice.h
@@ -22,6 +22,8 @@
   /** Racks that tasks of the step use already, for steps of one rack. */
   std::string_view rackInUse_;
   Instant now_;
+  /** Backfill that found no good place for so long that any will do. */
+  bool starving_ = false;
   /** New runs may still start on a draining worker for so long. */
   Millis drain_{ 0 };
 };
