--- a/Source/Connection/RowStore.h
+++ b/Source/Connection/RowStore.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace cactusrail {
@@ -18,7 +19,12 @@
   std::string part_;
   std::string key_;
 
-  auto operator<=>(const RowId&) const = default;
+  bool operator==(const RowId&) const = default;
+  bool operator<(const RowId& aOther) const
+  {
+    return std::tie(table_, part_, key_) <
+           std::tie(aOther.table_, aOther.part_, aOther.key_);
+  }
 };
 
 /** A row as it was read. */
--- a/Source/Process/BackfillInterference.cxx
+++ b/Source/Process/BackfillInterference.cxx
@@ -30,7 +30,7 @@
   InterferenceModel::Rules rules;
   rules.priorMean_ = 0.3;
   rules.priorDeviation_ = 3;
-  rules.driftPerSecond_ = 0.04;
+  rules.driftPerSecond_ = 0.02;
   rules.sampleDeviation_ = 0.5;
   rules.modelDeviation_ = 0.2;
   return rules;
@@ -89,10 +89,10 @@
   const InterferenceModel::Program aggressor = model_.Find(aBackfillImage);
   if (victim == InterferenceModel::kUnknown ||
       aggressor == InterferenceModel::kUnknown) {
-    return { 0, false };
+    return { 0, 0, false };
   }
-  return { model_.Cost(victim, aggressor, kLoad),
-           model_.Doubt(victim, aggressor, kLoad) <= kKnownDoubt };
+  const double cost = model_.Cost(victim, aggressor, kLoad);
+  return { cost, cost, model_.Doubt(victim, aggressor, kLoad) <= kKnownDoubt };
 }
 
 double
--- a/Source/Process/BackfillInterference.h
+++ b/Source/Process/BackfillInterference.h
@@ -37,6 +37,8 @@
 {
   /** Slowdown that it adds to the one it disturbs most; 0 is none. */
   double cost_ = 0;
+  /** The same with all backfill that is there already. */
+  double total_ = 0;
   /** The pair has been seen together long enough. */
   bool known_ = true;
 };
@@ -68,6 +70,10 @@
   /** The pressure of a serving task with no backfill beside it, as learned. */
   double PressureAlone(const ServingSample& aServing) const;
 
+  /** What has been learned, for the next leader, and from the last one. */
+  const InterferenceModel& Model() const { return model_; }
+  InterferenceModel& Model() { return model_; }
+
 private:
   InterferenceModel model_;
   InterferenceHistory history_;
--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -288,7 +288,7 @@
 
   /** Answers a question to the leader, of another entry or of this one. */
   void AnswerAsk(const FleetAskMessage& aAsk,
-                 std::function<void(FleetAnswerMessage)> aAnswer)
+                 const std::function<void(FleetAnswerMessage)>& aAnswer)
   {
     switch (aAsk.question_) {
       case FleetQuestion::JobStored:
@@ -310,7 +310,7 @@
         return;
       case FleetQuestion::StoreJob:
       case FleetQuestion::StoreCancel:
-        StoreForPeer(aAsk, std::move(aAnswer));
+        StoreForPeer(aAsk, aAnswer);
         return;
     }
   }
@@ -338,7 +338,7 @@
   }
 
   void StoreForPeer(const FleetAskMessage& aAsk,
-                    std::function<void(FleetAnswerMessage)> aAnswer)
+                    const std::function<void(FleetAnswerMessage)>& aAnswer)
   {
     const Instant deadline = ReadMonotonicClock() + kReadTimeout;
     const auto answer = [this, aAsk, aAnswer](IntakeOutcome aOutcome) {
@@ -639,7 +639,7 @@
 
   /** Whether there is such a row; none if the store does not say. */
   void ReadRow(const RowId& aId,
-               std::function<void(std::optional<bool>)> aCallback)
+               const std::function<void(std::optional<bool>)>& aCallback)
   {
     store_.Read({ aId.table_, aId.part_, aId.key_, aId.key_ + " " },
                 ReadMonotonicClock() + kReadTimeout,
--- a/Source/Process/FleetLead.h
+++ b/Source/Process/FleetLead.h
@@ -218,12 +218,47 @@
     if (Loaded()) {
       return;
     }
+    ReadLearned();
     scheduler_.OnLoaded(ReadMonotonicClock(), ReadWallClock() / 1000);
     tick_.start(kTick);
     CheckLinks();
     Pump();
   }
 
+  void ReadLearned()
+  {
+    const RowId id = LearnedRowId();
+    store_.Read(
+      { id.table_, id.part_, id.key_, id.key_ + " " },
+      ReadMonotonicClock() + kRemoveTimeout,
+      Guarded(this, [this](Result<RowPage> aPage) {
+        const auto* page = std::get_if<RowPage>(&aPage);
+        if (page == nullptr || page->rows_.empty()) {
+          return; // Then it is learned anew.
+        }
+        const Result<LearnedRecord> record =
+          DecodeRecord<LearnedRecord>(page->rows_.front().value_);
+        if (const auto* learned = std::get_if<LearnedRecord>(&record)) {
+          scheduler_.Interference().Model().Import(learned->pairs_,
+                                                   ReadMonotonicClock());
+        }
+      }));
+  }
+
+  void WriteLearned(Instant aNow)
+  {
+    LearnedRecord record{ scheduler_.Interference().Model().Export() };
+    if (record.pairs_.empty() || !lease_.Leads(aNow)) {
+      return;
+    }
+    // Within the size of a row.
+    constexpr std::size_t kMostPairs = 400;
+    record.pairs_.resize(std::min(record.pairs_.size(), kMostPairs));
+    RowTransaction transaction;
+    transaction.puts_.push_back({ LearnedRowId(), EncodeRecord(record) });
+    store_.Write(transaction, aNow + kRemoveTimeout, [](const Commit&) {});
+  }
+
   void DropLink(Side& aSide)
   {
     if (!aSide.link_.isNull()) {
@@ -385,12 +420,14 @@
   /** Removes what nobody can ask for any more. */
   void Sweep(Instant aNow)
   {
+    WriteLearned(aNow);
     std::map<std::string, std::vector<std::string>> byPart;
     for (const std::string& id : scheduler_.Expired(ReadWallClock() / 1000)) {
       byPart[WorkPartOf(id)].push_back(id);
     }
     constexpr std::size_t kMostAtOnce = 40;
-    for (auto& [part, ids] : byPart) {
+    for (auto& [part, found] : byPart) {
+      std::vector<std::string> ids = std::move(found);
       ids.resize(std::min(ids.size(), kMostAtOnce));
       RowTransaction transaction;
       for (const std::string& id : ids) {
--- a/Source/Process/FleetRecords.cxx
+++ b/Source/Process/FleetRecords.cxx
@@ -62,6 +62,12 @@
   return { std::string(kLeadTable), {}, "scheduler" };
 }
 
+RowId
+LearnedRowId()
+{
+  return { std::string(kLeadTable), {}, "learned" };
+}
+
 RowId
 MemberRowId(std::string_view aNode)
 {
--- a/Source/Process/FleetRecords.h
+++ b/Source/Process/FleetRecords.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include "Connection/RowStore.h"
+#include "Version/InterferenceModel.h"
 
 #include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
 
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cactusrail {
 
@@ -51,12 +54,28 @@
 RowId
 LeadRowId();
 
+/** What leaders have learned of interference; see InterferenceModel. */
+RowId
+LearnedRowId();
+
 RowId
 MemberRowId(std::string_view aNode);
 
 RowId
 KeyRowId();
 
+/** All that was learned, in one row. */
+struct LearnedRecord
+{
+  std::vector<InterferenceModel::Learned> pairs_;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(pairs_);
+  }
+};
+
 /** A side as other processes find it. */
 struct MemberRecord
 {
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -122,6 +122,10 @@
   /** Sides that have been out of reach so long that nothing can run there. */
   std::vector<std::string> Removable(Instant aNow) const;
 
+  /** What has been learned of backfill beside serving tasks; it outlives a
+   * leader in the table, as learning it anew disturbs users. */
+  BackfillInterference& Interference() { return interference_; }
+
   // Questions.
   /** None if the job is not known here. A final state only once stored. */
   std::optional<JobState> StateOf(std::string_view aJob) const;
@@ -277,7 +281,17 @@
   void WatchServing(FleetWorker& aWorker, Instant aNow);
   void PauseBackfill(FleetWorker& aWorker, Instant aNow);
   void SetBackfillPace(FleetWorker& aWorker, std::uint32_t aPace, Instant aNow);
+  /** A backfill run, and the slowdown that it causes a serving task. */
+  struct Disturber
+  {
+    std::string task_;
+    TaskRun* run_ = nullptr;
+    double cost_ = 0;
+  };
+
   void RelieveServing(FleetWorker& aWorker, Instant aNow);
+  std::vector<Disturber> DisturbersOf(FleetWorker& aWorker,
+                                      const std::string& aServingImage);
   double ExpectedMicros(const FleetJob& aJob, const StepSpec& aStep) const;
   void LearnDuration(FleetWorker& aWorker,
                      const FleetJob& aJob,
--- a/Source/Process/FleetSchedulerCare.cxx
+++ b/Source/Process/FleetSchedulerCare.cxx
@@ -37,7 +37,7 @@
 /** Tail latency over its objective above which backfill beside it gives way. */
 constexpr double kPressed = 0.9;
 /** Slowdown by one backfill task that is worth acting on. */
-constexpr double kBlamed = 0.6;
+constexpr double kBlamed = 0.8;
 /** A serving task over its objective for so long, for whatever cause, makes all
  * backfill beside it stand still until it has recovered: guards against harm by
  * many that seem harmless one by one, within the 4 s that users allow. */
@@ -323,12 +323,44 @@
 FleetScheduler::RelieveServing(FleetWorker& aWorker, Instant aNow)
 {
   (void)aNow;
-  std::vector<ServingSample> pressed;
   for (const ServingSample& sample : aWorker.servingSamples_) {
-    if (sample.pressure_ > kPressed) {
-      pressed.push_back(sample);
+    if (sample.pressure_ <= kPressed) {
+      continue;
+    }
+    std::vector<Disturber> disturbers = DisturbersOf(aWorker, sample.image_);
+    double total = 0;
+    for (const Disturber& one : disturbers) {
+      total += one.cost_;
+    }
+    // The worst first, until what is left is harmless.
+    std::sort(disturbers.begin(),
+              disturbers.end(),
+              [](const Disturber& aLeft, const Disturber& aRight) {
+                return aLeft.cost_ > aRight.cost_;
+              });
+    for (const Disturber& one : disturbers) {
+      if (total <= kBlamed) {
+        break;
+      }
+      total -= one.cost_;
+      // One at a lower pace starved before: it gives way by PauseBackfill().
+      if (one.run_->paceLimit_ == 100) {
+        // A pace takes effect in a tenth of the time that a stop may take.
+        OrdersFor(aWorker).paces_.push_back({ one.task_, one.run_->run_, 0 });
+        OrderStop(aWorker.node_,
+                  one.task_,
+                  *one.run_,
+                  "it slows a serving task by " + std::to_string(one.cost_));
+      }
     }
   }
+}
+
+std::vector<FleetScheduler::Disturber>
+FleetScheduler::DisturbersOf(FleetWorker& aWorker,
+                             const std::string& aServingImage)
+{
+  std::vector<Disturber> disturbers;
   for (const auto& [key, room] : aWorker.held_) {
     if (room.backfillCpuMilli_ == 0) {
       continue;
@@ -338,26 +370,15 @@
     if (!place.has_value()) {
       continue;
     }
-    BackfillImpact impact;
-    for (const ServingSample& sample : pressed) {
-      impact.cost_ = std::max(
-        impact.cost_,
-        interference_.Impact(sample.image_, place->step_->spec_->image_).cost_);
-    }
-    if (impact.cost_ < kBlamed) {
-      continue;
-    }
+    const double cost = interference_.Impact(aServingImage, room.image_).cost_;
     for (TaskRun& run : place->task_->runs_) {
-      // One at a lower pace starved before: it gives way by PauseBackfill().
       if (run.run_ == key.second && run.node_ == aWorker.node_ &&
-          run.paceLimit_ == 100) {
-        OrderStop(aWorker.node_,
-                  key.first,
-                  run,
-                  "it slows a serving task by " + std::to_string(impact.cost_));
+          run.phase_ != RunPhase::Stopping) {
+        disturbers.push_back({ key.first, &run, cost * run.pace_ / 100.0 });
       }
     }
   }
+  return disturbers;
 }
 
 }
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -173,9 +173,14 @@
                          const std::string& aBackfillImage) const
 {
   BackfillImpact worst;
-  for (const auto& [image, count] : aWorker.servingImages_) {
-    const BackfillImpact one = interference_.Impact(image, aBackfillImage);
+  for (const auto& [serving, count] : aWorker.servingImages_) {
+    const BackfillImpact one = interference_.Impact(serving, aBackfillImage);
+    double total = one.cost_;
+    for (const auto& [backfill, tasks] : aWorker.backfillImages_) {
+      total += tasks * interference_.Impact(serving, backfill).cost_;
+    }
     worst.cost_ = std::max(worst.cost_, one.cost_);
+    worst.total_ = std::max(worst.total_, total);
     worst.known_ = worst.known_ && one.known_;
   }
   return worst;
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -100,6 +100,8 @@
   std::int64_t servingCpuMilli_ = 0;
   /** Images of tasks that serve there, and how many of each. */
   std::map<std::string, std::uint32_t> servingImages_;
+  /** Images of backfill there, and how many tasks of each. */
+  std::map<std::string, std::uint32_t> backfillImages_;
   /** A backfill task whose effect there is not known started then. */
   Instant triedAt_;
 
@@ -129,20 +131,30 @@
   }
 
 private:
+  static void Count(std::map<std::string, std::uint32_t>& aImages,
+                    const std::string& aImage,
+                    int aSign)
+  {
+    std::uint32_t& count = aImages[aImage];
+    count += static_cast<std::uint32_t>(aSign);
+    if (count == 0) {
+      aImages.erase(aImage);
+    }
+  }
+
   void Add(const TaskRoom& aRoom, int aSign)
   {
     used_.cpuMilli_ += aSign * aRoom.room_.cpuMilli_;
     used_.memoryMb_ += aSign * aRoom.room_.memoryMb_;
     used_.accelerators_ += aSign * aRoom.room_.accelerators_;
     backfillCpuMilli_ += aSign * aRoom.backfillCpuMilli_;
+    if (aRoom.backfillCpuMilli_ > 0) {
+      Count(backfillImages_, aRoom.image_, aSign);
+    }
     if (aRoom.serves_) {
       serving_ += static_cast<std::uint32_t>(aSign);
       servingCpuMilli_ += aSign * aRoom.room_.cpuMilli_;
-      std::uint32_t& count = servingImages_[aRoom.image_];
-      count += static_cast<std::uint32_t>(aSign);
-      if (count == 0) {
-        servingImages_.erase(aRoom.image_);
-      }
+      Count(servingImages_, aRoom.image_, aSign);
     }
   }
 };
--- a/Source/Process/ProgressWriter.h
+++ b/Source/Process/ProgressWriter.h
@@ -42,8 +42,8 @@
   }
 
   /** One batch at a time; calls back once all of it is stored. */
-  void Write(ProgressBatch aBatch,
-             std::vector<std::string> aRemovals,
+  void Write(const ProgressBatch& aBatch,
+             const std::vector<std::string>& aRemovals,
              std::function<void()> aStored)
   {
     puts_.clear();
--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -21,7 +21,8 @@
 
 /** No backfill joins a worker where a task is that close to its objective. */
 constexpr double kPressed = 0.9;
-/** Slowdown of a serving task that one backfill task may add. */
+/** Slowdown of a serving task that all backfill beside it may add up to. Many
+ * that are harmless one by one are not together: six at 0.35 made it ten. */
 constexpr double kMaxImpact = 0.8;
 /** One that slows it by this much is not tried again to see whether it still
  * does; what was learned of the others fades, and they are. */
@@ -34,6 +35,8 @@
 /** Weights of a choice, in units of "a task takes so many times as long". */
 constexpr double kBesideServing = 0.2;
 constexpr double kUnknownImpact = 1.0;
+/** For each task that would suffer should it turn out harmful. */
+constexpr double kTriedBeside = 0.3;
 constexpr double kImpactWeight = 4;
 constexpr double kAvoided = 20;
 
@@ -117,9 +120,10 @@
   if (!impact.known_) {
     const bool mayTry = worker.pressure_ < kCalmPressure &&
                         aFacts.now_ - worker.triedAt_ > kTryEvery;
-    return mayTry ? cost + kUnknownImpact : kNever;
+    return mayTry ? cost + kUnknownImpact + kTriedBeside * worker.serving_
+                  : kNever;
   }
-  if (impact.cost_ > kMaxImpact) {
+  if (impact.total_ > kMaxImpact) {
     return kNever;
   }
   return cost + kBesideServing + kImpactWeight * impact.cost_;
--- a/Source/Process/WorkerKeeper.cxx
+++ b/Source/Process/WorkerKeeper.cxx
@@ -337,8 +337,9 @@
     if (openOrders_ >= kMaxOpenOrders) {
       return;
     }
-    if (run.phase_ == Phase::Running && run.pace_ != run.paceTaken_ &&
-        !run.pacing_ && aNow >= run.nextCallAt_) {
+    if (run.phase_ != Phase::Starting && !run.stopAnswered_ &&
+        run.pace_ != run.paceTaken_ && !run.pacing_ &&
+        aNow >= run.nextCallAt_) {
       OpenCall open;
       open.kind_ = OpenCall::Kind::Pace;
       open.key_ = key;
--- a/Source/Process/WorkerKeeper.h
+++ b/Source/Process/WorkerKeeper.h
@@ -267,15 +267,8 @@
   std::int64_t clockMs_ = 0;
   Instant clockReadAt_;
   Instant lastAnswerAt_;
-  /** The worker was asked successfully in this life of both. */
-  bool known_ = false;
   /** Stops that an earlier life of this side ordered are over then. */
   Instant settledAt_;
-  /** The worker's life began before this side's. */
-  bool inherited_ = true;
-  bool seenLife_ = false;
-  /** Times in a row that the worker's port refused before any life was seen. */
-  std::uint32_t refusals_ = 0;
   /** No lease that was asked for can last beyond this. */
   Instant leasesOverAt_;
   std::map<RunKey, LocalRun> runs_;
@@ -286,16 +279,23 @@
   std::map<std::uint64_t, OpenCall> calls_;
   std::uint64_t nextCall_ = 1;
   std::size_t openOrders_ = 0;
-  bool holding_ = false;
   Instant nextHoldAt_;
-  bool reportDue_ = false;
   Instant reportedAt_;
+  /** When the worker last said what runs. */
+  Instant measuredAt_;
+  /** Times in a row that the worker's port refused before any life was seen. */
+  std::uint32_t refusals_ = 0;
+  /** The worker was asked successfully in this life of both. */
+  bool known_ = false;
+  /** The worker's life began before this side's. */
+  bool inherited_ = true;
+  bool seenLife_ = false;
+  bool holding_ = false;
+  bool reportDue_ = false;
   bool linked_ = false;
   bool stopping_ = false;
   /** The worker said that it ends. */
   bool leaving_ = false;
-  /** When the worker last said what runs. */
-  Instant measuredAt_;
   bool stopHoldSent_ = false;
   bool stopHoldDone_ = false;
 };
--- a/Source/Version/TaskId.h
+++ b/Source/Version/TaskId.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -16,7 +15,7 @@
   std::uint32_t step_ = 0;
   std::uint32_t index_ = 0;
 
-  auto operator<=>(const TaskId&) const = default;
+  bool operator==(const TaskId&) const = default;
 
   /** "JOB.OCCURRENCE.STEP.INDEX". */
   std::string Text() const;
--- a/Tests/Fleet/WorkerKeeperTest.cxx
+++ b/Tests/Fleet/WorkerKeeperTest.cxx
@@ -68,7 +68,7 @@
 
   /** Takes the calls due, answers the hold among them; the others come back. */
   std::vector<WorkerCall> AnswerHold(std::int64_t aNow,
-                                     std::vector<RunFact> aRuns)
+                                     const std::vector<RunFact>& aRuns)
   {
     std::vector<WorkerCall> calls = keeper_.TakeCalls(At(aNow));
     for (const HoldCall& hold : Only<HoldCall>(calls)) {
@@ -101,8 +101,8 @@
       if (hold.leaseUntilMs_.has_value()) {
         // The worker's clock reads 9500 less; it may be 2 % slow.
         const double real =
-          (static_cast<double>(*hold.leaseUntilMs_) - (now - 9500)) / 0.98;
-        cr_assert_leq(now + real, 10700 + 8000);
+          static_cast<double>(*hold.leaseUntilMs_ - (now - 9500)) / 0.98;
+        cr_assert_leq(static_cast<double>(now) + real, 10700 + 8000);
       }
     }
   }
