--- a/Source/Process/FleetSchedulerCare.cxx
+++ b/Source/Process/FleetSchedulerCare.cxx
@@ -14,6 +14,9 @@
  * half second, and a percent of the longest tasks takes less than that. */
 constexpr Millis kStall{ 1600 };
 
+/** A start that its side could not get answered for so long is taken back. */
+constexpr Millis kStartTimeout{ 3000 };
+
 /** A worker where work stood still gets nothing new for so long. */
 constexpr Millis kStallPause{ 5000 };
 
@@ -121,8 +124,15 @@
       continue;
     }
     for (TaskRun& run : place->task_->runs_) {
-      if (run.run_ == number && run.node_ == aWorker.node_ &&
-          run.phase_ == RunPhase::Running) {
+      if (run.run_ != number || run.node_ != aWorker.node_) {
+        continue;
+      }
+      if (run.phase_ == RunPhase::Ordered &&
+          aNow - run.startedAt_ > kStartTimeout) {
+        aWorker.avoidUntil_ = aNow + kStallPause;
+        place->task_->avoid_.push_back(aWorker.node_);
+        OrderStop(aWorker.node_, task, run, "its start has no answer");
+      } else if (run.phase_ == RunPhase::Running) {
         CareForRun(aWorker, *name, *place, run, aNow);
       }
     }
--- a/Source/Process/WorkerKeeper.cxx
+++ b/Source/Process/WorkerKeeper.cxx
@@ -26,8 +26,9 @@
 /** A worker's port that refuses so many times in a row, 150 ms apart, after
  * this side started has no worker behind it. */
 constexpr std::uint32_t kRefusalsOfNothing = 3;
-/** Orders under way at once; a worker has eight slots, one is the hold's. */
-constexpr std::size_t kMaxOpenOrders = 6;
+/** Orders under way at once, of the 64 connections that a worker takes. With 6,
+ * and half of the orders left without an answer, a start waited for 16 s. */
+constexpr std::size_t kMaxOpenOrders = 24;
 /** A worker that has not answered for so long gets no new work. */
 constexpr Millis kSilence{ 1600 };
 /** Added to a lease's end on our clock: the way of the call. */
@@ -375,6 +376,30 @@
   }
 }
 
+void
+WorkerKeeper::RefuseStarts()
+{
+  // A worker that leaves takes new runs for a short while only: what has not
+  // been answered yet is given back, and starts elsewhere.
+  for (auto entry = runs_.begin(); entry != runs_.end();) {
+    LocalRun& run = entry->second;
+    if (run.phase_ != Phase::Starting || run.calling_) {
+      ++entry;
+      continue;
+    }
+    if (run.doubted_) {
+      run.phase_ = Phase::Stopping;
+      run.refusal_ = StartRefusal::Other;
+      ++entry;
+      continue;
+    }
+    refused_.push_back(
+      { entry->first.first, entry->first.second, StartRefusal::Other });
+    reportDue_ = true;
+    entry = runs_.erase(entry);
+  }
+}
+
 std::vector<WorkerCall>
 WorkerKeeper::TakeCalls(Instant aNow)
 {
@@ -386,6 +411,9 @@
   }
   // Before the first hold was answered, calls of an earlier life of this side
   // may still be carried out; the hold raises the fence.
+  if (facts_.draining_) {
+    RefuseStarts();
+  }
   if (known_ && aNow >= settledAt_ && !stopping_) {
     AddOrders(calls, aNow);
   }
--- a/Source/Process/WorkerKeeper.h
+++ b/Source/Process/WorkerKeeper.h
@@ -224,6 +224,7 @@
   std::optional<std::int64_t> LeaseUntil(Millis aLease, Instant aNow);
   CallHead Head(OpenCall aCall, Millis aTimeout, Instant aNow);
   void AddHold(std::vector<WorkerCall>& aCalls, Instant aNow);
+  void RefuseStarts();
   void AddOrders(std::vector<WorkerCall>& aCalls, Instant aNow);
   bool AddStart(std::vector<WorkerCall>& aCalls,
                 const RunKey& aKey,
--- a/Tests/Fleet/WorkerKeeperTest.cxx
+++ b/Tests/Fleet/WorkerKeeperTest.cxx
@@ -250,3 +250,34 @@
   keeper.OnAnnounced(Announce("w1", 500, 1), At(10000));
   cr_assert_not(keeper.TakeReport(At(12000)).has_value());
 }
+
+// Starts wait behind orders that their worker leaves unanswered, and meanwhile
+// it says that it leaves. Started on it seconds later, they would end with it.
+Test(WorkerKeeper, LeavingWorkerGetsNoStartThatWaited)
+{
+  Bench bench;
+  bench.Order(2, 10800);
+  const auto starts = Only<StartCall>(bench.keeper_.TakeCalls(At(10800)));
+  WorkerAnnouncement leaving = Announce("w1", 1400, 2);
+  leaving.facts_.draining_ = true;
+  bench.keeper_.OnAnnounced(leaving, At(10900));
+  bench.keeper_.OnAnswer(starts[0].head_.id_, CallAnswer(), At(11200));
+  const std::vector<WorkerCall> calls = bench.keeper_.TakeCalls(At(11200));
+  cr_assert(Only<StartCall>(calls).empty());
+  const auto stops = Only<StopCall>(calls);
+  cr_assert_eq(stops.size(), 1, "the first try may be carried out late");
+  bench.keeper_.OnAnswer(
+    stops[0].head_.id_, Answer(CallOutcome::Accepted, 1800), At(11210));
+  cr_assert_eq(bench.keeper_.TakeReport(At(11210))->refused_.size(), 1);
+}
+
+Test(WorkerKeeper, StartThatWasNeverSentIsGivenBackAtOnce)
+{
+  Bench bench;
+  WorkerAnnouncement leaving = Announce("w1", 1300, 2);
+  leaving.facts_.draining_ = true;
+  bench.keeper_.OnAnnounced(leaving, At(10800));
+  bench.Order(2, 10800);
+  cr_assert(Only<StartCall>(bench.keeper_.TakeCalls(At(10800))).empty());
+  cr_assert_eq(bench.keeper_.TakeReport(At(10800))->refused_.size(), 1);
+}
