--- a/Source/Process/FleetJob.h
+++ b/Source/Process/FleetJob.h
@@ -62,6 +62,8 @@
   std::vector<std::string> avoid_;
   /** Times it was moved away from a worker that was slow or stood still. */
   std::uint32_t moves_ = 0;
+  /** Failures of a long-running task. */
+  std::uint32_t quickFailures_ = 0;
   Instant notBefore_;
 
   bool Waits() const { return !done_ && runs_.empty(); }
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -13,6 +13,13 @@
  * this long: something is there that we don't know of. */
 constexpr Millis kFullPause{ 300 };
 
+/** Pause before a long-running task that failed starts again: so much more
+ * after each failure. Users allow six seconds. */
+constexpr Millis kBackoff{ 100 };
+constexpr Millis kLongestBackoff{ 1000 };
+/** Workers that a long-running task remembers to have failed on. */
+constexpr std::size_t kMostAvoided = 4;
+
 TaskRun*
 FindRun(FleetTask& aTask, const std::string& aNode, std::uint32_t aRun)
 {
@@ -255,9 +262,19 @@
        aEnd.task_,
        aWorker.node_,
        "run " + std::to_string(aEnd.run_));
+  if (spec.longRunning_) {
+    // No limit, so no count; a pause, or it would start and fail all the time.
+    ++task.quickFailures_;
+    task.notBefore_ =
+      aNow + std::min(kLongestBackoff, kBackoff * task.quickFailures_);
+    if (task.avoid_.size() > kMostAvoided) {
+      task.avoid_.erase(task.avoid_.begin());
+    }
+    return;
+  }
   const bool counted = FleetJob::OnFailed(task, aEnd.run_);
   BreakGang(aPlace, aName);
-  if (!counted || spec.longRunning_) {
+  if (!counted) {
     return;
   }
   std::set<std::uint32_t> failed(task.failedRuns_.begin(),
--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -211,18 +211,21 @@
          free.accelerators_ >= aRoom.room_.accelerators_;
 }
 
+namespace {
+
 std::optional<std::size_t>
-ChooseWorker(std::span<const WorkerOption> aOptions, const ChoiceFacts& aFacts)
+BestOf(std::span<const WorkerOption> aOptions,
+       const ChoiceFacts& aFacts,
+       bool aTrustedOnly)
 {
   const TaskRoom room = RoomOf(*aFacts.step_);
   std::optional<std::size_t> best;
   double bestCost = kNever;
-  const bool trusted = AnyTrusted(aOptions, aFacts);
   for (std::size_t i = 0; i < aOptions.size(); ++i) {
     const FleetWorker& worker = *aOptions[i].worker_;
     if (!MayRunOn(aOptions[i], aFacts) || !HasRoomFor(worker, room) ||
         aFacts.now_ < worker.fullUntil_ ||
-        (trusted && IsSetAside(aOptions[i], aFacts.now_))) {
+        (aTrustedOnly && IsSetAside(aOptions[i], aFacts.now_))) {
       continue;
     }
     const double cost = CostOn(aOptions[i], aFacts);
@@ -235,3 +238,17 @@
 }
 
 }
+
+std::optional<std::size_t>
+ChooseWorker(std::span<const WorkerOption> aOptions, const ChoiceFacts& aFacts)
+{
+  const auto trusted = BestOf(aOptions, aFacts, AnyTrusted(aOptions, aFacts));
+  if (trusted.has_value() || !aFacts.step_->longRunning_) {
+    return trusted;
+  }
+  // A long-running task has no attempts to lose: where all trusted workers are
+  // full it tries one that is set aside, rather than be away for its pause.
+  return BestOf(aOptions, aFacts, false);
+}
+
+}
--- a/Tests/Fleet/FleetFailureTest.cxx
+++ b/Tests/Fleet/FleetFailureTest.cxx
@@ -308,6 +308,31 @@
   cr_assert_eq(world.MostRunsAtOnce(), 1);
 }
 
+// A worker failed all that it started and was set aside; its fault is over, but
+// its pause goes on, and all other workers are full. The watcher was away for
+// twenty seconds beside an empty worker.
+Test(FleetFailure, LongRunningTaskTriesAWorkerSetAsideWhenOthersAreFull)
+{
+  FleetWorld world(2, { 2000, 64000, 0 });
+  world.Run(Millis(1500));
+  world.Host(0).worker_.fails_ = true;
+  world.Host(0).worker_.taskTime_ = Millis(20);
+  world.Host(1).worker_.taskTime_ = Millis(60000);
+  for (int i = 0; i < 6; ++i) {
+    JobDescription job = MakeJob("job" + std::to_string(i), 1, 600);
+    job.maxAttempts_ = 9;
+    world.Submit(job);
+    world.Run(Millis(200));
+  }
+  world.Host(0).worker_.fails_ = false;
+  world.Host(0).worker_.taskTime_ = Millis(60000);
+  JobDescription watch = MakeJob("watch", 1, 2000);
+  watch.steps_.front().longRunning_ = true;
+  world.Submit(watch);
+  world.Run(Millis(1000));
+  cr_assert_geq(world.Starts(FirstTask("watch")), 1);
+}
+
 Test(FleetFailure, RoomIsNeverExceeded)
 {
   FleetWorld world(2, { 4000, 64000, 0 });
