--- a/Source/Connection/RowStore.h
+++ b/Source/Connection/RowStore.h
@@ -38,7 +38,7 @@
 };
 
 /** The version that a row must have; 0: it must not exist. */
-struct RowCondition
+struct RowExpectation
 {
   RowId id_;
   std::uint64_t version_ = 0;
@@ -53,7 +53,7 @@
 /** Changes that take effect together or not at all; all of one part. */
 struct RowTransaction
 {
-  std::vector<RowCondition> conditions_;
+  std::vector<RowExpectation> conditions_;
   std::vector<RowPut> puts_;
   std::vector<RowId> removals_;
 };
--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -12,6 +12,8 @@
 #include "Process/LeaseRunner.h"
 #include "Process/LinkListener.h"
 #include "Process/Log.h"
+#include "Process/Metrics.h"
+#include "Process/MetricsRoutes.h"
 #include "Process/TableWatch.h"
 #include "Version/FleetConfiguration.h"
 
@@ -19,6 +21,7 @@
 #include <QPointer>
 #include <QTimer>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -173,6 +176,12 @@
         LogChange("leader-yields", { { "life", aLife.toStdString() } });
         lease_.OnYield(aLife.toStdString());
       });
+    auto metrics = ListenForMetrics(settings_.fleet_.metrics_);
+    if (const auto* failure = std::get_if<Failure>(&metrics)) {
+      return *failure;
+    }
+    metrics_ = std::move(std::get<std::unique_ptr<HttpFront>>(metrics));
+    Metrics::OfProcess().Describe("fleet-entry", settings_.fleet_.name_);
     configurationWatch_.Start();
     key_.Start();
     return true;
@@ -452,13 +461,48 @@
   {
     const CallerCall call =
       Platform::DecodeCaller(aExchange, configuration_.get());
-    const Answer answer = [aExchange](const CallerReply& aReply) {
-      aExchange.Answer(Platform::EncodeReply(aReply));
-    };
+    const Instant arrived = ReadMonotonicClock();
+    const char* kind = KindOf(call);
+    const Answer answer =
+      [aExchange, arrived, kind](const CallerReply& aReply) {
+        Metrics::OfProcess().RequestEnded("callers",
+                                          kind,
+                                          VerdictOf(aReply.outcome_),
+                                          ReadMonotonicClock() - arrived);
+        aExchange.Answer(Platform::EncodeReply(aReply));
+      };
     std::visit([&](const auto& aWhat) { Serve(aWhat, call.deadline_, answer); },
                call.what_);
   }
 
+  /** What a caller asks, as the metrics page tells requests apart. */
+  static const char* KindOf(const CallerCall& aCall)
+  {
+    constexpr std::array<const char*, 5> kKinds{
+      "refused", "submit", "state", "cancel", "waiting"
+    };
+    return kKinds.at(aCall.what_.index());
+  }
+
+  /** Whether what a caller asked for may have been done. */
+  static Verdict VerdictOf(CallerOutcome aOutcome)
+  {
+    switch (aOutcome) {
+      case CallerOutcome::Stored:
+      case CallerOutcome::State:
+      case CallerOutcome::Waiting:
+        return Verdict::Ran;
+      case CallerOutcome::InDoubt:
+        return Verdict::MayHaveRun;
+      case CallerOutcome::NoSuchJob:
+      case CallerOutcome::NoSuchQueue:
+      case CallerOutcome::BadRequest:
+      case CallerOutcome::TryLater:
+        return Verdict::DidNotRun;
+    }
+    return Verdict::MayHaveRun;
+  }
+
   static CallerReply TryLater(std::string aWhy)
   {
     CallerReply reply;
@@ -804,6 +848,7 @@
   std::shared_ptr<const FleetConfiguration> configuration_;
   std::unique_ptr<HttpFront> callers_;
   std::unique_ptr<HttpFront> readiness_;
+  std::unique_ptr<HttpFront> metrics_;
   std::unique_ptr<LinkListener> listener_;
   std::set<SideLink*> peers_;
   std::unique_ptr<FleetLead<Store>> lead_;
--- a/Source/Process/FleetJob.cxx
+++ b/Source/Process/FleetJob.cxx
@@ -87,7 +87,7 @@
 }
 
 FleetTask*
-FleetJob::FindTask(const TaskId& aName)
+FleetJob::FindTask(const TaskKey& aName)
 {
   FleetStep* step = FindStep(aName.occurrence_, aName.step_);
   if (step == nullptr || aName.index_ >= step->tasks_.size()) {
--- a/Source/Process/FleetJob.h
+++ b/Source/Process/FleetJob.h
@@ -3,7 +3,7 @@
 #include "Process/Instant.h"
 #include "Version/JobDescription.h"
 #include "Version/JobProgress.h"
-#include "Version/TaskId.h"
+#include "Version/TaskKey.h"
 
 #include <cstdint>
 #include <map>
@@ -116,7 +116,7 @@
   std::optional<std::int64_t> NextDue() const;
 
   FleetStep* FindStep(std::uint32_t aOccurrence, std::uint32_t aStep);
-  FleetTask* FindTask(const TaskId& aName);
+  FleetTask* FindTask(const TaskKey& aName);
   std::map<std::uint32_t, FleetOccurrence>& Occurrences()
   {
     return occurrences_;
--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -57,7 +57,7 @@
 // Jobs.
 
 std::optional<FleetScheduler::Place>
-FleetScheduler::Find(const TaskId& aName)
+FleetScheduler::Find(const TaskKey& aName)
 {
   const auto found = jobs_.find(aName.job_);
   if (found == jobs_.end()) {
@@ -182,7 +182,7 @@
   for (auto& [number, occurrence] : aJob.Occurrences()) {
     for (FleetStep& step : occurrence.steps_) {
       for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
-        const TaskId name{ aJob.Spec().id_, number, step.index_, i };
+        const TaskKey name{ aJob.Spec().id_, number, step.index_, i };
         for (TaskRun& run : step.tasks_[i].runs_) {
           OrderStop(run.node_, name.Text(), run, "job ended");
         }
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -177,7 +177,7 @@
   };
 
   // Jobs.
-  std::optional<Place> Find(const TaskId& aName);
+  std::optional<Place> Find(const TaskKey& aName);
   static ReadyKey KeyOf(const FleetJob& aJob, const FleetStep& aStep);
   void MarkReady(const FleetJob& aJob, const FleetStep& aStep);
   void MarkAllReady(JobEntry& aEntry);
@@ -194,18 +194,18 @@
   void TakeEnd(FleetWorker& aWorker, const EndFact& aEnd, Instant aNow);
   bool ApplyEnd(FleetWorker& aWorker,
                 const EndFact& aEnd,
-                const TaskId& aName,
+                const TaskKey& aName,
                 Place& aPlace,
                 Instant aNow);
   void OnRunDone(FleetWorker& aWorker,
                  const EndFact& aEnd,
                  Place& aPlace,
-                 const TaskId& aName,
+                 const TaskKey& aName,
                  Instant aNow);
   void OnRunFailed(FleetWorker& aWorker,
                    const EndFact& aEnd,
                    Place& aPlace,
-                   const TaskId& aName,
+                   const TaskKey& aName,
                    Instant aNow);
   void OnGangDone(Place& aPlace, std::uint32_t aRun, Instant aNow);
   void TakeRefusal(FleetWorker& aWorker,
@@ -220,11 +220,11 @@
                std::uint32_t aRun,
                std::string_view aWhy,
                Instant aNow);
-  void RemoveRun(const TaskId& aName,
+  void RemoveRun(const TaskKey& aName,
                  Place& aPlace,
                  const std::string& aNode,
                  std::uint32_t aRun);
-  void BreakGang(Place& aPlace, const TaskId& aName);
+  void BreakGang(Place& aPlace, const TaskKey& aName);
   void DropAllRuns(FleetWorker& aWorker, std::string_view aWhy, Instant aNow);
   void GiveUpUnreachable(Instant aNow);
   bool AnySuspect() const;
@@ -269,12 +269,12 @@
                  std::string_view aWhy);
   void CareForRuns(FleetWorker& aWorker, Instant aNow);
   void CareForRun(FleetWorker& aWorker,
-                  const TaskId& aName,
+                  const TaskKey& aName,
                   Place& aPlace,
                   TaskRun& aRun,
                   Instant aNow);
   void LeaveDraining(FleetWorker& aWorker,
-                     const TaskId& aName,
+                     const TaskKey& aName,
                      Place& aPlace,
                      TaskRun& aRun,
                      Instant aNow);
--- a/Source/Process/FleetSchedulerCare.cxx
+++ b/Source/Process/FleetSchedulerCare.cxx
@@ -118,7 +118,7 @@
     keys.push_back(key);
   }
   for (const auto& [task, number] : keys) {
-    const auto name = TaskId::Parse(task);
+    const auto name = TaskKey::Parse(task);
     std::optional<Place> place = name.has_value() ? Find(*name) : std::nullopt;
     if (!place.has_value()) {
       continue;
@@ -142,7 +142,7 @@
 
 void
 FleetScheduler::CareForRun(FleetWorker& aWorker,
-                           const TaskId& aName,
+                           const TaskKey& aName,
                            Place& aPlace,
                            TaskRun& aRun,
                            Instant aNow)
@@ -190,7 +190,7 @@
 
 void
 FleetScheduler::LeaveDraining(FleetWorker& aWorker,
-                              const TaskId& aName,
+                              const TaskKey& aName,
                               Place& aPlace,
                               TaskRun& aRun,
                               Instant aNow)
@@ -231,7 +231,7 @@
     if (!room.serves_ && room.backfillCpuMilli_ == 0) {
       continue;
     }
-    const auto name = TaskId::Parse(key.first);
+    const auto name = TaskKey::Parse(key.first);
     const auto place = name.has_value() ? Find(*name) : std::nullopt;
     if (!place.has_value()) {
       continue;
@@ -306,7 +306,7 @@
     if (room.backfillCpuMilli_ == 0) {
       continue;
     }
-    const auto name = TaskId::Parse(key.first);
+    const auto name = TaskKey::Parse(key.first);
     const auto place = name.has_value() ? Find(*name) : std::nullopt;
     if (!place.has_value()) {
       continue;
@@ -375,7 +375,7 @@
     if (room.backfillCpuMilli_ == 0) {
       continue;
     }
-    const auto name = TaskId::Parse(key.first);
+    const auto name = TaskKey::Parse(key.first);
     const auto place = name.has_value() ? Find(*name) : std::nullopt;
     if (!place.has_value()) {
       continue;
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -276,7 +276,7 @@
       kLeastPace, static_cast<std::uint32_t>(100 * kHarmlessCost / cost));
     run.pace_ = run.paceLimit_;
     OrdersFor(*worker).paces_.push_back(
-      { TaskId{
+      { TaskKey{
           aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, aIndex }
           .Text(),
         run.run_,
@@ -311,7 +311,7 @@
     if (worker == nullptr) {
       break;
     }
-    const TaskId name{
+    const TaskKey name{
       aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, i
     };
     worker->Hold(name.Text(), run, RoomOf(*aStep.spec_));
@@ -321,7 +321,7 @@
     chosen.push_back(worker);
   }
   for (std::uint32_t i = 0; i < chosen.size(); ++i) {
-    const TaskId name{
+    const TaskKey name{
       aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, i
     };
     chosen[i]->Release(name.Text(), run);
@@ -348,7 +348,7 @@
                          Instant aNow)
 {
   const JobDescription& spec = aEntry.job_->Spec();
-  const TaskId name{ spec.id_, aStep.occurrence_, aStep.index_, aIndex };
+  const TaskKey name{ spec.id_, aStep.occurrence_, aStep.index_, aIndex };
   FleetTask& task = aStep.tasks_[aIndex];
   TaskRun run;
   run.run_ = aRun;
@@ -375,7 +375,7 @@
 {
   std::vector<std::pair<std::string, TaskRun*>> runs;
   for (const auto& [key, room] : aWorker.held_) {
-    const auto name = TaskId::Parse(key.first);
+    const auto name = TaskKey::Parse(key.first);
     const auto place = name.has_value() ? Find(*name) : std::nullopt;
     if (!place.has_value() ||
         place->entry_->job_->Spec().priority_ <= aPriority ||
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -49,7 +49,7 @@
   // Orders that were lost with the last link: the first report says which
   // starts arrived, and stops are ordered again.
   for (const auto& [key, room] : worker.held_) {
-    const auto name = TaskId::Parse(key.first);
+    const auto name = TaskKey::Parse(key.first);
     const auto place = name.has_value() ? Find(*name) : std::nullopt;
     TaskRun* run =
       place.has_value() ? FindRun(*place->task_, aNode, key.second) : nullptr;
@@ -156,7 +156,7 @@
   aWorker.endsSeen_ = aEnd.number_;
   aWorker.Release(aEnd.task_, aEnd.run_);
   aWorker.strangers_.erase({ aEnd.task_, aEnd.run_ });
-  const auto name = TaskId::Parse(aEnd.task_);
+  const auto name = TaskKey::Parse(aEnd.task_);
   std::optional<Place> place = name.has_value() ? Find(*name) : std::nullopt;
   bool mustStore = false;
   if (place.has_value()) {
@@ -176,7 +176,7 @@
 bool
 FleetScheduler::ApplyEnd(FleetWorker& aWorker,
                          const EndFact& aEnd,
-                         const TaskId& aName,
+                         const TaskKey& aName,
                          Place& aPlace,
                          Instant aNow)
 {
@@ -213,7 +213,7 @@
 FleetScheduler::OnRunDone(FleetWorker& aWorker,
                           const EndFact& aEnd,
                           Place& aPlace,
-                          const TaskId& aName,
+                          const TaskKey& aName,
                           Instant aNow)
 {
   FleetTask& task = *aPlace.task_;
@@ -249,7 +249,7 @@
 FleetScheduler::OnRunFailed(FleetWorker& aWorker,
                             const EndFact& aEnd,
                             Place& aPlace,
-                            const TaskId& aName,
+                            const TaskKey& aName,
                             Instant aNow)
 {
   FleetTask& task = *aPlace.task_;
@@ -291,13 +291,13 @@
 }
 
 void
-FleetScheduler::BreakGang(Place& aPlace, const TaskId& aName)
+FleetScheduler::BreakGang(Place& aPlace, const TaskKey& aName)
 {
   if (!aPlace.step_->spec_->gang_) {
     return;
   }
   for (std::uint32_t i = 0; i < aPlace.step_->tasks_.size(); ++i) {
-    const TaskId member{ aName.job_, aName.occurrence_, aName.step_, i };
+    const TaskKey member{ aName.job_, aName.occurrence_, aName.step_, i };
     for (TaskRun& run : aPlace.step_->tasks_[i].runs_) {
       OrderStop(run.node_, member.Text(), run, "its gang broke");
     }
@@ -305,7 +305,7 @@
 }
 
 void
-FleetScheduler::RemoveRun(const TaskId& aName,
+FleetScheduler::RemoveRun(const TaskKey& aName,
                           Place& aPlace,
                           const std::string& aNode,
                           std::uint32_t aRun)
@@ -341,7 +341,7 @@
 {
   (void)aNow;
   aWorker.Release(aTask, aRun);
-  const auto name = TaskId::Parse(aTask);
+  const auto name = TaskKey::Parse(aTask);
   std::optional<Place> place = name.has_value() ? Find(*name) : std::nullopt;
   if (!place.has_value()) {
     return;
@@ -389,7 +389,7 @@
     if (reported.contains(key)) {
       continue;
     }
-    const auto name = TaskId::Parse(key.first);
+    const auto name = TaskKey::Parse(key.first);
     const auto place = name.has_value() ? Find(*name) : std::nullopt;
     const TaskRun* run = place.has_value()
                            ? FindRun(*place->task_, aWorker.node_, key.second)
@@ -410,7 +410,7 @@
                         const RunFact& aFact,
                         Instant aNow)
 {
-  const auto name = TaskId::Parse(aFact.task_);
+  const auto name = TaskKey::Parse(aFact.task_);
   std::optional<Place> place = name.has_value() ? Find(*name) : std::nullopt;
   if (!place.has_value()) {
     if (aWorker.strangers_.emplace(aFact.task_, aFact.run_).second) {
--- a/Source/Process/FleetSide.h
+++ b/Source/Process/FleetSide.h
@@ -9,6 +9,8 @@
 #include "Process/KeyKeeper.h"
 #include "Process/LinkListener.h"
 #include "Process/Log.h"
+#include "Process/Metrics.h"
+#include "Process/MetricsRoutes.h"
 #include "Process/WorkerKeeper.h"
 #include "Version/RecordCodec.h"
 
@@ -128,6 +130,12 @@
       return *failure;
     }
     front_ = std::move(std::get<std::unique_ptr<HttpFront>>(front));
+    auto metrics = ListenForMetrics(settings_.fleet_.metrics_);
+    if (const auto* failure = std::get_if<Failure>(&metrics)) {
+      return *failure;
+    }
+    metrics_ = std::move(std::get<std::unique_ptr<HttpFront>>(metrics));
+    Metrics::OfProcess().Describe("fleet-side", settings_.fleet_.name_);
     key_.Start();
     tick_.start(kTick);
     return true;
@@ -317,6 +325,7 @@
   WorkerKeeper keeper_;
   KeyKeeper<Store> key_;
   std::unique_ptr<HttpFront> front_;
+  std::unique_ptr<HttpFront> metrics_;
   std::unique_ptr<LinkListener> listener_;
   QPointer<SideLink> link_;
   std::uint64_t linkEpoch_ = 0;
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -3,7 +3,7 @@
 #include "Connection/FleetMessages.h"
 #include "Process/BackfillInterference.h"
 #include "Process/Instant.h"
-#include "Version/TaskId.h"
+#include "Version/TaskKey.h"
 
 #include <cstdint>
 #include <deque>
--- a/Source/Process/MetricsRoutes.cxx
+++ b/Source/Process/MetricsRoutes.cxx
@@ -16,6 +16,24 @@
   return answer;
 }
 
+Result<std::unique_ptr<HttpFront>>
+ListenForMetrics(const SocketAddress& aAddress)
+{
+  return HttpFront::Listen(aAddress.ip_,
+                           aAddress.port_,
+                           HttpLimits(),
+                           [](const HttpExchange& aExchange) {
+                             if (aExchange.Method() == "GET" &&
+                                 aExchange.Path() == "/metrics") {
+                               aExchange.Answer(MetricsAnswer(aExchange));
+                               return;
+                             }
+                             HttpAnswer answer;
+                             answer.status_ = 404;
+                             aExchange.Answer(answer);
+                           });
+}
+
 void
 AddMetricsRoutes(OperatorRoutes& aRoutes, const std::function<void()>& aRefresh)
 {
--- a/Source/Process/MetricsRoutes.h
+++ b/Source/Process/MetricsRoutes.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "Process/OperatorRoutes.h"
+#include "Process/SocketAddress.h"
 
 #include <functional>
+#include <memory>
 
 namespace cactusrail {
 
@@ -15,6 +17,10 @@
 AddMetricsRoutes(OperatorRoutes& aRoutes,
                  const std::function<void()>& aRefresh);
 
+/** Serves GET /metrics and nothing else on an address of its own. */
+Result<std::unique_ptr<HttpFront>>
+ListenForMetrics(const SocketAddress& aAddress);
+
 /** The answer to GET /metrics of a process that has no operators' routes. */
 HttpAnswer
 MetricsAnswer(const HttpExchange& aExchange);
--- a/Source/Process/SettingsReference.cxx
+++ b/Source/Process/SettingsReference.cxx
@@ -1,6 +1,7 @@
 #include "Process/SettingsReference.h"
 
 #include "Process/EntrySettings.h"
+#include "Process/FleetSettings.h"
 #include "Process/SideSettings.h"
 #include "Process/TextTable.h"
 
@@ -57,11 +58,13 @@
 
 using RoleSpecs = std::pair<std::string_view, std::span<const SettingSpec>>;
 
-std::array<RoleSpecs, 2>
+std::array<RoleSpecs, 4>
 Roles()
 {
   return { RoleSpecs{ "entry", EntrySettings::Specs() },
-           RoleSpecs{ "side", SideSettings::Specs() } };
+           RoleSpecs{ "side", SideSettings::Specs() },
+           RoleSpecs{ "fleet-entry", FleetEntrySettings::Specs() },
+           RoleSpecs{ "fleet-side", FleetSideSettings::Specs() } };
 }
 
 std::string
--- a/Source/Version/TaskId.cxx
+++ b/Source/Version/TaskKey.cxx
@@ -1,4 +1,4 @@
-#include "Version/TaskId.h"
+#include "Version/TaskKey.h"
 
 #include <array>
 #include <charconv>
@@ -6,14 +6,14 @@
 namespace cactusrail {
 
 std::string
-TaskId::Text() const
+TaskKey::Text() const
 {
   return job_ + "." + std::to_string(occurrence_) + "." +
          std::to_string(step_) + "." + std::to_string(index_);
 }
 
-std::optional<TaskId>
-TaskId::Parse(std::string_view aText)
+std::optional<TaskKey>
+TaskKey::Parse(std::string_view aText)
 {
   constexpr std::size_t kNumbers = 3;
   std::array<std::uint32_t, kNumbers> numbers{};
@@ -33,7 +33,7 @@
   if (aText.empty()) {
     return std::nullopt;
   }
-  return TaskId{ std::string(aText), numbers[0], numbers[1], numbers[2] };
+  return TaskKey{ std::string(aText), numbers[0], numbers[1], numbers[2] };
 }
 
 }
--- a/Source/Version/TaskId.h
+++ b/Source/Version/TaskKey.h
@@ -8,20 +8,20 @@
 namespace cactusrail {
 
 /** Which task of which occurrence of a job. */
-struct TaskId
+struct TaskKey
 {
   std::string job_;
   std::uint32_t occurrence_ = 0;
   std::uint32_t step_ = 0;
   std::uint32_t index_ = 0;
 
-  bool operator==(const TaskId&) const = default;
+  bool operator==(const TaskKey&) const = default;
 
   /** "JOB.OCCURRENCE.STEP.INDEX". */
   std::string Text() const;
 
   /** The name in a text of that form; none for any other text. */
-  static std::optional<TaskId> Parse(std::string_view aText);
+  static std::optional<TaskKey> Parse(std::string_view aText);
 };
 
 }
--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -398,7 +398,7 @@
     std::int64_t cpu = 0;
     for (const WorkerFake::Run& run : host.worker_.runs_) {
       ++running[run.task_];
-      const auto name = TaskId::Parse(run.task_);
+      const auto name = TaskKey::Parse(run.task_);
       const auto job = jobs_.find(name->job_);
       const StepSpec& step = job->second.steps_.at(name->step_);
       cpu += step.backfill_ ? 0 : step.cpuMilli_;
--- a/Tests/Fleet/MemoryStore.cxx
+++ b/Tests/Fleet/MemoryStore.cxx
@@ -51,7 +51,7 @@
 Commit
 MemoryTables::Apply(const RowTransaction& aTransaction)
 {
-  for (const RowCondition& condition : aTransaction.conditions_) {
+  for (const RowExpectation& condition : aTransaction.conditions_) {
     const auto found = rows_.find(condition.id_);
     const std::uint64_t known =
       found == rows_.end() ? 0 : found->second.version_;
--- a/Utilities/completion/cactusrail.bash
+++ b/Utilities/completion/cactusrail.bash
@@ -17,6 +17,8 @@
     "list sides") words="--entry --key-file --output --help" ;;
     "entry "*) words="--help" ;;
     "side "*) words="--help" ;;
+    "fleet-entry "*) words="--help" ;;
+    "fleet-side "*) words="--help" ;;
     "pause "*) words="--yes --dry-run --operation --wait --entry --key-file --output --help" ;;
     "resume "*) words="--yes --dry-run --operation --wait --entry --key-file --output --help" ;;
     "drain "*) words="--yes --dry-run --operation --wait --entry --key-file --output --help" ;;
@@ -28,7 +30,7 @@
     "completion "*) words="--help" ;;
   esac
   if [ "$COMP_CWORD" -eq 1 ]; then
-    words="cancel completion config create drain entry explain inspect list pause resume side stop top version"
+    words="cancel completion config create drain entry explain fleet-entry fleet-side inspect list pause resume side stop top version"
   elif [ "$COMP_CWORD" -eq 2 ]; then
     case "${COMP_WORDS[1]}" in
       config) words="check get keys set" ;;
