--- a/Utilities/check-lint.sh
+++ b/Utilities/check-lint.sh
@@ -11,7 +11,7 @@
   echo "lint: clean (unchanged)"
   exit 0
 fi
-files 'Source/*.cxx' 'Tests/*.cxx' |
+files 'Source/*.cxx' 'Tests/*.cxx' 'platform/*.cxx' |
   xargs -P "$(nproc)" -n 1 clang-tidy -p build/debug --quiet 2>/dev/null
 echo "$hash" >"$stamp"
 echo "lint: clean"
