--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -463,12 +463,13 @@
       Platform::DecodeCaller(aExchange, configuration_.get());
     const Instant arrived = ReadMonotonicClock();
     const char* kind = KindOf(call);
+    const std::string job = JobOf(call);
     const Answer answer =
-      [aExchange, arrived, kind](const CallerReply& aReply) {
-        Metrics::OfProcess().RequestEnded("callers",
-                                          kind,
-                                          VerdictOf(aReply.outcome_),
-                                          ReadMonotonicClock() - arrived);
+      [this, aExchange, arrived, kind, job](const CallerReply& aReply) {
+        const Micros taken = ReadMonotonicClock() - arrived;
+        Metrics::OfProcess().RequestEnded(
+          "callers", kind, VerdictOf(aReply.outcome_), taken);
+        LogAnswer(job, kind, aReply, taken);
         aExchange.Answer(Platform::EncodeReply(aReply));
       };
     std::visit([&](const auto& aWhat) { Serve(aWhat, call.deadline_, answer); },
@@ -484,6 +485,41 @@
     return kKinds.at(aCall.what_.index());
   }
 
+  /** The job that a caller hands in or cancels; empty for a question. */
+  static std::string JobOf(const CallerCall& aCall)
+  {
+    if (const auto* submit = std::get_if<SubmitJob>(&aCall.what_)) {
+      return submit->spec_.id_;
+    }
+    const auto* cancel = std::get_if<CancelJob>(&aCall.what_);
+    return cancel == nullptr ? std::string() : cancel->job_;
+  }
+
+  /** One line for each job that is handed in or cancelled, whatever became of
+   * it, with what the answer rested on. */
+  void LogAnswer(const std::string& aJob,
+                 const char* aKind,
+                 const CallerReply& aReply,
+                 Micros aTaken) const
+  {
+    if (aJob.empty()) {
+      return;
+    }
+    const Instant answered =
+      std::max(lease_.AnsweredAt(), intake_.AnsweredAt());
+    const auto age =
+      std::chrono::duration_cast<Millis>(ReadMonotonicClock() - answered);
+    LogChange(
+      "caller-answered",
+      { { "id", aJob },
+        { "asked", aKind },
+        { "verdict", std::string(VerdictText(VerdictOf(aReply.outcome_))) },
+        { "why", aReply.why_ },
+        { "tookMs", std::to_string(aTaken.count() / 1000) },
+        { "tableAnsweredMsAgo", std::to_string(age.count()) },
+        { "leader", lease_.Lease().Leader().node_ } });
+  }
+
   /** Whether what a caller asked for may have been done. */
   static Verdict VerdictOf(CallerOutcome aOutcome)
   {
