--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -24,6 +24,7 @@
 /** A row of a side that is out of reach is removed after this; by then no
  * leader has to wait for it. */
 constexpr Millis kForgetSide{ 20000 };
+constexpr Millis kForgetLeft{ 1000 };
 
 }
 
@@ -291,8 +292,11 @@
 {
   std::vector<std::string> nodes;
   for (const auto& [node, worker] : workers_) {
+    // One that reported that its worker has left comes back, if at all, with a
+    // row of its own.
+    const Millis after = worker.left_ ? kForgetLeft : kForgetSide;
     if (worker.registered_ && !worker.linked_ && !worker.suspect_ &&
-        worker.held_.empty() && aNow - worker.lostAt_ > kForgetSide) {
+        worker.held_.empty() && aNow - worker.lostAt_ > after) {
       nodes.push_back(node);
     }
   }
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -103,6 +103,7 @@
     aNow - Micros(static_cast<std::int64_t>(aReport.measuredMicrosAgo_));
   worker.synced_ = true;
   worker.suspect_ = false;
+  worker.left_ = aReport.worker_.id_.empty() && aReport.runs_.empty();
   for (const EndFact& end : aReport.ends_) {
     TakeEnd(worker, end, aNow);
   }
--- a/Source/Process/FleetSide.h
+++ b/Source/Process/FleetSide.h
@@ -84,9 +84,15 @@
     stopped_ = std::move(aDone);
     stopBound_ = ReadMonotonicClock() + kStopBound;
     keeper_.OnStopping(ReadMonotonicClock());
+    if (keeper_.WorkerId().empty() && keeper_.RunCount() == 0) {
+      Deregister();
+    }
     Pump();
   }
 
+  /** The worker that is there; empty for none. */
+  const std::string& WorkerId() const { return keeper_.WorkerId(); }
+
   std::string Describe() const
   {
     return "announcements=" + settings_.announcements_.Text() +
@@ -99,6 +105,7 @@
   static constexpr Millis kSuspended{ 20 };
   static constexpr Millis kStopBound{ 1500 };
   static constexpr Millis kRegisterTimeout{ 1500 };
+  static constexpr Millis kDeregisterTimeout{ 1000 };
   static constexpr Millis kRegisterRetry{ 300 };
   /** A leader that sent nothing for so long is taken for lost. */
   static constexpr Millis kSilentLeader{ 3000 };
@@ -196,6 +203,9 @@
                  registeredAt_ + kRegisterTimeout,
                  Guarded(this, [this](const Commit& aCommit) {
                    registering_ = false;
+                   if (aCommit.outcome_ == CommitOutcome::Done) {
+                     memberVersion_ = aCommit.version_;
+                   }
                    if (aCommit.outcome_ != CommitOutcome::Done) {
                      QTimer::singleShot(
                        kRegisterRetry, this, [this] { Register(); });
@@ -203,6 +213,35 @@
                  }));
   }
 
+  /**
+   * Removes this side's row: its worker has left, nothing runs here.
+   *
+   * Failure guarded against: hosts leave for good, and their rows stay. A
+   * leader that takes over waits for each side in the table, so all older work
+   * stood still for 9.5 s after the next loss of power. The version makes a
+   * removal that is carried out late harmless to a later life's row.
+   */
+  void Deregister()
+  {
+    if (memberVersion_ == 0) {
+      return;
+    }
+    deregistering_ = true;
+    RowTransaction transaction;
+    const RowId id = MemberRowId(settings_.fleet_.name_);
+    transaction.conditions_.push_back({ id, memberVersion_ });
+    transaction.removals_.push_back(id);
+    store_.Write(
+      transaction,
+      ReadMonotonicClock() + kDeregisterTimeout,
+      Guarded(this, [this](const Commit& aCommit) {
+        const bool removed = aCommit.outcome_ == CommitOutcome::Done;
+        LogChange("deregistered", { { "removed", removed ? "yes" : "no" } });
+        deregistering_ = false;
+        Pump();
+      }));
+  }
+
   void OnLink(SideLink* aLink)
   {
     aLink->setParent(this);
@@ -312,7 +351,8 @@
         link_->Send(std::move(*report));
       }
     }
-    if (stopped_ && (keeper_.ReadyToStop() || now >= stopBound_)) {
+    const bool ready = keeper_.ReadyToStop() && !deregistering_;
+    if (stopped_ && (ready || now >= stopBound_)) {
       LogChange("stopped", {});
       std::exchange(stopped_, nullptr)();
     }
@@ -332,6 +372,9 @@
   Instant heardAt_;
   Instant registeredAt_;
   bool registering_ = false;
+  /** Of this side's row, as it was last written. */
+  std::uint64_t memberVersion_ = 0;
+  bool deregistering_ = false;
   QTimer tick_;
   /** The lease clock less the one that stands still when suspended. */
   Micros clocksApart_{ 0 };
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -55,6 +55,8 @@
   bool registered_ = false;
   /** Work from before this leader may run there until it has reported. */
   bool suspect_ = false;
+  /** Its last report said that no worker is there. */
+  bool left_ = false;
   /** The side's clock in its last report; echoed. */
   std::uint64_t echoMicros_ = 0;
   /** Orders sent on this link. */
--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -49,6 +49,11 @@
 WorkerFake::Take(const WorkerCall& aCall, Instant aNow)
 {
   Advance(aNow);
+  if (gone_) {
+    CallAnswer refused;
+    refused.outcome_ = CallOutcome::NotDone;
+    return refused;
+  }
   const CallHead& head = std::visit(
     [](const auto& aOne) -> const CallHead& { return aOne.head_; }, aCall);
   CallAnswer answer;
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -51,6 +51,8 @@
   Millis taskTime_{ 1000 };
   Millis stopTime_{ 500 };
   bool fails_ = false;
+  /** Its process has ended: its port refuses. */
+  bool gone_ = false;
   std::vector<Run> runs_;
   std::deque<EndFact> ends_;
   std::uint64_t fence_ = 0;
--- a/Tests/Fleet/ProcessFleet.cxx
+++ b/Tests/Fleet/ProcessFleet.cxx
@@ -132,6 +132,10 @@
 Result<WorkerNotice>
 TestPlatform::DecodeNotice(const HttpExchange& aExchange)
 {
+  if (aExchange.Method() == "DELETE") {
+    return WorkerNotice(
+      WorkerFarewell{ aExchange.Path().substr(kWorker.size()) });
+  }
   WorkerAnnouncement announcement;
   announcement.facts_.id_ = aExchange.Path().substr(kWorker.size());
   announcement.facts_.service_ = "service";
@@ -182,6 +186,9 @@
 ProcessFleet::Announce()
 {
   for (std::size_t i = 0; i < sides_.size(); ++i) {
+    if (left_.contains(i)) {
+      continue;
+    }
     HttpCall call;
     call.method_ = "PUT";
     call.url_ = "http://" + sideSettings_[i].announcements_.Text() +
@@ -243,6 +250,32 @@
   entries_.at(aEntry).reset();
 }
 
+void
+ProcessFleet::StopSide(std::size_t aSide)
+{
+  bool stopped = false;
+  sides_.at(aSide)->Stop([&stopped] { stopped = true; });
+  Wait([&stopped] { return stopped; });
+  sides_.at(aSide).reset();
+}
+
+void
+ProcessFleet::LeaveForGood(std::size_t aSide)
+{
+  left_.insert(aSide);
+  Worker(aSide).gone_ = true;
+  HttpCall call;
+  call.method_ = "DELETE";
+  call.url_ = "http://" + sideSettings_[aSide].announcements_.Text() +
+              std::string(kWorker) + Worker(aSide).id_;
+  call.deadline_ = ReadMonotonicClock() + Millis(5000);
+  bool answered = false;
+  caller_.Start(std::move(call),
+                [&answered](const Result<HttpReply>&) { answered = true; });
+  Wait([&answered] { return answered; });
+  Wait([this, aSide] { return sides_.at(aSide)->WorkerId().empty(); });
+}
+
 WorkerFake&
 ProcessFleet::Worker(std::size_t aSide)
 {
--- a/Tests/Fleet/ProcessFleet.h
+++ b/Tests/Fleet/ProcessFleet.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,10 @@
                 const std::string& aBody = {});
   /** Stops an entry as SIGTERM does, and waits until it has stopped. */
   void StopEntry(std::size_t aEntry);
+  /** The same for a side. */
+  void StopSide(std::size_t aSide);
+  /** The side's worker says that it ends, and does. */
+  void LeaveForGood(std::size_t aSide);
   WorkerFake& Worker(std::size_t aSide);
   std::string SideName(std::size_t aSide) const;
   std::string SideLinks(std::size_t aSide) const;
@@ -79,6 +84,7 @@
   std::vector<FleetSideSettings> sideSettings_;
   std::vector<std::unique_ptr<TestEntry>> entries_;
   std::vector<std::unique_ptr<TestSide>> sides_;
+  std::set<std::size_t> left_;
   HttpCaller caller_;
   QTimer announcer_;
 };
--- a/Tests/Fleet/ProcessFleetTest.cxx
+++ b/Tests/Fleet/ProcessFleetTest.cxx
@@ -132,3 +132,18 @@
   cr_assert(fleet.Completes(0, "doubt"));
   cr_assert_eq(StartsOf(fleet, 1, "doubt.0.0.0"), 1);
 }
+
+// A host leaves for good: its worker says farewell, its side is stopped. Its
+// row stayed in the table, and the next leader held all older work back until
+// that side could hold no lease any more.
+Test(ProcessFleet, LeavingSideTakesItsRowAlong)
+{
+  const Application application;
+  ProcessFleet fleet(1, 2);
+  WarmUp(fleet);
+  fleet.LeaveForGood(0);
+  fleet.StopSide(0);
+  const auto& rows = MemoryTables::OfTest().rows_;
+  cr_assert_not(rows.contains(MemberRowId(fleet.SideName(0))));
+  cr_assert(rows.contains(MemberRowId(fleet.SideName(1))));
+}
