--- /dev/null
+++ b/Tests/Fleet/FleetHarmTest.cxx
@@ -0,0 +1,189 @@
+#include "FleetWorld.h"
+
+#include <criterion/criterion.h>
+
+using namespace cactusrail;
+
+namespace {
+
+constexpr std::int64_t kWall = 1700000000000;
+
+/** A leader and one worker whose tasks report what the test says. */
+struct HarmBench
+{
+  HarmBench()
+    : scheduler_(1, FleetBounds(), kWall)
+  {
+    scheduler_.OnSideRegistered("side", now_);
+    scheduler_.OnLoaded(now_, kWall);
+    scheduler_.OnLinkUp("side", now_);
+    Report();
+  }
+
+  static JobDescription Serving()
+  {
+    JobDescription job = MakeJob("serving", 1, 4000);
+    job.steps_.front().longRunning_ = true;
+    job.steps_.front().latencyObjectiveMs_ = 10;
+    job.steps_.front().image_ = "victim";
+    return job;
+  }
+
+  static JobDescription Backfill(const std::string& aId)
+  {
+    JobDescription job = MakeJob(aId, 1, 2000);
+    job.priority_ = 2;
+    job.steps_.front().backfill_ = true;
+    job.steps_.front().checkpoints_ = true;
+    job.steps_.front().image_ = "aggressor";
+    return job;
+  }
+
+  void Report()
+  {
+    FleetReport report;
+    report.clockMicros_ =
+      static_cast<std::uint64_t>(now_.time_since_epoch().count());
+    report.ordersSeen_ = sequence_;
+    report.worker_.id_ = "w1";
+    report.worker_.service_ = "service";
+    report.worker_.room_ = { 16000, 64000, 0 };
+    report.worker_.answers_ = true;
+    report.runs_ = runs_;
+    scheduler_.OnReport("side", report, now_);
+  }
+
+  /** Lets time pass; each half second the worker reports. */
+  void Run(Millis aFor)
+  {
+    const Instant until = now_ + aFor;
+    while (now_ < until) {
+      now_ += Millis(100);
+      for (const SideOrders& orders : scheduler_.TakeOrders(
+             now_, kWall + now_.time_since_epoch().count() / 1000)) {
+        sequence_ = orders.orders_.sequence_;
+        for (const StartOrder& start : orders.orders_.starts_) {
+          runs_.push_back({ start.task_, start.run_, false, "", 1, 1000 });
+          if (start.task_.starts_with("serving")) {
+            runs_.back().percent_ = 100;
+          }
+        }
+        stops_.insert(stops_.end(),
+                      orders.orders_.stops_.begin(),
+                      orders.orders_.stops_.end());
+        paces_.insert(paces_.end(),
+                      orders.orders_.paces_.begin(),
+                      orders.orders_.paces_.end());
+      }
+      for (RunFact& run : runs_) {
+        if (run.task_.starts_with("serving")) {
+          run.measure_ = latency_;
+        } else {
+          run.percent_ = std::min(99U, run.percent_ + 1);
+        }
+      }
+      if (now_.time_since_epoch() % Millis(500) == Millis(0)) {
+        Report();
+      }
+    }
+  }
+
+  bool Runs(const std::string& aJob) const
+  {
+    return std::any_of(
+      runs_.begin(), runs_.end(), [&aJob](const RunFact& aRun) {
+        return aRun.task_.starts_with(aJob);
+      });
+  }
+
+  Instant now_ = At(100000);
+  FleetScheduler scheduler_;
+  std::uint64_t sequence_ = 0;
+  std::vector<RunFact> runs_;
+  std::vector<StopOrder> stops_;
+  std::vector<PaceOrder> paces_;
+  std::uint32_t latency_ = 4;
+};
+
+}
+
+// A batch task beside a watcher makes its answers ten times as slow. Its users
+// count four seconds of that as harm: before that the batch must stand still.
+Test(FleetHarm, BackfillThatDisturbsStandsStillWithinTwoSeconds)
+{
+  HarmBench bench;
+  bench.scheduler_.OnJobStored(HarmBench::Serving(), bench.now_);
+  bench.Run(Millis(3000));
+  bench.scheduler_.OnJobStored(HarmBench::Backfill("batch"), bench.now_);
+  bench.Run(Millis(600));
+  cr_assert(bench.Runs("batch"));
+  bench.latency_ = 40;
+  bench.Run(Millis(2000));
+  cr_assert(std::any_of(
+    bench.paces_.begin(), bench.paces_.end(), [](const PaceOrder& aPace) {
+      return aPace.task_.starts_with("batch") && aPace.percent_ == 0;
+    }));
+}
+
+// Backfill that is harmless one task at a time, and over the objective all the
+// same for another cause: it pauses, and goes on once the watcher has
+// recovered.
+Test(FleetHarm, BackfillPausesWhateverTheCauseAndGoesOn)
+{
+  HarmBench bench;
+  bench.scheduler_.OnJobStored(HarmBench::Serving(), bench.now_);
+  bench.Run(Millis(2000));
+  bench.scheduler_.Interference().Model().Teach(
+    bench.scheduler_.Interference().Model().Number("victim"),
+    bench.scheduler_.Interference().Model().Number("aggressor"),
+    0,
+    0,
+    bench.now_);
+  bench.scheduler_.OnJobStored(HarmBench::Backfill("batch"), bench.now_);
+  bench.Run(Millis(1000));
+  bench.latency_ = 12;
+  bench.Run(Millis(3000));
+  cr_assert_eq(bench.paces_.back().percent_, 0);
+  bench.latency_ = 4;
+  bench.Run(Millis(1500));
+  cr_assert_eq(bench.paces_.back().percent_, 100);
+}
+
+// A batch whose image is known to disturb the only worker's watcher waited for
+// ever with a third of the processors idle. It runs slowly instead.
+Test(FleetHarm, BackfillThatWouldDisturbEverywhereRunsSlowly)
+{
+  HarmBench bench;
+  bench.scheduler_.OnJobStored(HarmBench::Serving(), bench.now_);
+  bench.Run(Millis(2000));
+  InterferenceModel& model = bench.scheduler_.Interference().Model();
+  model.Teach(
+    model.Number("victim"), model.Number("aggressor"), 5, 5, bench.now_);
+  bench.scheduler_.OnJobStored(HarmBench::Backfill("batch"), bench.now_);
+  bench.Run(Millis(1000));
+  cr_assert_not(bench.Runs("batch"));
+  bench.Run(Millis(1500));
+  cr_assert(bench.Runs("batch"));
+  cr_assert_lt(bench.paces_.back().percent_, 20);
+  cr_assert(bench.stops_.empty());
+}
+
+// A new leader takes up what the last one learned: users are not disturbed to
+// learn it again.
+Test(FleetHarm, WhatWasLearnedOutlivesTheLeader)
+{
+  HarmBench first;
+  InterferenceModel& known = first.scheduler_.Interference().Model();
+  const std::vector<Neighbour> beside{ { known.Number("aggressor"), 1 } };
+  known.OnMeasured(known.Number("victim"), {}, 0.5, 0.4, 1, At(1000));
+  for (int i = 0; i < 4; ++i) {
+    known.OnMeasured(
+      known.Number("victim"), beside, 0.5, 4, 1, At(2000 + 500 * i));
+  }
+  HarmBench second;
+  second.scheduler_.Interference().Model().Import(known.Export(), At(9000));
+  const BackfillImpact impact =
+    second.scheduler_.Interference().Impact("victim", "aggressor");
+  cr_assert(impact.known_);
+  cr_assert_gt(impact.cost_, 3);
+}
