--- a/Source/Version/FleetConfiguration.cxx
+++ b/Source/Version/FleetConfiguration.cxx
@@ -7,11 +7,10 @@
 {
   const QueueRule* best = nullptr;
   for (const QueueRule& queue : queues_) {
-    if (queue.host_ != aHost || !aPath.starts_with(queue.pathPrefix_)) {
+    if (queue.host_ != aHost || !aPath.starts_with(queue.prefix_)) {
       continue;
     }
-    if (best == nullptr ||
-        queue.pathPrefix_.size() > best->pathPrefix_.size()) {
+    if (best == nullptr || queue.prefix_.size() > best->prefix_.size()) {
       best = &queue;
     }
   }
--- a/Source/Version/FleetConfiguration.h
+++ b/Source/Version/FleetConfiguration.h
@@ -14,7 +14,7 @@
   /** Callers' Host header. */
   std::string host_;
   /** With its closing slash, as the operator wrote it. */
-  std::string pathPrefix_;
+  std::string prefix_;
   /** The service whose workers run its tasks. */
   std::string service_;
   /** 0 goes first and may preempt the others. */
@@ -29,7 +29,7 @@
   bool needsAdvice_ = false;
 
   /** What a job remembers of its queue; names may be given anew. */
-  std::string Key() const { return host_ + pathPrefix_; }
+  std::string Key() const { return host_ + prefix_; }
 };
 
 /** A service: the workers that run tasks of its queues. */
--- a/Tests/Fleet/ProcessFleet.cxx
+++ b/Tests/Fleet/ProcessFleet.cxx
@@ -68,7 +68,7 @@
   FleetConfiguration configuration;
   configuration.version_ = 1;
   QueueRule queue;
-  queue.pathPrefix_ = kQueue;
+  queue.prefix_ = kQueue;
   queue.service_ = "service";
   queue.maxAttempts_ = 3;
   configuration.queues_.push_back(queue);
--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -8,4 +8,8 @@
 cmake --preset debug >/dev/null
 cmake --build --preset debug
 Utilities/check-lint.sh
+if [ -f KNOWN-RED.txt ]; then
+  echo "known red, by KNOWN-RED.txt:"
+  cat KNOWN-RED.txt
+fi
 ctest --preset debug
