--- a/Source/Process/BackfillInterference.cxx
+++ b/Source/Process/BackfillInterference.cxx
@@ -1,6 +1,8 @@
 #include "Process/BackfillInterference.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 namespace cactusrail {
 
@@ -10,37 +12,42 @@
 constexpr Millis kFigureWindow{ 500 };
 /** A run's figures overlap if they are taken more often. */
 constexpr Millis kFigureEvery{ 400 };
-/** Figures of runs that are long gone are forgotten beyond so many. */
-constexpr std::size_t kMaxRuns = 20000;
-
-/** The load of a serving task is not reported: the middle of the scale. */
-constexpr double kLoad = 0.5;
-/** A pair is known once its doubt is below this slowdown. */
-constexpr double kKnownDoubt = 0.8;
-
-/**
- * Measured on two deployments of 11 workers: alone, a serving task's figure
- * moves by a third around its mean with its load; one disturbing neighbour adds
- * 1 to 30 times the mean, others next to nothing. The prior leaves room for
- * both, so that a second of a bad pair is enough to know it.
+/** A figure still holds this part of the one half a second before: measured,
+ * one falls to a quarter each half second once its cause has gone. */
+constexpr double kFigureMemory = 0.25;
+/** Figures and loads of runs that are gone are forgotten after this. */
+constexpr Millis kForget{ 30000 };
+
+/** Doubt that counts as cost, in standard deviations: enough for a pair never
+ * seen to start at a lower speed, little enough for it to start. */
+constexpr double kCaution = 0.5;
+/** A pair is known once its doubt is below this, half of that at first. */
+constexpr double kKnownDoubt = 0.06;
+/** Costs of most pairs are below this, those of the others twice it and more.
+ * What costs more is placed elsewhere: it would take the room of ten others. */
+constexpr double kHarmlessCost = 0.07;
+/** A cost is more than noise from so many standard deviations on. */
+constexpr double kProven = 1;
+/** Costs below this are noise. */
+constexpr double kLeastCost = 0.01;
+/** Speeds hold until the next report, half a second later, has been acted on.
  */
-InterferenceModel::Rules
-ModelRules()
+constexpr Millis kUntilNextReport{ 800 };
+
+double
+CautiousCost(const ContentionCost& aCost)
 {
-  InterferenceModel::Rules rules;
-  rules.priorMean_ = 0.3;
-  rules.priorDeviation_ = 3;
-  rules.driftPerSecond_ = 0.02;
-  rules.sampleDeviation_ = 0.5;
-  rules.modelDeviation_ = 0.2;
-  return rules;
+  return aCost.mean_ + kCaution * aCost.doubt_;
 }
 
+/** What runs already is slowed only for a cost that is more than noise: its
+ * latencies show the rest within half a second. */
+double
+ProvenCost(const ContentionCost& aCost)
+{
+  return aCost.mean_ > kProven * aCost.doubt_ ? aCost.mean_ : 0;
 }
 
-BackfillInterference::BackfillInterference()
-  : model_(ModelRules())
-{
 }
 
 void
@@ -51,9 +58,61 @@
   std::vector<Neighbour> neighbours;
   neighbours.reserve(aBackfill.size());
   for (const BackfillSample& sample : aBackfill) {
-    neighbours.push_back({ model_.Number(sample.image_), sample.pace_ });
+    neighbours.push_back(
+      { model_.Number(sample.image_), sample.pace_ * sample.size_ });
   }
   history_.Record(aWorker, neighbours, aNow);
+  if (aNow - forgotAt_ > kForget) {
+    forgotAt_ = aNow;
+    model_.ForgetBefore(aNow - kForget);
+    std::erase_if(figures_, [aNow](const auto& aEntry) {
+      return aNow - aEntry.second.takenAt_ > kForget;
+    });
+  }
+}
+
+double
+BackfillInterference::WithoutLast(const Figure& aLast,
+                                  double aPressure,
+                                  Instant aMeasuredAt)
+{
+  const double windows =
+    std::max(1.0,
+             std::chrono::duration<double>(aMeasuredAt - aLast.takenAt_) /
+               std::chrono::duration<double>(kFigureWindow));
+  const double memory = std::pow(kFigureMemory, windows);
+  const double fresh = (aPressure - memory * aLast.pressure_) / (1 - memory);
+  // What is left of a very high figure can't be told from what is new.
+  return std::max(fresh, std::min(aPressure, aLast.pressure_) / 2);
+}
+
+std::vector<BackfillInterference::Group>
+BackfillInterference::FreshFigures(std::span<const ServingSample> aServing,
+                                   Instant aMeasuredAt)
+{
+  std::map<std::pair<std::string_view, ContentionModel::Image>, Group> groups;
+  for (const ServingSample& sample : aServing) {
+    Figure& last = figures_[sample.run_];
+    if (sample.pressure_ <= 0 || aMeasuredAt - last.takenAt_ < kFigureEvery) {
+      continue;
+    }
+    const double pressure = last.pressure_ > 0
+                              ? WithoutLast(last, sample.pressure_, aMeasuredAt)
+                              : sample.pressure_;
+    last = { aMeasuredAt, sample.pressure_ };
+    const ContentionModel::Image image = model_.Number(sample.image_);
+    model_.OnReported(image, sample.pressure_);
+    Group& group = groups[{ sample.job_, image }];
+    group.job_ = sample.job_;
+    group.image_ = image;
+    group.pressures_.push_back(pressure);
+  }
+  std::vector<Group> all;
+  all.reserve(groups.size());
+  for (auto& [key, group] : groups) {
+    all.push_back(std::move(group));
+  }
+  return all;
 }
 
 void
@@ -61,48 +120,106 @@
                               std::span<const ServingSample> aServing,
                               Instant aMeasuredAt)
 {
-  if (taken_.size() > kMaxRuns) {
-    taken_.clear();
-  }
   const std::vector<Neighbour> neighbours =
     history_.Mean(aWorker, aMeasuredAt - kFigureWindow, aMeasuredAt);
-  for (const ServingSample& sample : aServing) {
-    Instant& taken = taken_[sample.run_];
-    if (aMeasuredAt - taken < kFigureEvery || sample.pressure_ <= 0) {
+  // Tasks of one job on one worker share their load and their neighbours, so
+  // their errors too: taken one by one they made the costs look sure, and
+  // wrong, after one report.
+  for (Group& group : FreshFigures(aServing, aMeasuredAt)) {
+    const auto middle =
+      group.pressures_.begin() +
+      static_cast<std::ptrdiff_t>(group.pressures_.size() / 2);
+    std::nth_element(group.pressures_.begin(), middle, group.pressures_.end());
+    model_.OnMeasured(
+      group.image_, group.job_, *middle, neighbours, aMeasuredAt);
+  }
+}
+
+BackfillFit
+BackfillInterference::FitOfOneMore(
+  const std::map<ServingGroup, std::uint32_t>& aServing,
+  const std::map<std::string, double>& aBackfill,
+  const BackfillSample& aOne,
+  Millis aAhead)
+{
+  const ContentionModel::Image image = model_.Number(aOne.image_);
+  BackfillFit fit;
+  for (const auto& [group, count] : aServing) {
+    const ContentionModel::Image serving = model_.Number(group.image_);
+    const ContentionCost pair = model_.CostOf(serving, image);
+    fit.known_ = fit.known_ && pair.doubt_ <= kKnownDoubt;
+    fit.harmless_ = fit.harmless_ && pair.mean_ <= kHarmlessCost;
+    const double cost = aOne.size_ * CautiousCost(pair);
+    if (cost < kLeastCost) {
       continue;
     }
-    taken = aMeasuredAt;
-    model_.OnMeasured(model_.Number(sample.image_),
-                      neighbours,
-                      kLoad,
-                      sample.pressure_,
-                      1,
-                      aMeasuredAt);
+    double room = model_.Limit(serving) - model_.LoadWithin(group.job_, aAhead);
+    for (const auto& [name, size] : aBackfill) {
+      room -= size * model_.CostOf(serving, model_.Number(name)).mean_;
+    }
+    fit.speed_ = std::min(fit.speed_, std::max(0.0, room) / cost);
   }
+  return fit;
 }
 
-BackfillImpact
-BackfillInterference::Impact(std::string_view aServingImage,
-                             std::string_view aBackfillImage) const
+double
+BackfillInterference::RoomLeft(const ServingSample& aServing,
+                               std::span<const BackfillSample> aBackfill)
 {
-  const InterferenceModel::Program victim = model_.Find(aServingImage);
-  const InterferenceModel::Program aggressor = model_.Find(aBackfillImage);
-  if (victim == InterferenceModel::kUnknown ||
-      aggressor == InterferenceModel::kUnknown) {
-    return { 0, 0, false };
+  const ContentionModel::Image serving = model_.Number(aServing.image_);
+  double explained = 0;
+  for (const BackfillSample& one : aBackfill) {
+    explained += one.pace_ * one.size_ *
+                 model_.CostOf(serving, model_.Number(one.image_)).mean_;
   }
-  const double cost = model_.Cost(victim, aggressor, kLoad);
-  return { cost, cost, model_.Doubt(victim, aggressor, kLoad) <= kKnownDoubt };
+  // A task that is busier than its job explains by itself counts as that busy:
+  // should the model be wrong, its figures still bring the backfill down.
+  const double own =
+    model_.Utilisation(serving, aServing.pressure_) - explained;
+  const double load =
+    std::max(own, model_.LoadWithin(aServing.job_, kUntilNextReport));
+  return model_.Limit(serving) - load;
 }
 
-double
-BackfillInterference::PressureAlone(const ServingSample& aServing) const
+std::vector<double>
+BackfillInterference::Speeds(std::span<const ServingSample> aServing,
+                             std::span<const BackfillSample> aBackfill)
 {
-  const InterferenceModel::Program victim = model_.Find(aServing.image_);
-  if (victim == InterferenceModel::kUnknown || aServing.pressure_ <= 0) {
-    return aServing.pressure_;
+  std::vector<double> room;
+  std::vector<ContentionModel::Image> serving;
+  for (const ServingSample& sample : aServing) {
+    room.push_back(RoomLeft(sample, aBackfill));
+    serving.push_back(model_.Number(sample.image_));
+  }
+  std::vector<std::vector<double>> costs(aBackfill.size());
+  std::vector<double> worst(aBackfill.size(), 0);
+  for (std::size_t i = 0; i < aBackfill.size(); ++i) {
+    const ContentionModel::Image image = model_.Number(aBackfill[i].image_);
+    for (const ContentionModel::Image one : serving) {
+      costs[i].push_back(aBackfill[i].size_ *
+                         ProvenCost(model_.CostOf(one, image)));
+      worst[i] = std::max(worst[i], costs[i].back());
+    }
+  }
+  std::vector<std::size_t> order(aBackfill.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::stable_sort(order.begin(),
+                   order.end(),
+                   [&worst](std::size_t aLeft, std::size_t aRight) {
+                     return worst[aLeft] < worst[aRight];
+                   });
+  std::vector<double> speeds(aBackfill.size(), 1);
+  for (const std::size_t i : order) {
+    for (std::size_t s = 0; s < serving.size(); ++s) {
+      if (costs[i][s] >= kLeastCost) {
+        speeds[i] = std::min(speeds[i], std::max(0.0, room[s]) / costs[i][s]);
+      }
+    }
+    for (std::size_t s = 0; s < serving.size(); ++s) {
+      room[s] -= speeds[i] * costs[i][s];
+    }
   }
-  return aServing.pressure_ / model_.Slowdown(victim, aServing.pressure_);
+  return speeds;
 }
 
 }
--- a/Source/Process/BackfillInterference.h
+++ b/Source/Process/BackfillInterference.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "Process/Instant.h"
+#include "Version/ContentionModel.h"
 #include "Version/InterferenceHistory.h"
-#include "Version/InterferenceModel.h"
 
 #include <map>
 #include <span>
 #include <string>
 #include <string_view>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 namespace cactusrail {
@@ -19,6 +19,8 @@
   /** Which run it is, "TASK/RUN"; a run's figure counts once each half second.
    */
   std::string run_;
+  /** Its job: all of a job's tasks share the load of its users. */
+  std::string job_;
   std::string image_;
   /** Its tail latency over its objective. */
   double pressure_ = 0;
@@ -28,32 +30,43 @@
 struct BackfillSample
 {
   std::string image_;
+  /** What it may use, in tenths of its worker's processors, at full pace. */
+  double size_ = 1;
   /** Share of its speed at which it works. */
   double pace_ = 1;
 };
 
-/** What one more backfill task does to one that serves. */
-struct BackfillImpact
+/** How one more backfill task would do beside those that serve on a worker. */
+struct BackfillFit
 {
-  /** Slowdown that it adds to the one it disturbs most; 0 is none. */
-  double cost_ = 0;
-  /** The same with all backfill that is there already. */
-  double total_ = 0;
-  /** The pair has been seen together long enough. */
+  /** The speed, 0 to 1, at which it may work so that they keep their objective.
+   */
+  double speed_ = 1;
+  /** It costs none of them more than noise. */
+  bool harmless_ = true;
+  /** All its pairs with them have been measured. */
   bool known_ = true;
 };
 
+/** Tasks of one job that serve on a worker. */
+struct ServingGroup
+{
+  std::string job_;
+  std::string image_;
+
+  bool operator<(const ServingGroup& aOther) const
+  {
+    return std::tie(job_, image_) < std::tie(aOther.job_, aOther.image_);
+  }
+};
+
 /**
- * What backfill costs the tasks beside it that serve, learned from their tail
- * latencies while both run. Most pairs of images don't disturb each other at
- * all, a few make the latency several times as long: so pairs are learned, not
- * images. Owned by the scheduler; its memory ends with it. Pure.
+ * What backfill costs the tasks beside it that serve, and how fast it may work
+ * so that they keep their objective. Owned by the scheduler. Pure.
  */
 class BackfillInterference
 {
 public:
-  BackfillInterference();
-
   /** What runs on a worker from now on. */
   void Record(std::string_view aWorker,
               std::span<const BackfillSample> aBackfill,
@@ -64,21 +77,55 @@
                std::span<const ServingSample> aServing,
                Instant aMeasuredAt);
 
-  BackfillImpact Impact(std::string_view aServingImage,
-                        std::string_view aBackfillImage) const;
+  /**
+   * How one more backfill task would do beside these serving tasks and this
+   * backfill (image and size of all its tasks) for this time.
+   */
+  BackfillFit FitOfOneMore(
+    const std::map<ServingGroup, std::uint32_t>& aServing,
+    const std::map<std::string, double>& aBackfill,
+    const BackfillSample& aOne,
+    Millis aAhead);
 
-  /** The pressure of a serving task with no backfill beside it, as learned. */
-  double PressureAlone(const ServingSample& aServing) const;
+  /**
+   * The speeds at which the backfill of one worker may work until the next
+   * report, in the given order: those that cost least get theirs first.
+   */
+  std::vector<double> Speeds(std::span<const ServingSample> aServing,
+                             std::span<const BackfillSample> aBackfill);
 
   /** What has been learned, for the next leader, and from the last one. */
-  const InterferenceModel& Model() const { return model_; }
-  InterferenceModel& Model() { return model_; }
+  const ContentionModel& Model() const { return model_; }
+  ContentionModel& Model() { return model_; }
 
 private:
-  InterferenceModel model_;
+  /** The last figure of a run, which the next one still contains a part of. */
+  struct Figure
+  {
+    Instant takenAt_;
+    double pressure_ = 0;
+  };
+
+  /** The middle figure of tasks of one job and image; they are disturbed alike.
+   */
+  struct Group
+  {
+    std::string job_;
+    ContentionModel::Image image_ = 0;
+    std::vector<double> pressures_;
+  };
+  std::vector<Group> FreshFigures(std::span<const ServingSample> aServing,
+                                  Instant aMeasuredAt);
+  static double WithoutLast(const Figure& aLast,
+                            double aPressure,
+                            Instant aMeasuredAt);
+  double RoomLeft(const ServingSample& aServing,
+                  std::span<const BackfillSample> aBackfill);
+
+  ContentionModel model_;
   InterferenceHistory history_;
-  /** When a run's figure was last taken. */
-  std::map<std::string, Instant, std::less<>> taken_;
+  std::map<std::string, Figure, std::less<>> figures_;
+  Instant forgotAt_;
 };
 
 }
--- a/Source/Process/FleetJob.h
+++ b/Source/Process/FleetJob.h
@@ -40,8 +40,13 @@
   Instant firstReportAt_;
   bool reported_ = false;
   std::uint32_t pace_ = 100;
-  /** It never works faster than this, as it would disturb others. */
-  std::uint32_t paceLimit_ = 100;
+  /** It worked at a lower pace at some time, which says nothing of its worker.
+   */
+  bool everPaced_ = false;
+  /** Its job found no good place; it works on at a low pace at least. */
+  bool starving_ = false;
+  /** Since when it has worked at a low pace. */
+  std::optional<Instant> slowSince_;
   /** As reported: tail latency in ms, or thousandths of a core in use. */
   std::uint32_t measure_ = 0;
 };
--- a/Source/Process/FleetLead.h
+++ b/Source/Process/FleetLead.h
@@ -236,24 +236,29 @@
         if (page == nullptr || page->rows_.empty()) {
           return; // Then it is learned anew.
         }
-        const Result<LearnedRecord> record =
-          DecodeRecord<LearnedRecord>(page->rows_.front().value_);
-        if (const auto* learned = std::get_if<LearnedRecord>(&record)) {
-          scheduler_.Interference().Model().Import(learned->pairs_,
+        const Result<LearnedContention> record =
+          DecodeRecord<LearnedContention>(page->rows_.front().value_);
+        if (const auto* learned = std::get_if<LearnedContention>(&record)) {
+          scheduler_.Interference().Model().Import(*learned,
                                                    ReadMonotonicClock());
+        } else {
+          LogProblem("learned-unreadable",
+                     { { "reason", std::get<Failure>(record).message_ } });
         }
       }));
   }
 
   void WriteLearned(Instant aNow)
   {
-    LearnedRecord record{ scheduler_.Interference().Model().Export() };
+    LearnedContention record = scheduler_.Interference().Model().Export();
     if (record.pairs_.empty() || !lease_.Leads(aNow)) {
       return;
     }
     // Within the size of a row.
     constexpr std::size_t kMostPairs = 400;
+    constexpr std::size_t kMostBases = 100;
     record.pairs_.resize(std::min(record.pairs_.size(), kMostPairs));
+    record.bases_.resize(std::min(record.bases_.size(), kMostBases));
     RowTransaction transaction;
     transaction.puts_.push_back({ LearnedRowId(), EncodeRecord(record) });
     store_.Write(transaction, aNow + kRemoveTimeout, [](const Commit&) {});
--- a/Source/Process/FleetRecords.h
+++ b/Source/Process/FleetRecords.h
@@ -54,7 +54,7 @@
 RowId
 LeadRowId();
 
-/** What leaders have learned of interference; see InterferenceModel. */
+/** What leaders have learned of interference; see ContentionModel. */
 RowId
 LearnedRowId();
 
@@ -64,18 +64,6 @@
 RowId
 KeyRowId();
 
-/** All that was learned, in one row. */
-struct LearnedRecord
-{
-  std::vector<InterferenceModel::Learned> pairs_;
-
-  template<class Archive>
-  void serialize(Archive& ar)
-  {
-    ar(pairs_);
-  }
-};
-
 /** A side as other processes find it. */
 struct MemberRecord
 {
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -240,20 +241,32 @@
                  FleetStep& aStep,
                  std::uint32_t aIndex,
                  Instant aNow);
+  void PlaceOn(std::size_t aOption,
+               JobEntry& aEntry,
+               FleetStep& aStep,
+               std::uint32_t aIndex,
+               Instant aNow);
   bool PlaceStarving(JobEntry& aEntry,
                      FleetStep& aStep,
                      std::uint32_t aIndex,
                      Instant aNow);
   bool PlaceGang(JobEntry& aEntry, FleetStep& aStep, Instant aNow);
-  FleetWorker* Choose(const FleetJob& aJob,
-                      const FleetStep& aStep,
-                      const FleetTask& aTask,
-                      Instant aNow,
-                      bool aStarving = false);
-  void FillOptions(const FleetStep& aStep, Instant aNow);
-  /** What a backfill task would do to those that serve on the worker. */
-  BackfillImpact ImpactOn(const FleetWorker& aWorker,
-                          const std::string& aBackfillImage) const;
+  /** Collects the workers for the tasks of one step, into options_. */
+  void FillOptions(const FleetJob& aJob, const FleetStep& aStep, Instant aNow);
+  /** A task of the step was placed on that option. */
+  void NotePlaced(std::size_t aOption,
+                  const FleetJob& aJob,
+                  const FleetStep& aStep);
+  /** The best of options_ for a task; none if it should rather wait. */
+  std::optional<std::size_t> ChooseAmongOptions(const FleetJob& aJob,
+                                                const FleetStep& aStep,
+                                                const FleetTask& aTask,
+                                                Instant aNow,
+                                                bool aStarving = false) const;
+  /** How a backfill task would do there beside those that serve. */
+  BackfillFit FitOn(const FleetWorker& aWorker,
+                    const FleetJob& aJob,
+                    const StepSpec& aStep);
   std::string RackInUse(const FleetStep& aStep) const;
   void StartRun(JobEntry& aEntry,
                 FleetStep& aStep,
@@ -282,20 +295,27 @@
                      Place& aPlace,
                      TaskRun& aRun,
                      Instant aNow);
-  void WatchServing(FleetWorker& aWorker, Instant aNow);
-  void PauseBackfill(FleetWorker& aWorker, Instant aNow);
-  void SetBackfillPace(FleetWorker& aWorker, std::uint32_t aPace, Instant aNow);
-  /** A backfill run, and the slowdown that it causes a serving task. */
-  struct Disturber
-  {
-    std::string task_;
-    TaskRun* run_ = nullptr;
-    double cost_ = 0;
-  };
 
-  void RelieveServing(FleetWorker& aWorker, Instant aNow);
-  std::vector<Disturber> DisturbersOf(FleetWorker& aWorker,
-                                      const std::string& aServingImage);
+  // Serving tasks beside backfill.
+  struct SharingRun;
+  std::vector<SharingRun> SharingRuns(FleetWorker& aWorker);
+  void WatchServing(FleetWorker& aWorker, Instant aNow);
+  void PauseBackfill(FleetWorker& aWorker,
+                     std::span<const SharingRun> aRuns,
+                     Instant aNow);
+  void PaceBackfill(FleetWorker& aWorker,
+                    std::span<const SharingRun> aRuns,
+                    Instant aNow);
+  void SetPace(FleetWorker& aWorker,
+               const SharingRun& aRun,
+               std::uint32_t aPace,
+               Instant aNow);
+  void StartAtPace(FleetWorker& aWorker,
+                   const JobEntry& aEntry,
+                   FleetStep& aStep,
+                   std::uint32_t aIndex,
+                   double aSpeed);
+  void MoveIfSlow(FleetWorker& aWorker, const SharingRun& aRun, Instant aNow);
   double ExpectedMicros(const FleetJob& aJob, const StepSpec& aStep) const;
   /** How long the queue's tasks really take over their estimate. */
   double DurationRatio(const std::string& aQueue) const;
--- a/Source/Process/FleetSchedulerCare.cxx
+++ b/Source/Process/FleetSchedulerCare.cxx
@@ -1,5 +1,4 @@
-// FleetScheduler: care for what runs: stalls, slow and leaving workers, tasks
-// that serve beside backfill.
+// FleetScheduler: care for what runs: stalls, slow and leaving workers.
 
 #include "Process/FleetScheduler.h"
 
@@ -37,22 +36,6 @@
 /** What was learned of a worker's slowness fades by this part a report. */
 constexpr double kForgetSlowness = 0.05;
 
-/** Tail latency over its objective above which backfill beside it gives way. */
-constexpr double kPressed = 0.9;
-/** Slowdown by one backfill task that is worth acting on. */
-constexpr double kBlamed = 0.8;
-/** A serving task over its objective for so long, for whatever cause, makes all
- * backfill beside it stand still until it has recovered: guards against harm by
- * many that seem harmless one by one, within the 4 s that users allow. */
-constexpr Millis kPauseAfter{ 1800 };
-constexpr double kRecovered = 0.75;
-/** What a backfill task uses is measured over half a second. */
-constexpr Millis kMeasured{ 900 };
-/** Weight of the newest share that backfill got. */
-constexpr double kLearnShare = 0.2;
-/** ...and how fast it is forgotten where no backfill runs. */
-constexpr double kForgetShare = 0.1;
-
 }
 
 void
@@ -97,7 +80,7 @@
                               Instant aNow)
 {
   const double part = 1 - static_cast<double>(aRun.firstPercent_) / 100;
-  if (part < 0.3 || aStep.spec_->estimateMs_ <= 0) {
+  if (part < 0.3 || aStep.spec_->estimateMs_ <= 0 || aRun.everPaced_) {
     return;
   }
   const double micros =
@@ -225,176 +208,4 @@
   }
 }
 
-void
-FleetScheduler::WatchServing(FleetWorker& aWorker, Instant aNow)
-{
-  std::vector<BackfillSample> backfill;
-  double asked = 0;
-  double used = 0;
-  aWorker.servingSamples_.clear();
-  aWorker.pressure_ = 0;
-  for (const auto& [key, room] : aWorker.held_) {
-    if (!room.serves_ && room.backfillCpuMilli_ == 0) {
-      continue;
-    }
-    const auto name = TaskKey::Parse(key.first);
-    const auto place = name.has_value() ? Find(*name) : std::nullopt;
-    if (!place.has_value()) {
-      continue;
-    }
-    const StepSpec& spec = *place->step_->spec_;
-    for (const TaskRun& run : place->task_->runs_) {
-      if (run.run_ != key.second || run.node_ != aWorker.node_ ||
-          !run.reported_) {
-        continue;
-      }
-      if (room.serves_ && run.percent_ >= 100) {
-        const double pressure = static_cast<double>(run.measure_) /
-                                static_cast<double>(spec.latencyObjectiveMs_);
-        aWorker.pressure_ = std::max(aWorker.pressure_, pressure);
-        aWorker.servingSamples_.push_back(
-          { key.first + "/" + std::to_string(key.second),
-            spec.image_,
-            pressure });
-      } else if (!room.serves_) {
-        backfill.push_back({ spec.image_, run.pace_ / 100.0 });
-        if (aNow - run.startedAt_ > kMeasured && run.pace_ == 100 &&
-            run.measure_ > 0) {
-          asked += static_cast<double>(spec.cpuMilli_);
-          used += static_cast<double>(run.measure_);
-        }
-      }
-    }
-  }
-  const double share = asked > 0 ? std::min(1.0, used / asked) : 1;
-  aWorker.backfillShare_ +=
-    (asked > 0 ? kLearnShare : kForgetShare) * (share - aWorker.backfillShare_);
-  interference_.Record(aWorker.node_, backfill, aNow);
-  interference_.Measure(
-    aWorker.node_, aWorker.servingSamples_, aWorker.measuredAt_);
-  PauseBackfill(aWorker, aNow);
-  if (aWorker.pressure_ > kPressed && !backfill.empty()) {
-    RelieveServing(aWorker, aNow);
-  }
-}
-
-void
-FleetScheduler::PauseBackfill(FleetWorker& aWorker, Instant aNow)
-{
-  std::map<std::string, Instant> over;
-  bool pause = false;
-  for (const ServingSample& sample : aWorker.servingSamples_) {
-    if (sample.pressure_ <= 1) {
-      continue;
-    }
-    const auto known = aWorker.overSince_.find(sample.run_);
-    const Instant since =
-      known == aWorker.overSince_.end() ? aNow : known->second;
-    over.emplace(sample.run_, since);
-    pause = pause || aNow - since > kPauseAfter;
-  }
-  aWorker.overSince_ = std::move(over);
-  if (!aWorker.backfillPaused_ && pause && aWorker.backfillCpuMilli_ > 0) {
-    aWorker.backfillPaused_ = true;
-    SetBackfillPace(aWorker, 0, aNow);
-  } else if (aWorker.backfillPaused_ && aWorker.pressure_ < kRecovered) {
-    aWorker.backfillPaused_ = false;
-    SetBackfillPace(aWorker, 100, aNow);
-  }
-}
-
-void
-FleetScheduler::SetBackfillPace(FleetWorker& aWorker,
-                                std::uint32_t aPace,
-                                Instant aNow)
-{
-  for (const auto& [key, room] : aWorker.held_) {
-    if (room.backfillCpuMilli_ == 0) {
-      continue;
-    }
-    const auto name = TaskKey::Parse(key.first);
-    const auto place = name.has_value() ? Find(*name) : std::nullopt;
-    if (!place.has_value()) {
-      continue;
-    }
-    for (TaskRun& run : place->task_->runs_) {
-      if (run.run_ == key.second && run.node_ == aWorker.node_) {
-        run.pace_ = std::min(aPace, run.paceLimit_);
-        run.progressAt_ = aNow;
-        run.firstReportAt_ = aNow;
-        run.firstPercent_ = run.percent_;
-        OrdersFor(aWorker).paces_.push_back(
-          { key.first, key.second, run.pace_ });
-      }
-    }
-  }
-  Note("backfill-paced",
-       {},
-       aWorker.node_,
-       std::to_string(aPace) + " percent at pressure " +
-         std::to_string(aWorker.pressure_));
-}
-
-void
-FleetScheduler::RelieveServing(FleetWorker& aWorker, Instant aNow)
-{
-  (void)aNow;
-  for (const ServingSample& sample : aWorker.servingSamples_) {
-    if (sample.pressure_ <= kPressed) {
-      continue;
-    }
-    std::vector<Disturber> disturbers = DisturbersOf(aWorker, sample.image_);
-    double total = 0;
-    for (const Disturber& one : disturbers) {
-      total += one.cost_;
-    }
-    // The worst first, until what is left is harmless.
-    std::sort(disturbers.begin(),
-              disturbers.end(),
-              [](const Disturber& aLeft, const Disturber& aRight) {
-                return aLeft.cost_ > aRight.cost_;
-              });
-    for (const Disturber& one : disturbers) {
-      if (total <= kBlamed) {
-        break;
-      }
-      total -= one.cost_;
-      // One at a lower pace starved before: it gives way by PauseBackfill().
-      if (one.run_->paceLimit_ == 100) {
-        // A pace takes effect in a tenth of the time that a stop may take.
-        OrdersFor(aWorker).paces_.push_back({ one.task_, one.run_->run_, 0 });
-        OrderStop(aWorker.node_,
-                  one.task_,
-                  *one.run_,
-                  "it slows a serving task by " + std::to_string(one.cost_));
-      }
-    }
-  }
-}
-
-std::vector<FleetScheduler::Disturber>
-FleetScheduler::DisturbersOf(FleetWorker& aWorker,
-                             const std::string& aServingImage)
-{
-  std::vector<Disturber> disturbers;
-  for (const auto& [key, room] : aWorker.held_) {
-    if (room.backfillCpuMilli_ == 0) {
-      continue;
-    }
-    const auto name = TaskKey::Parse(key.first);
-    const auto place = name.has_value() ? Find(*name) : std::nullopt;
-    if (!place.has_value()) {
-      continue;
-    }
-    const double cost = interference_.Impact(aServingImage, room.image_).cost_;
-    for (TaskRun& run : place->task_->runs_) {
-      if (run.run_ == key.second && run.node_ == aWorker.node_ &&
-          run.phase_ != RunPhase::Stopping) {
-        disturbers.push_back({ key.first, &run, cost * run.pace_ / 100.0 });
-      }
-    }
-  }
-  return disturbers;
-}
-
 }
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -12,9 +12,9 @@
 /** A job of backfill with nothing running takes any worker after this; users
  * count one as lost after three seconds. */
 constexpr Millis kStarved{ 1500 };
-/** Slowdown that a task kept at a lower pace may cause, and the least pace. */
-constexpr double kHarmlessCost = 0.5;
-constexpr std::uint32_t kLeastPace = 5;
+/** Backfill is placed for so long a time ahead at most: its task's duration,
+ * but further ahead the load of those that serve can't be told. */
+constexpr Millis kFarthestAhead{ 300 };
 
 FleetRoom
 Sum(const FleetRoom& aLeft, const FleetRoom& aRight)
@@ -185,6 +185,7 @@
   if (step.spec_->gang_) {
     return PlaceGang(entry, step, aNow);
   }
+  FillOptions(*entry.job_, step, aNow);
   bool allPlaced = true;
   for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
     if (!step.tasks_[i].Waits()) {
@@ -204,7 +205,9 @@
 }
 
 void
-FleetScheduler::FillOptions(const FleetStep& aStep, Instant aNow)
+FleetScheduler::FillOptions(const FleetJob& aJob,
+                            const FleetStep& aStep,
+                            Instant aNow)
 {
   std::map<std::string_view, std::uint32_t> sameStep;
   if (aStep.spec_->maxPerWorker_ > 0) {
@@ -221,29 +224,40 @@
     option.worker_ = &worker;
     option.sameStep_ = same == sameStep.end() ? 0 : same->second;
     option.setAside_ = health_.IsSetAside(node, aNow);
-    if (aStep.spec_->backfill_ && worker.serving_ > 0) {
-      option.impact_ = ImpactOn(worker, aStep.spec_->image_);
-    }
+    option.fit_ = FitOn(worker, aJob, *aStep.spec_);
     options_.push_back(option);
   }
 }
 
-BackfillImpact
-FleetScheduler::ImpactOn(const FleetWorker& aWorker,
-                         const std::string& aBackfillImage) const
+void
+FleetScheduler::NotePlaced(std::size_t aOption,
+                           const FleetJob& aJob,
+                           const FleetStep& aStep)
 {
-  BackfillImpact worst;
-  for (const auto& [serving, count] : aWorker.servingImages_) {
-    const BackfillImpact one = interference_.Impact(serving, aBackfillImage);
-    double total = one.cost_;
-    for (const auto& [backfill, tasks] : aWorker.backfillImages_) {
-      total += tasks * interference_.Impact(serving, backfill).cost_;
-    }
-    worst.cost_ = std::max(worst.cost_, one.cost_);
-    worst.total_ = std::max(worst.total_, total);
-    worst.known_ = worst.known_ && one.known_;
+  WorkerOption& option = options_[aOption];
+  ++option.sameStep_;
+  option.fit_ = FitOn(*option.worker_, aJob, *aStep.spec_);
+}
+
+BackfillFit
+FleetScheduler::FitOn(const FleetWorker& aWorker,
+                      const FleetJob& aJob,
+                      const StepSpec& aStep)
+{
+  if (!aStep.backfill_ || aWorker.serving_ == 0) {
+    return {};
   }
-  return worst;
+  const auto expected =
+    Micros(static_cast<std::int64_t>(ExpectedMicros(aJob, aStep)));
+  std::map<std::string, double> backfill;
+  for (const auto& [image, cpuMilli] : aWorker.backfillImages_) {
+    backfill.emplace(image, aWorker.TenthsOf(cpuMilli));
+  }
+  return interference_.FitOfOneMore(
+    aWorker.servingGroups_,
+    backfill,
+    { aStep.image_, aWorker.TenthsOf(aStep.cpuMilli_), 1 },
+    std::min(kFarthestAhead, std::chrono::duration_cast<Millis>(expected)));
 }
 
 std::string
@@ -263,14 +277,13 @@
   return {};
 }
 
-FleetWorker*
-FleetScheduler::Choose(const FleetJob& aJob,
-                       const FleetStep& aStep,
-                       const FleetTask& aTask,
-                       Instant aNow,
-                       bool aStarving)
+std::optional<std::size_t>
+FleetScheduler::ChooseAmongOptions(const FleetJob& aJob,
+                                   const FleetStep& aStep,
+                                   const FleetTask& aTask,
+                                   Instant aNow,
+                                   bool aStarving) const
 {
-  FillOptions(aStep, aNow);
   const std::string rack = RackInUse(aStep);
   ChoiceFacts facts;
   facts.step_ = aStep.spec_;
@@ -280,15 +293,7 @@
   facts.rackInUse_ = rack;
   facts.now_ = aNow;
   facts.starving_ = aStarving;
-  const std::optional<std::size_t> chosen = ChooseWorker(options_, facts);
-  if (!chosen.has_value()) {
-    return nullptr;
-  }
-  FleetWorker& worker = workers_.at(options_[*chosen].worker_->node_);
-  if (!options_[*chosen].impact_.known_) {
-    worker.triedAt_ = aNow;
-  }
-  return &worker;
+  return ChooseWorker(options_, facts);
 }
 
 bool
@@ -298,14 +303,32 @@
                           Instant aNow)
 {
   FleetTask& task = aStep.tasks_[aIndex];
-  FleetWorker* worker = Choose(*aEntry.job_, aStep, task, aNow);
-  if (worker == nullptr) {
+  const auto chosen = ChooseAmongOptions(*aEntry.job_, aStep, task, aNow);
+  if (!chosen.has_value()) {
     return false;
   }
-  StartRun(aEntry, aStep, aIndex, *worker, aEntry.job_->NextRun(task), aNow);
+  PlaceOn(*chosen, aEntry, aStep, aIndex, aNow);
   return true;
 }
 
+void
+FleetScheduler::PlaceOn(std::size_t aOption,
+                        JobEntry& aEntry,
+                        FleetStep& aStep,
+                        std::uint32_t aIndex,
+                        Instant aNow)
+{
+  const BackfillFit fit = options_[aOption].fit_;
+  FleetTask& task = aStep.tasks_[aIndex];
+  FleetWorker& worker = workers_.at(options_[aOption].worker_->node_);
+  StartRun(aEntry, aStep, aIndex, worker, aEntry.job_->NextRun(task), aNow);
+  NotePlaced(aOption, *aEntry.job_, aStep);
+  StartAtPace(worker, aEntry, aStep, aIndex, fit.speed_);
+  if (!fit.known_) {
+    worker.triedAt_ = aNow;
+  }
+}
+
 bool
 FleetScheduler::PlaceStarving(JobEntry& aEntry,
                               FleetStep& aStep,
@@ -323,25 +346,13 @@
     return false;
   }
   FleetTask& task = aStep.tasks_[aIndex];
-  FleetWorker* worker = Choose(*aEntry.job_, aStep, task, aNow, true);
-  if (worker == nullptr) {
+  const auto chosen = ChooseAmongOptions(*aEntry.job_, aStep, task, aNow, true);
+  if (!chosen.has_value()) {
     return false;
   }
   aEntry.idleSince_.reset();
-  StartRun(aEntry, aStep, aIndex, *worker, aEntry.job_->NextRun(task), aNow);
-  const double cost = ImpactOn(*worker, aStep.spec_->image_).cost_;
-  if (cost > kHarmlessCost) {
-    TaskRun& run = task.runs_.back();
-    run.paceLimit_ = std::max<std::uint32_t>(
-      kLeastPace, static_cast<std::uint32_t>(100 * kHarmlessCost / cost));
-    run.pace_ = run.paceLimit_;
-    OrdersFor(*worker).paces_.push_back(
-      { TaskKey{
-          aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, aIndex }
-          .Text(),
-        run.run_,
-        run.pace_ });
-  }
+  PlaceOn(*chosen, aEntry, aStep, aIndex, aNow);
+  task.runs_.back().starving_ = true;
   return true;
 }
 
@@ -365,16 +376,20 @@
       checkpoint = task.checkpoint_;
     }
   }
+  FillOptions(*aEntry.job_, aStep, aNow);
   std::vector<FleetWorker*> chosen;
   for (std::uint32_t i = 0; i < aStep.tasks_.size(); ++i) {
-    FleetWorker* worker = Choose(*aEntry.job_, aStep, aStep.tasks_[i], aNow);
-    if (worker == nullptr) {
+    const auto option =
+      ChooseAmongOptions(*aEntry.job_, aStep, aStep.tasks_[i], aNow);
+    if (!option.has_value()) {
       break;
     }
+    FleetWorker* worker = &workers_.at(options_[*option].worker_->node_);
     const TaskKey name{
       aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, i
     };
-    worker->Hold(name.Text(), run, RoomOf(*aStep.spec_));
+    worker->Hold(name.Text(), run, RoomOf(*aStep.spec_, name.job_));
+    NotePlaced(*option, *aEntry.job_, aStep);
     TaskRun placeholder;
     placeholder.node_ = worker->node_;
     aStep.tasks_[i].runs_.push_back(placeholder);
@@ -418,7 +433,7 @@
   run.progressAt_ = aNow;
   task.runs_.push_back(run);
   const std::string text = name.Text();
-  aWorker.Hold(text, aRun, RoomOf(*aStep.spec_));
+  aWorker.Hold(text, aRun, RoomOf(*aStep.spec_, spec.id_));
   health_.OnStart(aWorker.node_, aNow);
   aEntry.job_->SetStarted();
   OrdersFor(aWorker).starts_.push_back(
@@ -465,12 +480,12 @@
   if (aStep.spec_->backfill_) {
     return;
   }
-  const FleetRoom wanted = RoomOf(*aStep.spec_).room_;
+  const FleetRoom wanted = RoomOf(*aStep.spec_, aJob.Spec().id_).room_;
   ChoiceFacts facts;
   facts.step_ = aStep.spec_;
   facts.service_ = aJob.Spec().service_;
   facts.now_ = aNow;
-  FillOptions(aStep, aNow);
+  FillOptions(aJob, aStep, aNow);
   FleetWorker* best = nullptr;
   std::vector<std::pair<std::string, TaskRun*>> bestRuns;
   for (const WorkerOption& option : options_) {
--- /dev/null
+++ b/Source/Process/FleetSchedulerSharing.cxx
@@ -0,0 +1,262 @@
+// FleetScheduler: tasks that serve their own users beside backfill: what their
+// latencies teach, and how fast the backfill may work.
+
+#include "Process/FleetScheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+/** A serving task over its objective for so long, for whatever cause, makes all
+ * backfill beside it stand still until it has recovered: guards against harm
+ * that the learned costs don't explain, within the 4 s that users allow. */
+constexpr Millis kPauseAfter{ 1800 };
+constexpr double kRecovered = 0.75;
+/** What a backfill task uses is measured over half a second. */
+constexpr Millis kMeasured{ 900 };
+/** Weight of the newest share that backfill got. */
+constexpr double kLearnShare = 0.2;
+/** ...and how fast it is forgotten where no backfill runs. */
+constexpr double kForgetShare = 0.1;
+
+/** Paces are ordered in steps of so many percent: smaller ones cost orders and
+ * change nothing that can be measured. */
+constexpr std::uint32_t kPaceStep = 10;
+constexpr std::uint32_t kFullPace = 100;
+/** A task that would starve works at this pace at least. */
+constexpr std::uint32_t kLeastPace = 5;
+/** Backfill that has worked below this pace for so long moves, with its
+ * checkpoint, if it may work twice as fast elsewhere. */
+constexpr std::uint32_t kSlowPace = 40;
+constexpr Millis kSlowFor{ 1200 };
+/** Percent of a task without checkpoints that a move may throw away. */
+constexpr std::uint32_t kLittleWork = 20;
+
+std::uint32_t
+PaceOf(double aSpeed)
+{
+  const auto steps = static_cast<std::uint32_t>(
+    std::floor(std::clamp(aSpeed, 0.0, 1.0) * 100 / kPaceStep));
+  return steps * kPaceStep;
+}
+
+}
+
+/** One run on a worker, with where its task is kept. */
+struct FleetScheduler::SharingRun
+{
+  std::string name_;
+  const TaskRoom* room_ = nullptr;
+  Place place_;
+  TaskRun* run_ = nullptr;
+};
+
+std::vector<FleetScheduler::SharingRun>
+FleetScheduler::SharingRuns(FleetWorker& aWorker)
+{
+  std::vector<SharingRun> runs;
+  for (const auto& [key, room] : aWorker.held_) {
+    if (!room.serves_ && room.backfillCpuMilli_ == 0) {
+      continue;
+    }
+    const auto name = TaskKey::Parse(key.first);
+    const auto place = name.has_value() ? Find(*name) : std::nullopt;
+    if (!place.has_value()) {
+      continue;
+    }
+    for (TaskRun& run : place->task_->runs_) {
+      if (run.run_ == key.second && run.node_ == aWorker.node_ &&
+          run.reported_) {
+        runs.push_back({ key.first, &room, *place, &run });
+      }
+    }
+  }
+  return runs;
+}
+
+void
+FleetScheduler::WatchServing(FleetWorker& aWorker, Instant aNow)
+{
+  const std::vector<SharingRun> runs = SharingRuns(aWorker);
+  std::vector<BackfillSample> backfill;
+  double asked = 0;
+  double used = 0;
+  aWorker.servingSamples_.clear();
+  aWorker.pressure_ = 0;
+  for (const SharingRun& one : runs) {
+    const StepSpec& spec = *one.place_.step_->spec_;
+    const TaskRun& run = *one.run_;
+    if (!one.room_->serves_) {
+      backfill.push_back(
+        { spec.image_, aWorker.TenthsOf(spec.cpuMilli_), run.pace_ / 100.0 });
+      if (aNow - run.startedAt_ > kMeasured && run.pace_ == 100 &&
+          run.measure_ > 0) {
+        asked += static_cast<double>(spec.cpuMilli_);
+        used += static_cast<double>(run.measure_);
+      }
+    } else if (run.percent_ >= 100) {
+      const double pressure = static_cast<double>(run.measure_) /
+                              static_cast<double>(spec.latencyObjectiveMs_);
+      aWorker.pressure_ = std::max(aWorker.pressure_, pressure);
+      aWorker.servingSamples_.push_back(
+        { one.name_ + "/" + std::to_string(run.run_),
+          one.room_->job_,
+          spec.image_,
+          pressure });
+    }
+  }
+  const double share = asked > 0 ? std::min(1.0, used / asked) : 1;
+  aWorker.backfillShare_ +=
+    (asked > 0 ? kLearnShare : kForgetShare) * (share - aWorker.backfillShare_);
+  interference_.Record(aWorker.node_, backfill, aNow);
+  interference_.Measure(
+    aWorker.node_, aWorker.servingSamples_, aWorker.measuredAt_);
+  PauseBackfill(aWorker, runs, aNow);
+  if (!aWorker.backfillPaused_) {
+    PaceBackfill(aWorker, runs, aNow);
+  }
+}
+
+void
+FleetScheduler::PauseBackfill(FleetWorker& aWorker,
+                              std::span<const SharingRun> aRuns,
+                              Instant aNow)
+{
+  std::map<std::string, Instant> over;
+  bool pause = false;
+  for (const ServingSample& sample : aWorker.servingSamples_) {
+    if (sample.pressure_ <= 1) {
+      continue;
+    }
+    const auto known = aWorker.overSince_.find(sample.run_);
+    const Instant since =
+      known == aWorker.overSince_.end() ? aNow : known->second;
+    over.emplace(sample.run_, since);
+    pause = pause || aNow - since > kPauseAfter;
+  }
+  aWorker.overSince_ = std::move(over);
+  if (!aWorker.backfillPaused_ && pause && aWorker.backfillCpuMilli_ > 0) {
+    aWorker.backfillPaused_ = true;
+    Note("backfill-paused",
+         {},
+         aWorker.node_,
+         "pressure " + std::to_string(aWorker.pressure_));
+    for (const SharingRun& one : aRuns) {
+      if (!one.room_->serves_) {
+        SetPace(aWorker, one, 0, aNow);
+      }
+    }
+  } else if (aWorker.backfillPaused_ && aWorker.pressure_ < kRecovered) {
+    aWorker.backfillPaused_ = false;
+    Note("backfill-resumed",
+         {},
+         aWorker.node_,
+         "pressure " + std::to_string(aWorker.pressure_));
+  }
+}
+
+void
+FleetScheduler::PaceBackfill(FleetWorker& aWorker,
+                             std::span<const SharingRun> aRuns,
+                             Instant aNow)
+{
+  std::vector<const SharingRun*> paced;
+  std::vector<BackfillSample> backfill;
+  for (const SharingRun& one : aRuns) {
+    if (!one.room_->serves_ && one.run_->phase_ != RunPhase::Stopping) {
+      paced.push_back(&one);
+      backfill.push_back({ one.room_->image_,
+                           aWorker.TenthsOf(one.room_->backfillCpuMilli_),
+                           one.run_->pace_ / 100.0 });
+    }
+  }
+  if (paced.empty()) {
+    return;
+  }
+  const std::vector<double> speeds =
+    interference_.Speeds(aWorker.servingSamples_, backfill);
+  for (std::size_t i = 0; i < paced.size(); ++i) {
+    TaskRun& run = *paced[i]->run_;
+    const std::uint32_t least = run.starving_ ? kLeastPace : 0;
+    const std::uint32_t pace = std::max(least, PaceOf(speeds[i]));
+    if (pace != run.pace_) {
+      SetPace(aWorker, *paced[i], pace, aNow);
+    }
+    MoveIfSlow(aWorker, *paced[i], aNow);
+  }
+}
+
+void
+FleetScheduler::SetPace(FleetWorker& aWorker,
+                        const SharingRun& aRun,
+                        std::uint32_t aPace,
+                        Instant aNow)
+{
+  TaskRun& run = *aRun.run_;
+  run.pace_ = aPace;
+  run.everPaced_ = true;
+  // Its progress is judged anew from here.
+  run.progressAt_ = aNow;
+  run.firstReportAt_ = aNow;
+  run.firstPercent_ = run.percent_;
+  OrdersFor(aWorker).paces_.push_back({ aRun.name_, run.run_, aPace });
+}
+
+void
+FleetScheduler::StartAtPace(FleetWorker& aWorker,
+                            const JobEntry& aEntry,
+                            FleetStep& aStep,
+                            std::uint32_t aIndex,
+                            double aSpeed)
+{
+  const std::uint32_t pace = std::max(kLeastPace, PaceOf(aSpeed));
+  if (pace >= kFullPace) {
+    return;
+  }
+  // A first report comes half a second later: until then it would work at full
+  // speed, and several that start together would disturb at once.
+  TaskRun& run = aStep.tasks_[aIndex].runs_.back();
+  run.pace_ = pace;
+  run.everPaced_ = true;
+  const TaskKey name{
+    aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, aIndex
+  };
+  OrdersFor(aWorker).paces_.push_back({ name.Text(), run.run_, pace });
+}
+
+void
+FleetScheduler::MoveIfSlow(FleetWorker& aWorker,
+                           const SharingRun& aRun,
+                           Instant aNow)
+{
+  TaskRun& run = *aRun.run_;
+  if (run.pace_ >= kSlowPace) {
+    run.slowSince_.reset();
+    return;
+  }
+  run.slowSince_ = run.slowSince_.value_or(aNow);
+  const bool keepsWork =
+    aRun.place_.step_->spec_->checkpoints_ || run.percent_ <= kLittleWork;
+  if (aNow - *run.slowSince_ < kSlowFor || !keepsWork) {
+    return;
+  }
+  const FleetJob& job = *aRun.place_.entry_->job_;
+  FillOptions(job, *aRun.place_.step_, aNow);
+  std::erase_if(options_, [&](const WorkerOption& aOption) {
+    return aOption.worker_ == &aWorker ||
+           aOption.fit_.speed_ * 100 < 2 * static_cast<double>(run.pace_);
+  });
+  if (ChooseAmongOptions(job, *aRun.place_.step_, *aRun.place_.task_, aNow)
+        .has_value()) {
+    OrderStop(aWorker.node_,
+              aRun.name_,
+              run,
+              "it may work at " + std::to_string(run.pace_) + " percent here");
+  }
+}
+
+}
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -25,6 +25,8 @@
   bool serves_ = false;
   /** What it runs. */
   std::string image_;
+  /** Its job. */
+  std::string job_;
 };
 
 /** A run that holds room on a worker. */
@@ -100,10 +102,11 @@
   double backfillShare_ = 1;
   /** Processors declared by tasks that serve; they use a part of them. */
   std::int64_t servingCpuMilli_ = 0;
-  /** Images of tasks that serve there, and how many of each. */
-  std::map<std::string, std::uint32_t> servingImages_;
-  /** Images of backfill there, and how many tasks of each. */
-  std::map<std::string, std::uint32_t> backfillImages_;
+  /** Tasks that serve there: how many of each job and image. */
+  std::map<ServingGroup, std::uint32_t> servingGroups_;
+  /** Images of backfill there, and what processors its tasks may use, in
+   * thousandths. */
+  std::map<std::string, std::int64_t> backfillImages_;
   /** A backfill task whose effect there is not known started then. */
   Instant triedAt_;
 
@@ -114,6 +117,15 @@
              facts_.room_.accelerators_ - used_.accelerators_ };
   }
 
+  /** Processors as tenths of all that the worker has. */
+  double TenthsOf(std::int64_t aCpuMilli) const
+  {
+    return facts_.room_.cpuMilli_ <= 0
+             ? 1
+             : 10 * static_cast<double>(aCpuMilli) /
+                 static_cast<double>(facts_.room_.cpuMilli_);
+  }
+
   void Hold(const std::string& aTask, std::uint32_t aRun, const TaskRoom& aRoom)
   {
     if (!held_.emplace(std::pair(aTask, aRun), aRoom).second) {
@@ -133,14 +145,15 @@
   }
 
 private:
-  static void Count(std::map<std::string, std::uint32_t>& aImages,
-                    const std::string& aImage,
-                    int aSign)
+  template<typename Kind, typename Number>
+  static void Count(std::map<Kind, Number>& aCounts,
+                    const Kind& aKind,
+                    Number aChange)
   {
-    std::uint32_t& count = aImages[aImage];
-    count += static_cast<std::uint32_t>(aSign);
+    Number& count = aCounts[aKind];
+    count += aChange;
     if (count == 0) {
-      aImages.erase(aImage);
+      aCounts.erase(aKind);
     }
   }
 
@@ -151,12 +164,14 @@
     used_.accelerators_ += aSign * aRoom.room_.accelerators_;
     backfillCpuMilli_ += aSign * aRoom.backfillCpuMilli_;
     if (aRoom.backfillCpuMilli_ > 0) {
-      Count(backfillImages_, aRoom.image_, aSign);
+      Count(backfillImages_, aRoom.image_, aSign * aRoom.backfillCpuMilli_);
     }
     if (aRoom.serves_) {
       serving_ += static_cast<std::uint32_t>(aSign);
       servingCpuMilli_ += aSign * aRoom.room_.cpuMilli_;
-      Count(servingImages_, aRoom.image_, aSign);
+      Count(servingGroups_,
+            ServingGroup{ aRoom.job_, aRoom.image_ },
+            static_cast<std::uint32_t>(aSign));
     }
   }
 };
--- a/Source/Process/JobOrder.h
+++ b/Source/Process/JobOrder.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <span>
+#include <tuple>
 
 namespace cactusrail {
 
@@ -24,7 +25,11 @@
   /** In ms since 1970; within one outlook the earlier one goes first. */
   std::int64_t orderMs_ = 0;
 
-  auto operator<=>(const JobRank&) const = default;
+  bool operator<(const JobRank& aOther) const
+  {
+    return std::tie(outlook_, orderMs_) <
+           std::tie(aOther.outlook_, aOther.orderMs_);
+  }
 };
 
 /** Work on the longest chain of steps, in ms by their estimates. Steps marked
--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -19,27 +19,27 @@
 /** Where backfill gets less than this of what it asked for, no more starts. */
 constexpr double kSaturated = 0.7;
 
-/** No backfill joins a worker where a task is that close to its objective. */
-constexpr double kPressed = 0.9;
-/** Slowdown of a serving task that all backfill beside it may add up to. Many
- * that are harmless one by one are not together: six at 0.35 made it ten. */
-constexpr double kMaxImpact = 0.8;
-/** One that slows it by this much is not tried again to see whether it still
- * does; what was learned of the others fades, and they are. */
-constexpr double kHarmful = 3;
-/** A task whose effect is unknown starts beside serving ones below this part of
- * their objective, and one at a time. */
-constexpr double kCalmPressure = 0.7;
-constexpr Millis kTryEvery{ 1500 };
+/** Backfill starts only where it may work at this speed: a slower start keeps
+ * it from a better place that is free soon. */
+constexpr double kLeastSpeed = 0.25;
+/** A task whose effect is unknown starts beside serving ones so often. */
+constexpr Millis kTryEvery{ 800 };
+/** Speed by which starving backfill is compared where it may not work at all.
+ */
+constexpr double kCrawl = 0.02;
 
 /** Weights of a choice, in units of "a task takes so many times as long". */
 constexpr double kBesideServing = 0.2;
-constexpr double kUnknownImpact = 1.0;
+constexpr double kUnknownFit = 1.0;
 /** For each task that would suffer should it turn out harmful. */
 constexpr double kTriedBeside = 0.3;
-constexpr double kImpactWeight = 4;
 constexpr double kAvoided = 20;
 
+/** Weights of a worker for a task that serves; an empty one counts 1. */
+constexpr double kSameImage = 0.5;
+constexpr double kOtherImage = 0.7;
+constexpr double kSpread = 0.1;
+
 bool
 Contains(std::span<const std::string> aList, std::string_view aWord)
 {
@@ -100,33 +100,44 @@
 {
   const FleetWorker& worker = *aOption.worker_;
   const double share = BackfillShare(worker, aFacts.step_->cpuMilli_);
+  const BackfillFit& fit = aOption.fit_;
   if (aFacts.starving_) {
-    return kImpactWeight * aOption.impact_.cost_ + 1 / std::max(share, 0.05);
+    return 1 / std::max(fit.speed_, kCrawl) + 1 / std::max(share, 0.05);
   }
-  if (share < kLeastBackfillShare || worker.backfillShare_ < kSaturated) {
+  if (share < kLeastBackfillShare || worker.backfillShare_ < kSaturated ||
+      worker.backfillPaused_ || fit.speed_ < kLeastSpeed) {
     return kNever;
   }
-  double cost = 1 / share + UsedShare(worker) * 0.5;
+  const double cost = 1 / (share * fit.speed_) + UsedShare(worker) * 0.5;
   if (worker.serving_ == 0) {
     return cost;
   }
-  if (worker.backfillPaused_ || worker.pressure_ > kPressed) {
-    return kNever;
-  }
-  const BackfillImpact& impact = aOption.impact_;
-  if (impact.cost_ > kHarmful) {
-    return kNever;
-  }
-  if (!impact.known_) {
-    const bool mayTry = worker.pressure_ < kCalmPressure &&
-                        aFacts.now_ - worker.triedAt_ > kTryEvery;
-    return mayTry ? cost + kUnknownImpact + kTriedBeside * worker.serving_
+  if (!fit.known_) {
+    const bool mayTry = aFacts.now_ - worker.triedAt_ > kTryEvery;
+    return mayTry ? cost + kUnknownFit + kTriedBeside * worker.serving_
                   : kNever;
   }
-  if (impact.total_ > kMaxImpact) {
-    return kNever;
+  return fit.harmless_ ? cost + kBesideServing : kNever;
+}
+
+/**
+ * Tasks that serve are packed onto few workers, those of one image first.
+ *
+ * About half of the pairs of a backfill image and a serving image disturb each
+ * other: beside one image every other backfill task can work, beside three
+ * images one in eight, and on a worker where nothing serves all of them.
+ */
+double
+ServingCost(const FleetWorker& aWorker, const std::string& aImage)
+{
+  if (aWorker.serving_ == 0) {
+    return 1 + UsedShare(aWorker);
   }
-  return cost + kBesideServing + kImpactWeight * impact.cost_;
+  const bool same = std::any_of(
+    aWorker.servingGroups_.begin(),
+    aWorker.servingGroups_.end(),
+    [&aImage](const auto& aEntry) { return aEntry.first.image_ == aImage; });
+  return (same ? kSameImage : kOtherImage) + kSpread * UsedShare(aWorker);
 }
 
 double
@@ -138,8 +149,7 @@
   if (step.backfill_) {
     cost = BackfillCost(aOption, aFacts);
   } else if (step.latencyObjectiveMs_ > 0) {
-    cost = worker.serving_ > 0 ? 0.5 + UsedShare(worker) * 0.1
-                               : 1 + UsedShare(worker);
+    cost = ServingCost(worker, step.image_);
   } else {
     cost = 1 + UsedShare(worker);
   }
@@ -173,7 +183,7 @@
 }
 
 TaskRoom
-RoomOf(const StepSpec& aStep)
+RoomOf(const StepSpec& aStep, const std::string& aJob)
 {
   TaskRoom room;
   room.room_ = { aStep.backfill_ ? 0 : aStep.cpuMilli_,
@@ -182,6 +192,7 @@
   room.backfillCpuMilli_ = aStep.backfill_ ? aStep.cpuMilli_ : 0;
   room.serves_ = aStep.latencyObjectiveMs_ > 0;
   room.image_ = aStep.image_;
+  room.job_ = aJob;
   return room;
 }
 
@@ -218,7 +229,7 @@
        const ChoiceFacts& aFacts,
        bool aTrustedOnly)
 {
-  const TaskRoom room = RoomOf(*aFacts.step_);
+  const TaskRoom room = RoomOf(*aFacts.step_, std::string());
   std::optional<std::size_t> best;
   double bestCost = kNever;
   for (std::size_t i = 0; i < aOptions.size(); ++i) {
--- a/Source/Process/WorkerChoice.h
+++ b/Source/Process/WorkerChoice.h
@@ -35,13 +35,13 @@
   std::uint32_t sameStep_ = 0;
   /** Set aside for failing what it starts. */
   bool setAside_ = false;
-  /** For a backfill task: what it would do to those that serve there. */
-  BackfillImpact impact_;
+  /** For a backfill task: how it would do beside those that serve there. */
+  BackfillFit fit_;
 };
 
 /** The room that a task of the step takes. */
 TaskRoom
-RoomOf(const StepSpec& aStep);
+RoomOf(const StepSpec& aStep, const std::string& aJob);
 
 /** Whether the worker may run the task at all, with room left or not. */
 bool
--- /dev/null
+++ b/Source/Version/ContentionModel.cxx
@@ -0,0 +1,244 @@
+#include "Version/ContentionModel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cactusrail {
+
+namespace {
+
+/** The lowest latency seen is that of the lowest load; without any it would be
+ * shorter by this factor, at the least load of 0.2 that was measured. */
+constexpr double kBaseOfLeast = 0.8;
+/** Until so many figures of an image are known the lowest of them is not
+ * trusted, and the base is taken to be this part of the objective at most. */
+constexpr std::uint32_t kTrustedFigures = 30;
+constexpr double kFirstLeast = 0.3;
+/** The pressure up to which backfill may bring a task: below 1 by the noise of
+ * one figure, so that it keeps its objective. */
+constexpr double kMostPressure = 0.9;
+/** Above this use a queue's latency tells no more how full it is. */
+constexpr double kMostUtilisation = 0.97;
+
+/** A pair that was never seen: between the many that cost nothing and the one
+ * in four that cost 0.1 to 0.3. */
+constexpr double kFirstCost = 0.05;
+constexpr double kFirstDeviation = 0.12;
+/** Variance that a second adds: pairs change, within a minute or so. */
+constexpr double kDriftPerSecond = 2e-4;
+/** Deviation of one figure, as a share of capacity: whole milliseconds, half a
+ * second of users. */
+constexpr double kFigureDeviation = 0.08;
+
+constexpr double
+Square(double aValue)
+{
+  return aValue * aValue;
+}
+
+}
+
+ContentionModel::Image
+ContentionModel::Number(std::string_view aName)
+{
+  const auto known = numbers_.find(aName);
+  if (known != numbers_.end()) {
+    return known->second;
+  }
+  const auto next = static_cast<Image>(numbers_.size());
+  numbers_.emplace(std::string(aName), next);
+  return next;
+}
+
+ContentionModel::Serving&
+ContentionModel::ServingAt(Image aServing)
+{
+  if (aServing >= servings_.size()) {
+    servings_.resize(aServing + 1);
+  }
+  return servings_[aServing];
+}
+
+double
+ContentionModel::BaseOf(Image aServing) const
+{
+  if (aServing >= servings_.size() || servings_[aServing].figures_ == 0) {
+    return kBaseOfLeast * kFirstLeast;
+  }
+  const Serving& serving = servings_[aServing];
+  const double least = serving.figures_ < kTrustedFigures
+                         ? std::min(serving.leastPressure_, kFirstLeast)
+                         : serving.leastPressure_;
+  return kBaseOfLeast * least;
+}
+
+double
+ContentionModel::Utilisation(Image aServing, double aPressure) const
+{
+  if (aPressure <= 0) {
+    return 0;
+  }
+  return std::clamp(1 - BaseOf(aServing) / aPressure, 0.0, kMostUtilisation);
+}
+
+double
+ContentionModel::Limit(Image aServing) const
+{
+  return Utilisation(aServing, kMostPressure);
+}
+
+double
+ContentionModel::LoadWithin(const std::string& aJob, Millis aAhead) const
+{
+  const auto found = loads_.find(aJob);
+  return found == loads_.end() ? ServingLoad(Instant()).AtMost(aAhead)
+                               : found->second.AtMost(aAhead);
+}
+
+const LearnedFigure*
+ContentionModel::FindCost(Image aServing, Image aBackfill) const
+{
+  if (aServing >= servings_.size()) {
+    return nullptr;
+  }
+  const auto found = servings_[aServing].costs_.find(aBackfill);
+  return found == servings_[aServing].costs_.end() ? nullptr : &found->second;
+}
+
+ContentionCost
+ContentionModel::CostOf(Image aServing, Image aBackfill) const
+{
+  const LearnedFigure* cost = FindCost(aServing, aBackfill);
+  if (cost == nullptr) {
+    return { kFirstCost, kFirstDeviation };
+  }
+  return { cost->mean_, std::sqrt(cost->variance_) };
+}
+
+LearnedFigure&
+ContentionModel::CostAt(Image aServing, Image aBackfill, Instant aNow)
+{
+  const double most = Square(kFirstDeviation);
+  LearnedFigure& cost =
+    ServingAt(aServing)
+      .costs_.try_emplace(aBackfill, LearnedFigure{ kFirstCost, most, aNow })
+      .first->second;
+  const double seconds = std::max(
+    0.0, std::chrono::duration<double>(aNow - cost.updatedAt_).count());
+  cost.variance_ = std::min(most, cost.variance_ + kDriftPerSecond * seconds);
+  cost.updatedAt_ = std::max(cost.updatedAt_, aNow);
+  return cost;
+}
+
+void
+ContentionModel::OnReported(Image aServing, double aPressure)
+{
+  Serving& serving = ServingAt(aServing);
+  serving.leastPressure_ = serving.figures_ == 0
+                             ? aPressure
+                             : std::min(serving.leastPressure_, aPressure);
+  ++serving.figures_;
+}
+
+void
+ContentionModel::OnMeasured(Image aServing,
+                            const std::string& aJob,
+                            double aPressure,
+                            std::span<const Neighbour> aBeside,
+                            Instant aMeasuredAt)
+{
+  if (aPressure <= 0) {
+    return;
+  }
+  ServingLoad& load =
+    loads_.try_emplace(aJob, ServingLoad(aMeasuredAt)).first->second;
+  load.Advance(aMeasuredAt);
+  struct Term
+  {
+    LearnedFigure* cost_;
+    double weight_;
+  };
+  std::vector<Term> terms;
+  terms.reserve(aBeside.size());
+  double expected = load.Figure().mean_;
+  double variance = Square(kFigureDeviation) + load.Figure().variance_;
+  for (const Neighbour& one : aBeside) {
+    LearnedFigure& cost = CostAt(aServing, one.program_, aMeasuredAt);
+    terms.push_back({ &cost, one.weight_ });
+    expected += one.weight_ * cost.mean_;
+    variance += Square(one.weight_) * cost.variance_;
+  }
+  const double used = Utilisation(aServing, aPressure);
+  if (used >= kMostUtilisation && expected >= used) {
+    return; // It is full, as expected; how much too full can't be seen.
+  }
+  const double error = used - expected;
+  load.Correct(error, load.Figure().variance_ / variance);
+  for (const Term& term : terms) {
+    LearnedFigure& cost = *term.cost_;
+    cost.Correct(error, cost.variance_ * term.weight_ / variance, term.weight_);
+    // A neighbour never speeds a task up; a negative figure is noise that would
+    // be paid for by a wrong figure elsewhere.
+    cost.mean_ = std::clamp(cost.mean_, 0.0, 1.0);
+  }
+}
+
+void
+ContentionModel::Teach(Image aServing,
+                       Image aBackfill,
+                       double aCost,
+                       Instant aNow)
+{
+  CostAt(aServing, aBackfill, aNow) = { aCost, 0, aNow };
+}
+
+LearnedContention
+ContentionModel::Export() const
+{
+  std::vector<std::string> names(numbers_.size());
+  for (const auto& [name, number] : numbers_) {
+    names[number] = name;
+  }
+  LearnedContention learned;
+  for (Image image = 0; image < servings_.size(); ++image) {
+    const Serving& serving = servings_[image];
+    if (serving.figures_ > 0) {
+      learned.bases_.push_back(
+        { names[image], serving.leastPressure_, serving.figures_ });
+    }
+    for (const auto& [backfill, cost] : serving.costs_) {
+      learned.pairs_.push_back(
+        { names[image], names[backfill], cost.mean_, cost.variance_ });
+    }
+  }
+  return learned;
+}
+
+void
+ContentionModel::Import(const LearnedContention& aLearned, Instant aNow)
+{
+  for (const LearnedContention::Base& base : aLearned.bases_) {
+    Serving& serving = ServingAt(Number(base.serving_));
+    serving.leastPressure_ =
+      serving.figures_ == 0
+        ? base.leastPressure_
+        : std::min(serving.leastPressure_, base.leastPressure_);
+    serving.figures_ += base.figures_;
+  }
+  for (const LearnedContention::Pair& pair : aLearned.pairs_) {
+    Serving& serving = ServingAt(Number(pair.serving_));
+    serving.costs_.try_emplace(
+      Number(pair.backfill_),
+      LearnedFigure{ pair.mean_, pair.variance_, aNow });
+  }
+}
+
+void
+ContentionModel::ForgetBefore(Instant aTime)
+{
+  std::erase_if(loads_, [aTime](const auto& aEntry) {
+    return aEntry.second.Figure().updatedAt_ < aTime;
+  });
+}
+
+}
--- a/Source/Version/InterferenceModel.cxx
+++ b/Source/Version/InterferenceModel.cxx
@@ -148,56 +148,6 @@
     Pair{ Estimate{ aIdle, 0, aNow }, Estimate{ aLoaded, 0, aNow } };
 }
 
-std::vector<InterferenceModel::Learned>
-InterferenceModel::Export() const
-{
-  std::vector<std::string> names(numbers_.size());
-  for (const auto& [name, number] : numbers_) {
-    names[number] = name;
-  }
-  const double prior = rules_.priorDeviation_ * rules_.priorDeviation_;
-  std::vector<Learned> learned;
-  for (Program victim = 0; victim < victims_.size(); ++victim) {
-    const Victim& known = victims_[victim];
-    for (Program other = 0; other < known.pairs_.size(); ++other) {
-      const Pair& pair = known.pairs_[other];
-      if (pair.loaded_.variance_ < prior) {
-        learned.push_back({ names[victim],
-                            names[other],
-                            pair.idle_.mean_,
-                            pair.loaded_.mean_,
-                            pair.idle_.variance_,
-                            pair.loaded_.variance_,
-                            known.scale_ * known.alone_.mean_ });
-      }
-    }
-  }
-  return learned;
-}
-
-void
-InterferenceModel::Import(std::span<const Learned> aLearned, Instant aNow)
-{
-  const double prior = rules_.priorDeviation_ * rules_.priorDeviation_;
-  for (const Learned& one : aLearned) {
-    const Program number = Number(one.victim_);
-    const Program aggressor = Number(one.aggressor_);
-    Victim& victim = VictimAt(number);
-    if (victim.scale_ == 0) {
-      victim.scale_ = one.alone_;
-      victim.alone_ = Estimate{ 1, kAloneDeviation * kAloneDeviation, aNow };
-    }
-    if (aggressor >= victim.pairs_.size()) {
-      victim.pairs_.resize(aggressor + 1, PriorPair());
-    }
-    Pair& pair = victim.pairs_[aggressor];
-    if (pair.loaded_.variance_ >= prior) {
-      pair = Pair{ Estimate{ one.idle_, one.idleVariance_, aNow },
-                   Estimate{ one.loaded_, one.loadedVariance_, aNow } };
-    }
-  }
-}
-
 double
 InterferenceModel::Cost(Program aVictim, Program aAggressor, double aLoad) const
 {
--- a/Source/Version/InterferenceModel.h
+++ b/Source/Version/InterferenceModel.h
@@ -69,38 +69,6 @@
              double aLoaded,
              Instant aNow);
 
-  /** What has been learned of one pair, for a successor. */
-  struct Learned
-  {
-    std::string victim_;
-    std::string aggressor_;
-    /** Slowdowns beside an idle and a fully loaded victim. */
-    double idle_ = 0;
-    double loaded_ = 0;
-    /** Their variances. */
-    double idleVariance_ = 0;
-    double loadedVariance_ = 0;
-    /** The victim's measure alone. */
-    double alone_ = 0;
-
-    template<class Archive>
-    void serialize(Archive& ar)
-    {
-      ar(victim_,
-         aggressor_,
-         idle_,
-         loaded_,
-         idleVariance_,
-         loadedVariance_,
-         alone_);
-    }
-  };
-
-  /** Every pair that has been measured. */
-  std::vector<Learned> Export() const;
-  /** Takes up what another model learned; pairs known here stay as they are. */
-  void Import(std::span<const Learned> aLearned, Instant aNow);
-
   /** Slowdown that one unthrottled task adds to the victim at this load. */
   double Cost(Program aVictim, Program aAggressor, double aLoad) const;
   /** The standard deviation of that figure. */
--- a/Tests/Fleet/FleetHarmTest.cxx
+++ b/Tests/Fleet/FleetHarmTest.cxx
@@ -133,12 +133,8 @@
   HarmBench bench;
   bench.scheduler_.OnJobStored(HarmBench::Serving(), bench.now_);
   bench.Run(Millis(2000));
-  bench.scheduler_.Interference().Model().Teach(
-    bench.scheduler_.Interference().Model().Number("victim"),
-    bench.scheduler_.Interference().Model().Number("aggressor"),
-    0,
-    0,
-    bench.now_);
+  ContentionModel& model = bench.scheduler_.Interference().Model();
+  model.Teach(model.Number("victim"), model.Number("aggressor"), 0, bench.now_);
   bench.scheduler_.OnJobStored(HarmBench::Backfill("batch"), bench.now_);
   bench.Run(Millis(1000));
   bench.latency_ = 12;
@@ -149,16 +145,16 @@
   cr_assert_eq(bench.paces_.back().percent_, 100);
 }
 
-// A batch whose image is known to disturb the only worker's watcher waited for
-// ever with a third of the processors idle. It runs slowly instead.
+// A batch whose image is known to disturb the only worker's watcher, at a tenth
+// of its speed already, waited for ever with a third of the processors idle. It
+// runs slowly instead.
 Test(FleetHarm, BackfillThatWouldDisturbEverywhereRunsSlowly)
 {
   HarmBench bench;
   bench.scheduler_.OnJobStored(HarmBench::Serving(), bench.now_);
   bench.Run(Millis(2000));
-  InterferenceModel& model = bench.scheduler_.Interference().Model();
-  model.Teach(
-    model.Number("victim"), model.Number("aggressor"), 5, 5, bench.now_);
+  ContentionModel& model = bench.scheduler_.Interference().Model();
+  model.Teach(model.Number("victim"), model.Number("aggressor"), 3, bench.now_);
   bench.scheduler_.OnJobStored(HarmBench::Backfill("batch"), bench.now_);
   bench.Run(Millis(1000));
   cr_assert_not(bench.Runs("batch"));
@@ -173,17 +169,49 @@
 Test(FleetHarm, WhatWasLearnedOutlivesTheLeader)
 {
   HarmBench first;
-  InterferenceModel& known = first.scheduler_.Interference().Model();
-  const std::vector<Neighbour> beside{ { known.Number("aggressor"), 1 } };
-  known.OnMeasured(known.Number("victim"), {}, 0.5, 0.4, 1, At(1000));
-  for (int i = 0; i < 4; ++i) {
-    known.OnMeasured(
-      known.Number("victim"), beside, 0.5, 4, 1, At(2000 + 500 * i));
-  }
+  ContentionModel& known = first.scheduler_.Interference().Model();
+  known.Teach(
+    known.Number("victim"), known.Number("aggressor"), 0.4, first.now_);
   HarmBench second;
-  second.scheduler_.Interference().Model().Import(known.Export(), At(9000));
-  const BackfillImpact impact =
-    second.scheduler_.Interference().Impact("victim", "aggressor");
-  cr_assert(impact.known_);
-  cr_assert_gt(impact.cost_, 3);
+  ContentionModel& model = second.scheduler_.Interference().Model();
+  model.Import(known.Export(), second.now_);
+  const BackfillFit fit = second.scheduler_.Interference().FitOfOneMore(
+    { { ServingGroup{ "serving", "victim" }, 1 } },
+    {},
+    { "aggressor", 1, 1 },
+    Millis(0));
+  cr_assert(fit.known_);
+  cr_assert_not(fit.harmless_);
+}
+
+// Eight batch tasks are placed in one pass, before the first report. Each alone
+// would be borne: at full speed until then, all together made the watcher's
+// answers ten times as slow. Those for which not all of the room is left start
+// at a lower pace.
+Test(FleetHarm, TasksThatStartTogetherStartAtThePaceThatIsBorne)
+{
+  for (const double cost : { 0.04, 0.045, 0.05, 0.055, 0.06, 0.065 }) {
+    HarmBench bench;
+    bench.scheduler_.OnJobStored(HarmBench::Serving(), bench.now_);
+    bench.Run(Millis(3000));
+    ContentionModel& model = bench.scheduler_.Interference().Model();
+    model.Teach(
+      model.Number("victim"), model.Number("aggressor"), cost, bench.now_);
+    JobDescription batch = HarmBench::Backfill("batch");
+    batch.steps_.front().count_ = 8;
+    bench.scheduler_.OnJobStored(batch, bench.now_);
+    bench.Run(Millis(200));
+    double asked = 0;
+    for (const RunFact& run : bench.runs_) {
+      double pace = 1;
+      for (const PaceOrder& order : bench.paces_) {
+        pace = order.task_ == run.task_ ? order.percent_ / 100.0 : pace;
+      }
+      asked += run.task_.starts_with("batch") ? cost * 1.25 * pace : 0;
+    }
+    const double room = model.Limit(model.Number("victim")) -
+                        model.LoadWithin("serving", Millis(0));
+    cr_assert_gt(asked, 0);
+    cr_assert_leq(asked, room + 0.005, "asked %f, room %f", asked, room);
+  }
 }
