Log: Never wait for the reader of the log

Cause: lines went to standard output by a blocking write. A reader that stops (a hung collector) fills the pipe, and the only thread of a process that holds leases waits for it. Change: a line goes out if the pipe takes it whole now; else it is counted (log_lines_dropped), and the count is said before the next line. Ruled out: a thread of its own (a wake-up for each line, and lines that are lost with it at an end), a non-blocking descriptor (it is shared with others).

--- a/Source/Process/Log.cxx
+++ b/Source/Process/Log.cxx
@@ -3,26 +3,51 @@
 #include "Process/Instant.h"
 #include "Process/LogCollapse.h"
 #include "Process/LogLine.h"
+#include "Process/LogOutput.h"
 #include "Process/Metrics.h"
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/trivial.hpp>
-#include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 
 #include <QDateTime>
 
-#include <iostream>
 #include <mutex>
+#include <unistd.h>
 
 namespace cactusrail {
 
 namespace {
 
-namespace keywords = boost::log::keywords;
+namespace expressions = boost::log::expressions;
+namespace sinks = boost::log::sinks;
 using Severity = boost::log::trivial::severity_level;
 
+/** The library's end of the log: lines go out, or are counted; see LogOutput.
+ */
+class OutputBackend
+  : public sinks::basic_formatted_sink_backend<char,
+                                               sinks::synchronized_feeding>
+{
+public:
+  explicit OutputBackend(int aDescriptor)
+    : output_(aDescriptor)
+  {
+  }
+
+  // NOLINTNEXTLINE(readability-identifier-naming): the library names it so.
+  void consume(const boost::log::record_view&, const string_type& aLine)
+  {
+    output_.Write(aLine);
+  }
+
+private:
+  LogOutput output_;
+};
+
 /** The log of the process: its name, its form and what it collapses. */
 struct ProcessLog
 {
@@ -84,9 +109,11 @@
   LogCollapse::Limits limits;
   limits.linesAWindow_ = aOptions.linesAWindow_;
   TheLog().collapse_ = LogCollapse(limits);
-  boost::log::add_console_log(aOptions.standardOutput_ ? std::cout : std::clog,
-                              keywords::format = "%Message%",
-                              keywords::auto_flush = true);
+  using Sink = sinks::synchronous_sink<OutputBackend>;
+  const auto sink = boost::make_shared<Sink>(boost::make_shared<OutputBackend>(
+    aOptions.standardOutput_ ? STDOUT_FILENO : STDERR_FILENO));
+  sink->set_formatter(expressions::stream << expressions::smessage);
+  boost::log::core::get()->add_sink(sink);
   boost::log::core::get()->set_filter(
     boost::log::trivial::severity >=
     (aOptions.problemsOnly_ ? Severity::warning : Severity::info));
--- a/Source/Process/Metrics.cxx
+++ b/Source/Process/Metrics.cxx
@@ -30,6 +30,7 @@
   { "table_failures", "calls to the table service without a good answer" },
   { "evictions", "tasks evicted" },
   { "log_lines_collapsed", "log lines of a flood that were only counted" },
+  { "log_lines_dropped", "log lines that the log's reader had no room for" },
   { "series_overflows", "values counted under 'other' for lack of room" },
 } };
 
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -36,6 +36,7 @@
   TableFailures,
   Evictions,
   LogLinesCollapsed,
+  LogLinesDropped,
   SeriesOverflows,
 };
 
--- /dev/null
+++ b/Tests/Unit/LogOutputTest.cxx
@@ -0,0 +1,78 @@
+#include "Process/LogOutput.h"
+
+#include <criterion/criterion.h>
+
+#include <array>
+#include <string>
+#include <unistd.h>
+
+using namespace cactusrail;
+
+namespace {
+
+/** A pipe whose reader takes lines when the test says so. */
+struct PipeBench
+{
+  PipeBench() { cr_assert_eq(::pipe(ends_.data()), 0); }
+  ~PipeBench()
+  {
+    ::close(ends_[0]);
+    ::close(ends_[1]);
+  }
+
+  /** Takes what is there, up to a part of the pipe. */
+  std::string Read()
+  {
+    std::array<char, 65536> text{};
+    const ssize_t size = ::read(ends_[0], text.data(), text.size());
+    return { text.data(),
+             static_cast<std::size_t>(std::max<ssize_t>(0, size)) };
+  }
+
+  std::array<int, 2> ends_{};
+};
+
+}
+
+// The collector that reads our standard output hangs. The pipe fills, and the
+// next line must not wait for it: a write that blocks would hang this test, as
+// it hung the only thread of a process that holds leases.
+Test(LogOutput, ReaderThatStoppedBlocksNothing, .timeout = 20)
+{
+  PipeBench pipe;
+  LogOutput output(pipe.ends_[1]);
+  const std::string line(1000, 'x');
+  for (int i = 0; i < 1000; ++i) {
+    output.Write(line);
+  }
+  cr_assert_gt(output.Dropped(), 0U);
+}
+
+// Once the reader goes on, it is told how many lines are missing, before the
+// next line: an engineer must not take the gap for silence.
+Test(LogOutput, MissingLinesAreSaid, .timeout = 20)
+{
+  PipeBench pipe;
+  LogOutput output(pipe.ends_[1]);
+  const std::string line(1000, 'x');
+  for (int i = 0; i < 200; ++i) {
+    output.Write(line);
+  }
+  const std::uint64_t dropped = output.Dropped();
+  pipe.Read();
+  cr_assert(output.Write("next"));
+  cr_assert_eq(output.Dropped(), 0U);
+  const std::string text = pipe.Read();
+  const std::string said = "{\"event\":\"log-lines-dropped\",\"lines\":\"" +
+                           std::to_string(dropped) + "\"}\nnext\n";
+  cr_assert(text.ends_with(said));
+}
+
+// A line that a pipe might take in parts is dropped whole and counted.
+Test(LogOutput, LineTooLongForOneWriteIsDropped, .timeout = 20)
+{
+  PipeBench pipe;
+  LogOutput output(pipe.ends_[1]);
+  cr_assert_not(output.Write(std::string(100000, 'x')));
+  cr_assert_eq(output.Dropped(), 1U);
+}
