--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -344,14 +344,6 @@
   return batch;
 }
 
-void
-FleetScheduler::PutBack(const ProgressBatch& aBatch)
-{
-  for (const auto& [id, progress] : aBatch.jobs_) {
-    changed_.insert(id);
-  }
-}
-
 void
 FleetScheduler::OnBatchStored(std::uint64_t aBatch, Instant aNow)
 {
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -27,12 +27,6 @@
 /** Figures of the deployment that scheduling rests on. */
 struct FleetBounds
 {
-  /** Runs may start on a worker so long after it said that it leaves. */
-  Millis drain_{ 2000 };
-  /** A worker stops a run within this. */
-  Millis stopTimeout_{ 1000 };
-  /** A long-running task away for longer than this counts as disrupted. */
-  Millis disruptionNotice_{ 4500 };
   /** Finished jobs are known for so long. */
   Millis keepFinished_{ 120000 };
   /** How much longer a task takes away from its data. */
@@ -114,8 +108,6 @@
   std::vector<SideOrders> TakeOrders(Instant aNow, std::int64_t aWallMs);
   /** Changes that must be stored; none if there are none. */
   std::optional<ProgressBatch> TakeBatch();
-  /** A batch was not stored: its jobs go into the next one. */
-  void PutBack(const ProgressBatch& aBatch);
   /** What has been decided since the last call, for the log. */
   std::vector<FleetEvent> TakeEvents();
   /** Jobs that ended so long ago that nobody may ask for them. */
--- a/Source/Process/FleetSettings.cxx
+++ b/Source/Process/FleetSettings.cxx
@@ -40,31 +40,13 @@
     "info,warning" },
 } };
 
-constexpr std::array<SettingSpec, 7> kEntry{ {
+constexpr std::array<SettingSpec, 4> kEntry{ {
   RequiredSetting("fleet.callers",
                   SettingKind::Address,
                   "IP:PORT that callers' requests arrive at"),
   RequiredSetting("fleet.readiness",
                   SettingKind::Address,
                   "IP:PORT that the balancer asks"),
-  NumberSetting("bounds.drain-ms",
-                "2000",
-                0,
-                kHourMs,
-                "ms",
-                "time in which runs may still start on a leaving worker"),
-  NumberSetting("bounds.stop-timeout-ms",
-                "1000",
-                0,
-                kHourMs,
-                "ms",
-                "time that a worker takes to stop a run"),
-  NumberSetting("bounds.disruption-ms",
-                "4500",
-                0,
-                kHourMs,
-                "ms",
-                "a long-running task away for longer counts as disrupted"),
   NumberSetting("bounds.keep-finished-s",
                 "120",
                 1,
@@ -145,9 +127,6 @@
   settings.callers_ = file.Address("fleet.callers");
   settings.readiness_ = file.Address("fleet.readiness");
   FleetBounds& bounds = settings.bounds_;
-  bounds.drain_ = Millis(file.Number("bounds.drain-ms"));
-  bounds.stopTimeout_ = Millis(file.Number("bounds.stop-timeout-ms"));
-  bounds.disruptionNotice_ = Millis(file.Number("bounds.disruption-ms"));
   bounds.keepFinished_ = Millis(1000 * file.Number("bounds.keep-finished-s"));
   const std::string& factor = file.Text("bounds.far-factor");
   const char* end = factor.data() + factor.size();
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -29,13 +29,6 @@
   std::string job_;
 };
 
-/** A run that holds room on a worker. */
-struct HeldRun
-{
-  std::uint32_t run_ = 0;
-  TaskRoom room_;
-};
-
 /** An end that the worker lists until what it changed is stored. */
 struct UnstoredEnd
 {
--- a/Source/Process/WorkerChoice.h
+++ b/Source/Process/WorkerChoice.h
@@ -24,8 +24,6 @@
   Instant now_;
   /** Backfill that found no good place for so long that any will do. */
   bool starving_ = false;
-  /** New runs may still start on a draining worker for so long. */
-  Millis drain_{ 0 };
 };
 
 /** A worker that could take the task, with how many of its step run there. */
