LeaderLease: Bind a yield to the row's version; small hosts stand aside

Its two runs had numbers of two epochs, 27 ms apart. A leader without the table yields to the entry that asks it; its renewal that was under way succeeded, so it went on, while the other entry still took its life for yielded and wrote over the renewed row. Both led until the next renewal failed, some 0.6 s.

Ruled out: the lease's own time (the row changed hands within it), the side's repeats of a start (first orders, both), kRunsPerEpoch (numbers rose).

Change: a yield names the version of the row that it gives up. A renewal that was under way makes it void. Test seen: RenewalUnderWayMakesAYieldVoid.

Also: hosts with less than half a processor leave a free lease to larger ones for up to 0.6 s.

--- a/Source/Connection/FleetMessages.h
+++ b/Source/Connection/FleetMessages.h
@@ -218,6 +218,9 @@
   std::uint64_t sequence_ = 0;
   std::uint64_t echoMicros_ = 0;
   std::uint64_t holdMicros_ = 0;
+  /** The side watches its worker closely until so long after the echoed clock;
+   * 0 for not. */
+  std::uint64_t watchMicros_ = 0;
   /** The worker's life that the orders and the acknowledgement are for. */
   std::string workerId_;
   /** Ends up to this one are stored; the worker may forget them. */
@@ -233,6 +236,7 @@
        sequence_,
        echoMicros_,
        holdMicros_,
+       watchMicros_,
        workerId_,
        endsStored_,
        starts_,
@@ -294,7 +298,8 @@
 {
   std::uint64_t id_ = 0;
   FleetOutcome outcome_ = FleetOutcome::Ok;
-  /** A JobState, or a count. */
+  /** A JobState, a count, or the version of the leader's row that is yielded.
+   */
   std::uint64_t value_ = 0;
 
   template<class Archive>
--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -138,7 +138,10 @@
     , intake_(store_)
     , leader_(aSettings.fleet_.name_)
     , lease_(store_,
-             { aSettings.fleet_.name_, life_, aSettings.fleet_.links_.Text() },
+             { aSettings.fleet_.name_,
+               life_,
+               aSettings.fleet_.links_.Text(),
+               LeaderLease::StandAside(aSettings.processors_) },
              [this] { OnLeaseChanged(); })
     , key_(store_, [this] { OnKey(); })
     , configurationWatch_(
@@ -172,9 +175,9 @@
     }
     readiness_ = std::move(std::get<std::unique_ptr<HttpFront>>(readiness));
     connect(
-      &leader_, &LeaderLink::LeaderYields, this, [this](const QString& aLife) {
-        LogChange("leader-yields", { { "life", aLife.toStdString() } });
-        lease_.OnYield(aLife.toStdString());
+      &leader_, &LeaderLink::LeaderYields, this, [this](quint64 aVersion) {
+        LogChange("leader-yields", { { "version", std::to_string(aVersion) } });
+        lease_.OnYield(aVersion);
       });
     auto metrics = ListenForMetrics(settings_.fleet_.metrics_);
     if (const auto* failure = std::get_if<Failure>(&metrics)) {
@@ -294,7 +297,7 @@
       // The asker has just written to the table that this entry can't reach.
       LogChange("yielding", { { "epoch", std::to_string(leadEpoch_) } });
       lease_.Yield();
-      aLink->Send(Outcome(FleetOutcome::TakeOver));
+      aLink->Send(Outcome(FleetOutcome::TakeOver, lease_.Lease().RowVersion()));
     }
     AnswerAsk(aAsk, [link, id](FleetAnswerMessage aAnswer) {
       if (id != 0 && !link.isNull()) {
--- a/Source/Process/FleetSettings.cxx
+++ b/Source/Process/FleetSettings.cxx
@@ -40,13 +40,19 @@
     "info,warning" },
 } };
 
-constexpr std::array<SettingSpec, 4> kEntry{ {
+constexpr std::array<SettingSpec, 5> kEntry{ {
   RequiredSetting("fleet.callers",
                   SettingKind::Address,
                   "IP:PORT that callers' requests arrive at"),
   RequiredSetting("fleet.readiness",
                   SettingKind::Address,
                   "IP:PORT that the balancer asks"),
+  { "host.processors",
+    SettingKind::Text,
+    "1",
+    0,
+    0,
+    "processors of this host, or its share of one; the larger ones lead" },
   NumberSetting("bounds.keep-finished-s",
                 "120",
                 1,
@@ -91,6 +97,14 @@
   return all;
 }
 
+bool
+ReadFraction(const std::string& aText, double& aNumber)
+{
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, aNumber);
+  return parsed.ec == std::errc() && parsed.ptr == end;
+}
+
 FleetSettings
 ReadCommon(const SettingsFile& aFile)
 {
@@ -129,13 +143,18 @@
   FleetBounds& bounds = settings.bounds_;
   bounds.keepFinished_ = Millis(1000 * file.Number("bounds.keep-finished-s"));
   const std::string& factor = file.Text("bounds.far-factor");
-  const char* end = factor.data() + factor.size();
-  const auto parsed = std::from_chars(factor.data(), end, bounds.farFactor_);
-  if (parsed.ec != std::errc() || parsed.ptr != end || bounds.farFactor_ < 1) {
+  if (!ReadFraction(factor, bounds.farFactor_) || bounds.farFactor_ < 1) {
     return NotRun(FailureKind::BadInput,
                   aPath + ": [bounds] far-factor: is \"" + factor +
                     "\"; expected a number of at least 1.");
   }
+  const std::string& processors = file.Text("host.processors");
+  if (!ReadFraction(processors, settings.processors_) ||
+      settings.processors_ <= 0) {
+    return NotRun(FailureKind::BadInput,
+                  aPath + ": [host] processors: is \"" + processors +
+                    "\"; expected a number above 0.");
+  }
   return settings;
 }
 
--- a/Source/Process/FleetSettings.h
+++ b/Source/Process/FleetSettings.h
@@ -34,6 +34,8 @@
   /** Where the balancer asks whether callers may come. */
   SocketAddress readiness_;
   FleetBounds bounds_;
+  /** Processors of this host, or the share of one that it has. */
+  double processors_ = 1;
 
   static std::span<const SettingSpec> Specs();
   static Result<FleetEntrySettings> Load(const std::string& aPath);
--- a/Source/Process/LeaderLease.cxx
+++ b/Source/Process/LeaderLease.cxx
@@ -1,5 +1,6 @@
 #include "Process/LeaderLease.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cactusrail {
@@ -8,11 +9,27 @@
 
 /** After a failed call to the table; its outages are asked about this often. */
 constexpr Millis kRetry{ 250 };
+/** A host with this share of a processor has room enough to lead. */
+constexpr double kEnoughProcessors = 0.5;
+/** For each time that a host has less: more than the 0.1 s between two looks at
+ * the row, with the time that a write takes. */
+constexpr Millis kStandAside{ 150 };
+/** Beyond it a fleet without a leader costs more than a slow one. */
+constexpr Millis kMostAside{ 600 };
 /** A leader that yielded leaves the other one this time before it renews. */
 constexpr Millis kYieldPause{ 1500 };
 
 }
 
+Millis
+LeaderLease::StandAside(double aProcessors)
+{
+  const double times = kEnoughProcessors / std::max(aProcessors, 0.01) - 1;
+  const auto aside =
+    std::chrono::duration_cast<Millis>(std::max(times, 0.0) * kStandAside);
+  return std::min(aside, kMostAside);
+}
+
 LeaderLease::LeaderLease(Identity aSelf)
   : self_(std::move(aSelf))
 {
@@ -68,16 +85,17 @@
 {
   const LeaderRecord& leader = row_.record_;
   if (row_.version_ == 0 || leader.node_.empty()) {
-    return true;
+    return aNow - seenSince_ >= self_.standAside_;
   }
   // The process that held it listened where this one listens now.
   if (leader.address_ == self_.address_ && leader.life_ != self_.life_) {
     return true;
   }
-  if (!yieldedLife_.empty() && leader.life_ == yieldedLife_) {
+  if (row_.version_ == yieldedVersion_) {
     return true;
   }
-  return aNow - seenSince_ > kLeaderLease + kLeaderLeaseSlack;
+  return aNow - seenSince_ >
+         kLeaderLease + kLeaderLeaseSlack + self_.standAside_;
 }
 
 LeaseStep
@@ -120,6 +138,9 @@
     holds_ = false;
   }
   nextAt_ = own || IsFree(aNow) ? aNow : aNow + kLeaderWatch;
+  if (row_.record_.node_.empty()) {
+    nextAt_ = std::max(aNow, seenSince_ + self_.standAside_);
+  }
 }
 
 void
@@ -136,7 +157,7 @@
   row_.record_ = wanted_;
   row_.version_ = aVersion;
   seenSince_ = aNow;
-  yieldedLife_.clear();
+  yieldedVersion_ = 0;
   holds_ = IsOwn(wanted_);
   if (!holds_) {
     steppedDown_ = true;
@@ -182,12 +203,12 @@
 }
 
 void
-LeaderLease::OnYield(const std::string& aLife, Instant aNow)
+LeaderLease::OnYield(std::uint64_t aVersion, Instant aNow)
 {
-  if (holds_ || row_.record_.life_ != aLife) {
+  if (holds_) {
     return;
   }
-  yieldedLife_ = aLife;
+  yieldedVersion_ = aVersion;
   nextAt_ = aNow;
 }
 
--- a/Source/Process/LeaderLease.h
+++ b/Source/Process/LeaderLease.h
@@ -61,11 +61,24 @@
 class LeaderLease
 {
 public:
+  /**
+   * How long a process on so many processors leaves a free lease to others.
+   *
+   * A leader of 73 workers uses 0.12 of a processor at the peak. On a host that
+   * has no more it fell seconds behind after a loss of power: cancellations
+   * came too late, tasks that last stood still. Hosts of half a processor and
+   * more stand aside for none.
+   */
+  static Millis StandAside(double aProcessors);
+
   struct Identity
   {
     std::string node_;
     std::string life_;
     std::string address_;
+    /** How much longer than others this process leaves a free lease to them;
+     * see StandAside(). */
+    Millis standAside_{ 0 };
   };
 
   explicit LeaderLease(Identity aSelf);
@@ -95,8 +108,13 @@
    * comes first; the row's version decides.
    */
   void Yield(Instant aNow);
-  /** The leader of that life has yielded; the next step takes over. */
-  void OnYield(const std::string& aLife, Instant aNow);
+  /**
+   * The leader has yielded the row as it was in this version; the next step
+   * takes over, if the row still is. Taken as a yield of the leader's life, it
+   * outlived a renewal that was on its way: the renewal succeeded, the leader
+   * went on, this process took over, and both started the same task.
+   */
+  void OnYield(std::uint64_t aVersion, Instant aNow);
 
   /** A planned stop: the next write gives the lease up. */
   void StepDown();
@@ -131,7 +149,8 @@
   bool inDoubt_ = false;
   bool stepDown_ = false;
   bool steppedDown_ = false;
-  std::string yieldedLife_;
+  /** The version in which the leader yielded the row; 0 if it did not. */
+  std::uint64_t yieldedVersion_ = 0;
   Instant sentAt_;
   Instant nextAt_;
   /** Until when this process may lead. */
--- a/Source/Process/LeaderLink.cxx
+++ b/Source/Process/LeaderLink.cxx
@@ -111,7 +111,7 @@
   }
   unanswered_ = 0;
   if (answer->outcome_ == FleetOutcome::TakeOver) {
-    Q_EMIT LeaderYields(QString::fromStdString(life_));
+    Q_EMIT LeaderYields(answer->value_);
     return;
   }
   const auto found = open_.find(answer->id_);
--- a/Source/Process/LeaderLink.h
+++ b/Source/Process/LeaderLink.h
@@ -44,8 +44,8 @@
   bool Usable() const;
 
 Q_SIGNALS:
-  /** The leader has yielded to this entry. */
-  void LeaderYields(const QString& aLife);
+  /** The leader has yielded its row in this version to this entry. */
+  void LeaderYields(quint64 aVersion);
 
 private:
   SideLink* Link();
--- a/Source/Process/LeaseRunner.h
+++ b/Source/Process/LeaseRunner.h
@@ -10,8 +10,8 @@
 #include <QObject>
 #include <QTimer>
 
+#include <cstdint>
 #include <functional>
-#include <string>
 #include <utility>
 
 namespace cactusrail {
@@ -48,9 +48,9 @@
   /** See LeaderLease::Yield(). */
   void Yield() { lease_.Yield(ReadMonotonicClock()); }
 
-  void OnYield(const std::string& aLife)
+  void OnYield(std::uint64_t aVersion)
   {
-    lease_.OnYield(aLife, ReadMonotonicClock());
+    lease_.OnYield(aVersion, ReadMonotonicClock());
     Step();
   }
 
--- a/Tests/Fleet/LeaderLeaseTest.cxx
+++ b/Tests/Fleet/LeaderLeaseTest.cxx
@@ -171,13 +171,60 @@
   Play(second, table, 1000, 2000);
   first.Yield(At(2000));
   cr_assert_not(first.Leads(At(2000)));
-  second.OnYield("a-1", At(2000));
+  second.OnYield(first.RowVersion(), At(2000));
   Play(second, table, 2000, 2300);
   cr_assert(second.Leads(At(2300)));
   Play(first, table, 2300, 5000);
   cr_assert_not(first.Holds());
 }
 
+// All machines of a grown fleet start within 0.3 s. The first to reach the
+// table has an eighth of a processor; as the leader it would be seconds behind
+// after a loss of power. It leaves the lease to a larger host, and takes it if
+// there is none.
+Test(LeaderLease, SmallHostLeavesAFreeLeaseToALargerOne)
+{
+  Table table;
+  LeaderLease small({ "a", "a-1", "a:1", LeaderLease::StandAside(0.12) });
+  LeaderLease large({ "b", "b-1", "b:1", LeaderLease::StandAside(0.5) });
+  Play(small, table, 1000, 1300);
+  Play(large, table, 1300, 1400);
+  cr_assert(large.Leads(At(1400)));
+  Play(small, table, 1300, 2500);
+  cr_assert_not(small.Leads(At(2500)));
+
+  Table alone;
+  LeaderLease only({ "c", "c-1", "c:1", LeaderLease::StandAside(0.12) });
+  Play(only, alone, 1000, 2000);
+  cr_assert(only.Leads(At(2000)));
+}
+
+// One booking's task ran on two workers at the same time. The table was silent
+// to the leader, which yielded to the other entry while a renewal of its own
+// was under way. The renewal was written, so the leader went on; the other one
+// still took the lease for yielded and took over as well, until the leader's
+// next renewal failed half a second later.
+Test(LeaderLease, RenewalUnderWayMakesAYieldVoid)
+{
+  Table table;
+  LeaderLease first = Make("a");
+  LeaderLease second = Make("b");
+  Play(first, table, 1000, 2000);
+  Play(second, table, 1000, 2000);
+  std::int64_t now = 2000;
+  while (first.Next(At(now)) != LeaseStep::Write) {
+    now += 50;
+  }
+  const std::uint64_t yielded = first.RowVersion();
+  first.Yield(At(now));
+  cr_assert(table.Write(first, At(now)));
+  second.OnYield(yielded, At(now));
+  Play(second, table, now, now + 300);
+  first.OnWritten(table.row_.version_, At(now + 300));
+  cr_assert_not(first.Leads(At(now + 300)) && second.Leads(At(now + 300)));
+  cr_assert(first.Leads(At(now + 300)) || second.Leads(At(now + 300)));
+}
+
 Test(LeaderLease, YieldedLeaderGoesOnIfNobodyTookOver)
 {
   Table table;
