Side: Renew no leases of a worker that is silent

A worker is lost for good, its side lives and stays linked.

Change: no lease is renewed after 2.5 s without an answer; suspended time does not count. Its work starts elsewhere some 7 s after the loss.

The test was seen failing.

--- a/Source/Process/WorkerKeeper.cxx
+++ b/Source/Process/WorkerKeeper.cxx
@@ -31,6 +31,12 @@
 constexpr std::size_t kMaxOpenOrders = 24;
 /** A worker that has not answered for so long gets no new work. */
 constexpr Millis kSilence{ 1600 };
+/** Leases of a worker that has not answered for so long are not renewed: each
+ * renewal without an answer may still be carried out, so the time by which all
+ * leases are surely over never came for a worker that was gone for good. What
+ * lasts there was away for 15 s and more. Together with kWorkerLease it starts
+ * elsewhere after some 7 s; one that answers again within it loses nothing. */
+constexpr Millis kRenewUnanswered{ 2500 };
 /** Added to a lease's end on our clock: the way of the call. */
 constexpr Millis kLeaseMargin{ 200 };
 /** A fence that is too low, as the wall clock was set back, rises by an hour's
@@ -70,7 +76,7 @@
   const auto allowed = std::chrono::duration_cast<Millis>(
     authority * (1 - kWorkerClockDrift) - kLeaseMargin);
   const Millis lease = std::min(aLease, allowed);
-  if (lease <= Millis(0) || clockReadAt_ == Instant()) {
+  if (lease <= Millis(0) || clockReadAt_ == Instant() || aNow > renewUntil_) {
     return std::nullopt;
   }
   leasesOverAt_ = std::max(leasesOverAt_, aNow + LongestRealLease(lease));
@@ -127,6 +133,7 @@
   sequence_ = aAnnouncement.sequence_;
   clockMs_ = aAnnouncement.clockMs_;
   clockReadAt_ = aNow;
+  renewUntil_ = aNow + kRenewUnanswered;
   known_ = false;
   ends_.clear();
   endsStored_ = 0;
@@ -249,6 +256,8 @@
   if (clockReadAt_ != Instant()) {
     clockReadAt_ += aGap;
   }
+  // Nor was the worker silent meanwhile: nobody asked it.
+  renewUntil_ += aGap;
 }
 
 void
@@ -505,6 +514,7 @@
     clockMs_ = *aAnswer.clockMs_;
     clockReadAt_ = aNow;
     lastAnswerAt_ = aNow;
+    renewUntil_ = aNow + kRenewUnanswered;
   }
   switch (call.kind_) {
     case OpenCall::Kind::Start:
--- a/Source/Process/WorkerKeeper.h
+++ b/Source/Process/WorkerKeeper.h
@@ -260,6 +260,8 @@
   std::uint64_t fence_;
   std::uint64_t epoch_ = 0;
   Instant authorityUntil_;
+  /** Leases are renewed until then, unless the worker answers. */
+  Instant renewUntil_;
   /** The leader wants each figure of the worker until then. */
   Instant watchUntil_;
   Instant lastOrders_;
--- a/Tests/Fleet/WorkerKeeperTest.cxx
+++ b/Tests/Fleet/WorkerKeeperTest.cxx
@@ -132,6 +132,32 @@
   cr_assert_leq(wide, 2);
 }
 
+// A worker is lost for good and its side lives on, linked to the leader. The
+// side went on asking it to extend its leases; each of these calls might still
+// be carried out, so what ran there was never given up, and a tracking feed
+// stood still for the rest of the day.
+Test(WorkerKeeper, WorkerThatIsGoneForGoodIsGivenUp)
+{
+  Bench bench;
+  const std::vector<RunFact> runs{ { "j.0.0.0", 1, false, "", 100, 7 } };
+  bench.AnswerHold(10800, runs);
+  cr_assert_eq(bench.keeper_.TakeReport(At(11800))->runs_.size(), 1);
+  std::size_t held = 1;
+  for (std::int64_t now = 11900; now < 21500; now += 100) {
+    bench.keeper_.OnOrders(Orders("w1", 2, At(now)), At(now));
+    for (const HoldCall& hold :
+         Only<HoldCall>(bench.keeper_.TakeCalls(At(now)))) {
+      bench.keeper_.OnAnswer(hold.head_.id_, CallAnswer(), At(now + 50));
+    }
+    if (const auto report = bench.keeper_.TakeReport(At(now))) {
+      held = report->runs_.size();
+    }
+    // Not before its lease is surely over.
+    cr_assert(held == 1 || now > 10800 + 4500);
+  }
+  cr_assert_eq(held, 0);
+}
+
 // The host is suspended for three seconds. The worker's clock stood still; a
 // lease counted on from its last reading would end three seconds too late.
 Test(WorkerKeeper, SuspensionDoesNotStretchLeases)
