Tests: Starts of cancelled jobs that come late, failing

Three ways in which a task starts for nobody after its job's cancellation was acknowledged, on the virtual clock with the scheduler and the side's own decisions, the fault moved over the moments: an order that its side keeps while the worker is mute and the leader is lost; a leader that is behind; orders held up on their way.

The logs name the first way: run-ordered at 2.53 s, start calls that the worker closed without an answer every 3 ms until 4.9 s, the leader lost at 3 s, the cancellation answered at 3.6 s, the call that started the task at 9.37 s.

WorkerKeeper/StartWithoutAnAnswerIsNotRepeatedAtOnce fails too: those calls.

--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -61,6 +61,10 @@
 WorkerFake::Take(const WorkerCall& aCall, Instant aNow)
 {
   Advance(aNow);
+  ++calls_;
+  if (mute_) {
+    return {};
+  }
   if (gone_) {
     CallAnswer refused;
     refused.outcome_ = CallOutcome::NotDone;
@@ -120,6 +124,7 @@
                     aNow + taskTime_,
                     std::nullopt });
   started_.push_back(order.task_ + "/" + std::to_string(order.run_));
+  startedAt_.push_back(aNow);
   return answer;
 }
 
@@ -256,9 +261,12 @@
   for (const auto& [id, job] : jobs_) {
     scheduler_->OnJobStored(job, now_);
   }
-  for (const std::string& id : cancelled_) {
+  leaderGone_ = false;
+  sentOrders_.clear();
+  for (const auto& [at, id] : cancelled_) {
     scheduler_->OnCancelStored(id, now_);
   }
+  cancelsTold_ = cancelled_.size();
   for (const auto& [id, progress] : progress_) {
     scheduler_->OnProgressLoaded(id, progress, now_);
   }
@@ -275,6 +283,15 @@
   StartLeader(epoch_ + 1);
 }
 
+void
+FleetWorld::LoseLeader()
+{
+  leaderGone_ = true;
+  for (HostFake& host : hosts_) {
+    host.linked_ = false;
+  }
+}
+
 void
 FleetWorld::RestartSide(std::size_t aHost)
 {
@@ -304,14 +321,25 @@
 FleetWorld::Submit(const JobDescription& aJob)
 {
   jobs_.emplace(aJob.id_, aJob);
-  scheduler_->OnJobStored(aJob, now_);
+  if (!leaderGone_) {
+    scheduler_->OnJobStored(aJob, now_);
+  }
 }
 
 void
 FleetWorld::Cancel(const std::string& aJob)
 {
-  cancelled_.push_back(aJob);
-  scheduler_->OnCancelStored(aJob, now_);
+  cancelled_.emplace_back(now_, aJob);
+  TellCancellations();
+}
+
+void
+FleetWorld::TellCancellations()
+{
+  while (!leaderGone_ && cancelsTold_ < cancelled_.size() &&
+         cancelled_[cancelsTold_].first + leaderLag_ <= now_) {
+    scheduler_->OnCancelStored(cancelled_[cancelsTold_++].second, now_);
+  }
 }
 
 JobState
@@ -332,6 +360,22 @@
   return starts;
 }
 
+std::optional<Instant>
+FleetWorld::LastStart(const std::string& aTask) const
+{
+  std::optional<Instant> last;
+  for (const HostFake& host : hosts_) {
+    const WorkerFake& worker = host.worker_;
+    for (std::size_t i = 0; i < worker.started_.size(); ++i) {
+      if (worker.started_[i].starts_with(aTask + "/")) {
+        last =
+          std::max(last.value_or(worker.startedAt_[i]), worker.startedAt_[i]);
+      }
+    }
+  }
+  return last;
+}
+
 void
 FleetWorld::Run(Millis aFor)
 {
@@ -369,7 +413,7 @@
       std::visit([](const auto& aOne) { return aOne.head_.id_; }, call);
     aHost.keeper_->OnAnswer(id, aHost.worker_.Take(call, now_), now_);
   }
-  if (aHost.cut_) {
+  if (aHost.cut_ || leaderGone_) {
     return;
   }
   if (!aHost.linked_) {
@@ -386,13 +430,11 @@
 FleetWorld::StepLeader()
 {
   const std::int64_t wall = WallMs();
-  for (const SideOrders& orders : scheduler_->TakeOrders(now_, wall)) {
-    for (HostFake& host : hosts_) {
-      if (host.node_ == orders.node_ && host.linked_) {
-        host.keeper_->OnOrders(orders.orders_, now_);
-      }
-    }
+  TellCancellations();
+  for (SideOrders& orders : scheduler_->TakeOrders(now_, wall)) {
+    sentOrders_.push_back({ now_ + orderDelay_, std::move(orders) });
   }
+  DeliverOrders();
   if (storeAway_) {
     return;
   }
@@ -413,6 +455,19 @@
   scheduler_->TakeEvents();
 }
 
+void
+FleetWorld::DeliverOrders()
+{
+  while (!sentOrders_.empty() && sentOrders_.front().arrivesAt_ <= now_) {
+    for (HostFake& host : hosts_) {
+      if (host.node_ == sentOrders_.front().orders_.node_ && host.linked_) {
+        host.keeper_->OnOrders(sentOrders_.front().orders_.orders_, now_);
+      }
+    }
+    sentOrders_.pop_front();
+  }
+}
+
 void
 FleetWorld::Check()
 {
@@ -439,7 +494,9 @@
   for (HostFake& host : hosts_) {
     StepHost(host);
   }
-  StepLeader();
+  if (!leaderGone_) {
+    StepLeader();
+  }
   Check();
 }
 
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -53,12 +53,19 @@
   bool fails_ = false;
   /** Its process has ended: its port refuses. */
   bool gone_ = false;
+  /** Its port takes calls and closes them without an answer; nothing is done.
+   */
+  bool mute_ = false;
   std::vector<Run> runs_;
   std::deque<EndFact> ends_;
   std::uint64_t fence_ = 0;
   std::uint64_t acknowledged_ = 0;
   /** Starts that were taken, as "task/run". */
   std::vector<std::string> started_;
+  /** When each of them was taken. */
+  std::vector<Instant> startedAt_;
+  /** Calls that it was sent, answered or not. */
+  std::size_t calls_ = 0;
 
 private:
   CallAnswer Start(const StartCall& aCall, Instant aNow);
@@ -101,6 +108,8 @@
   void Cancel(const std::string& aJob);
   /** The leader dies and another one takes over at once. */
   void ChangeLeader();
+  /** The leader's host is gone; ChangeLeader() makes another one lead. */
+  void LoseLeader();
   /** The side's process dies and starts again. */
   void RestartSide(std::size_t aHost);
   /** A cut between the leader and the host. */
@@ -117,13 +126,28 @@
   /** A worker held more than its room at some time. */
   bool EverOverRoom() const { return overRoom_; }
   std::size_t Starts(const std::string& aTask) const;
+  /** When a task was last started anywhere; none if it never was. */
+  std::optional<Instant> LastStart(const std::string& aTask) const;
 
   bool storeAway_ = false;
+  /** What the table holds reaches the leader so much later. */
+  Millis leaderLag_{ 0 };
+  /** Orders take so long to their side. */
+  Millis orderDelay_{ 0 };
 
 private:
+  /** Orders on their way. */
+  struct SentOrders
+  {
+    Instant arrivesAt_;
+    SideOrders orders_;
+  };
+
   void Step();
   void StepHost(HostFake& aHost);
   void StepLeader();
+  void TellCancellations();
+  void DeliverOrders();
   void Announce(HostFake& aHost);
   void Check();
   void StartLeader(std::uint64_t aEpoch);
@@ -134,7 +158,12 @@
   std::vector<HostFake> hosts_;
   std::map<std::string, JobDescription> jobs_;
   std::map<std::string, JobProgress> progress_;
-  std::vector<std::string> cancelled_;
+  /** Cancellations and when they were stored. */
+  std::vector<std::pair<Instant, std::string>> cancelled_;
+  /** So many of them the leader has been told. */
+  std::size_t cancelsTold_ = 0;
+  std::deque<SentOrders> sentOrders_;
+  bool leaderGone_ = false;
   std::optional<ProgressBatch> writing_;
   std::size_t mostAtOnce_ = 0;
   bool overRoom_ = false;
--- a/Tests/Fleet/WorkerKeeperTest.cxx
+++ b/Tests/Fleet/WorkerKeeperTest.cxx
@@ -331,3 +331,25 @@
   cr_assert(Only<StartCall>(bench.keeper_.TakeCalls(At(10800))).empty());
   cr_assert_eq(bench.keeper_.TakeReport(At(10800))->refused_.size(), 1);
 }
+
+// A worker's port closes each call at once without an answer, as an unhealthy
+// one does. The side tried the start again the moment its answer failed to
+// come: 200 connections a second for each task, seen in its log every 3 ms, and
+// no processor time left for anything else on its host.
+Test(WorkerKeeper, StartWithoutAnAnswerIsNotRepeatedAtOnce)
+{
+  Bench bench;
+  bench.Order(2, 10800);
+  std::size_t starts = 0;
+  for (std::int64_t now = 10800; now < 11800; ++now) {
+    for (const StartCall& start :
+         Only<StartCall>(bench.keeper_.TakeCalls(At(now)))) {
+      ++starts;
+      CallAnswer none;
+      none.outcome_ = CallOutcome::Doubt;
+      bench.keeper_.OnAnswer(start.head_.id_, none, At(now));
+    }
+  }
+  cr_assert_geq(starts, 5);
+  cr_assert_leq(starts, 11);
+}
