Tests: Say of each call that was not served when it was sent and why

A stop that turns callers away showed as a count only. The lines tell causes apart: when the call was sent after the signal, how long it took, its answer or the failure, and whether it ran. No check changed.

--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -344,11 +344,16 @@
     call.headers_.emplace_back("Idempotency-Key", aPlan.idempotencyKey_);
   }
   call.body_ = aPlan.body_;
-  call.deadline_ = ReadMonotonicClock() + kCallBound;
+  record.sentAt_ = ReadMonotonicClock();
+  call.deadline_ = record.sentAt_ + kCallBound;
   caller_.Start(std::move(call),
                 [this, index](const Result<HttpReply>& aReply) {
                   CallRecord& ended = calls_[index];
                   ended.ended_ = true;
+                  ended.endedAt_ = ReadMonotonicClock();
+                  if (const auto* failure = std::get_if<Failure>(&aReply)) {
+                    ended.failure_ = failure->message_;
+                  }
                   if (const auto* reply = std::get_if<HttpReply>(&aReply)) {
                     ended.status_ = reply->status_;
                     ended.requestId_ = HeaderOf(*reply, "X-Request-Id");
@@ -581,12 +586,27 @@
   return ExplainVerdict(aSteps).verdict_;
 }
 
+Instant
+Bench::FirstSignal() const
+{
+  Instant first;
+  for (const auto& [name, child] : children_) {
+    const Instant at = child->SignalledAt();
+    if (at != Instant() && (first == Instant() || at < first)) {
+      first = at;
+    }
+  }
+  return first;
+}
+
 Tally
 Bench::Settle(const std::string& aTestName, const std::string& aEntry)
 {
   WaitForCalls();
+  const auto runs = Runs();
   const auto runsById = Runs(true);
-  const Tally tally = Compare(calls_, Runs(), runsById);
+  const Tally tally = Compare(calls_, runs, runsById);
+  std::cerr << TroubledText(calls_, runs, FirstSignal());
   std::size_t doubtful = 0;
   std::size_t untrue = 0;
   for (const CallRecord& call : calls_) {
--- a/Tests/Process/Bench.h
+++ b/Tests/Process/Bench.h
@@ -141,6 +141,8 @@
   Tally Settle(const std::string& aTestName, const std::string& aEntry);
 
 private:
+  /** When the first process was signalled; the clock's zero if none was. */
+  cactusrail::Instant FirstSignal() const;
   std::string WriteSettings(const std::string& aName, const std::string& aText);
   Child& Add(const std::string& aName,
              const std::string& aProgram,
--- a/Tests/Process/Child.cxx
+++ b/Tests/Process/Child.cxx
@@ -107,6 +107,9 @@
 Child::Signal(int aSignal)
 {
   cr_assert(Running(), "%s has ended: %s", name_.c_str(), log_.c_str());
+  if (signalledAt_ == cactusrail::Instant()) {
+    signalledAt_ = cactusrail::ReadMonotonicClock();
+  }
   ::kill(static_cast<pid_t>(process_.processId()), aSignal);
 }
 
--- a/Tests/Process/Child.h
+++ b/Tests/Process/Child.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Process/Instant.h"
+
 #include <QProcess>
 
 #include <csignal>
@@ -44,6 +46,9 @@
 
   void Signal(int aSignal);
 
+  /** When it was first signalled; the clock's zero if it never was. */
+  cactusrail::Instant SignalledAt() const { return signalledAt_; }
+
   /** SIGKILL; returns when the process is gone. */
   void Kill();
 
@@ -63,4 +68,5 @@
   std::string partial_;
   std::vector<std::string> lines_;
   std::string log_;
+  cactusrail::Instant signalledAt_;
 };
--- a/Tests/Process/Ledger.cxx
+++ b/Tests/Process/Ledger.cxx
@@ -47,6 +47,32 @@
   return tally;
 }
 
+std::string
+TroubledText(const std::vector<CallRecord>& aCalls,
+             const std::map<std::string, std::size_t>& aRuns,
+             cactusrail::Instant aSince)
+{
+  const auto millis = [](cactusrail::Micros aTime) {
+    return std::to_string(aTime.count() / 1000) + " ms";
+  };
+  std::string text;
+  for (const CallRecord& call : aCalls) {
+    const bool served = call.status_ != 0 &&
+                        call.verdictText_ != "did not run" &&
+                        call.verdictText_ != "may have run";
+    if (served) {
+      continue;
+    }
+    text +=
+      "troubled " + call.mark_ + ": sent at " + millis(call.sentAt_ - aSince) +
+      ", took " + millis(call.endedAt_ - call.sentAt_) + ", status " +
+      std::to_string(call.status_) + ", ran " +
+      std::to_string(CountOf(aRuns, call.mark_)) +
+      " times: " + (call.status_ == 0 ? call.failure_ : call.body_) + "\n";
+  }
+  return text;
+}
+
 std::string
 TallyText(const std::string& aName, const Tally& aTally)
 {
--- a/Tests/Process/Ledger.h
+++ b/Tests/Process/Ledger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Process/Instant.h"
 #include "Request/Verdict.h"
 
 #include <cstddef>
@@ -20,6 +21,10 @@
   std::string requestId_;
   std::string verdictText_;
   std::string body_;
+  /** Why there was no answer, as the HTTP library says it. */
+  std::string failure_;
+  cactusrail::Instant sentAt_;
+  cactusrail::Instant endedAt_;
 };
 
 /** Counts over a whole run. */
@@ -46,6 +51,16 @@
         const std::map<std::string, std::size_t>& aRuns,
         const std::map<std::string, std::size_t>& aRunsById);
 
+/**
+ * A line for each call that was turned away, cut off or left in doubt: when it
+ * was sent, in ms since aSince, how long it took, what its caller was told, and
+ * whether it ran. They tell causes apart that the counts don't.
+ */
+std::string
+TroubledText(const std::vector<CallRecord>& aCalls,
+             const std::map<std::string, std::size_t>& aRuns,
+             cactusrail::Instant aSince);
+
 /** One line for the log of the test run. */
 std::string
 TallyText(const std::string& aName, const Tally& aTally);
