Fleet: Void the order of a start that comes late; withhold starts on an old view

A worker closed each call without an answer, its side went on trying for as long as it had authority (9 s), the leader's host was lost meanwhile, and when the worker answered again the side carried the order out. Likewise a leader that was seconds behind the table gave orders on what it had read before. Ruled out: an order held up on the way (it arrived within 2 ms in all traces), a call that the worker carried out late (each was answered or closed).

An order now says by the side's own clock from when on its starts are void: the users' bound for cancelled jobs, counted from the time up to which the leader knows all cancellations, less half a second for the call. The side gives back what the worker has not taken by then, after a stop if a call may still be carried out. A leader whose view is too old orders no start and says so in its log. A start that was closed without an answer is tried again 100 ms after it was sent, not at once (200 connections a second for each task).

--- a/Source/Connection/Codec.cxx
+++ b/Source/Connection/Codec.cxx
@@ -38,7 +38,7 @@
       return aEnd.kind_ > EndKind::Alone;
     };
     const auto isUnknownRefusal = [](const RefusedRun& aRun) {
-      return aRun.why_ > StartRefusal::Other;
+      return aRun.why_ > StartRefusal::Expired;
     };
     return std::any_of(
              report->ends_.begin(), report->ends_.end(), isUnknownEnd) ||
--- a/Source/Connection/FleetMessages.h
+++ b/Source/Connection/FleetMessages.h
@@ -120,6 +120,8 @@
   Ticket = 2,
   /** Any other answer that says that nothing was started. */
   Other = 3,
+  /** Its order was too old before the worker had taken it. */
+  Expired = 4,
 };
 
 /** A run that was ordered and surely did not start. */
@@ -221,6 +223,9 @@
   /** The side watches its worker closely until so long after the echoed clock;
    * 0 for not. */
   std::uint64_t watchMicros_ = 0;
+  /** The starts are void once the side's own clock reads this; 0 if there are
+   * none. */
+  std::uint64_t startsUntilMicros_ = 0;
   /** The worker's life that the orders and the acknowledgement are for. */
   std::string workerId_;
   /** Ends up to this one are stored; the worker may forget them. */
@@ -237,6 +242,7 @@
        echoMicros_,
        holdMicros_,
        watchMicros_,
+       startsUntilMicros_,
        workerId_,
        endsStored_,
        starts_,
--- a/Source/Process/FleetLead.h
+++ b/Source/Process/FleetLead.h
@@ -386,6 +386,7 @@
     if (!Loaded() || !lease_.Leads(now)) {
       return;
     }
+    scheduler_.OnTableCurrent(work_.CurrentAsOf());
     for (SideOrders& orders :
          scheduler_.TakeOrders(now, ReadWallClock() / 1000)) {
       const auto found = sides_.find(orders.node_);
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -32,6 +32,9 @@
   Millis keepFinished_{ 120000 };
   /** How much longer a task takes away from its data. */
   double farFactor_ = 1.5;
+  /** No task starts later than this after its job's cancellation was
+   * acknowledged. */
+  Millis cancelBound_{ 3000 };
 };
 
 /** Job records to store as one; an end is acknowledged once its batch is. */
@@ -72,6 +75,10 @@
  *   what it changed is stored; a leader that dies before that is told again.
  * - Room is taken from the order of a start until its end is known, so late
  *   starts and slow stops never add up beyond a worker's capacity.
+ * - A start rests on the cancellations that were known when it was decided. Its
+ *   order is void FleetBounds::cancelBound_ after the time up to which all of
+ *   them were known, whatever delays it: a leader that is behind, the way, or a
+ *   worker that does not answer its side.
  */
 class FleetScheduler
 {
@@ -86,6 +93,8 @@
   void OnJobStored(const JobDescription& aSpec, Instant aNow);
   /** A cancellation is in the table; it may come before its job. */
   void OnCancelStored(const std::string& aJob, Instant aNow);
+  /** All jobs and cancellations stored before then are known here. */
+  void OnTableCurrent(Instant aAsOf) { tableAsOf_ = aAsOf; }
   /** What the last leader stored of a job; while loading. */
   void OnProgressLoaded(const std::string& aJob,
                         const JobProgress& aProgress,
@@ -225,6 +234,9 @@
   bool AnySuspect() const;
 
   // Placement.
+  /** Starts that rest on what is known now are void from then on. */
+  Instant StartsUntil() const;
+  bool MayStart(Instant aNow);
   void PlaceReady(Instant aNow);
   /** Ready steps in the order in which they are placed now. */
   std::vector<ReadyKey> PlacementOrder();
@@ -342,6 +354,10 @@
   std::vector<std::string> storing_;
   bool loaded_ = false;
   Instant loadedAt_;
+  /** Everything stored before then is known. */
+  Instant tableAsOf_;
+  /** Nothing starts, as what is known is too old. */
+  bool withheld_ = false;
   std::int64_t wallMs_ = 0;
   WorkerHealth health_;
   BackfillInterference interference_;
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -40,13 +40,43 @@
   return orders_[aWorker.node_];
 }
 
+Instant
+FleetScheduler::StartsUntil() const
+{
+  return tableAsOf_ + (bounds_.cancelBound_ - kStartMargin);
+}
+
+/**
+ * Whether an order given now could still be carried out.
+ *
+ * Failure guarded against: a leader that was seconds behind the table, or cut
+ * off it alone, started tasks whose cancellation had been acknowledged 4 to 5 s
+ * before. While it knows of nothing newer it starts nothing; the table's answer
+ * comes at least every 0.8 s, so a calm fleet never waits for this.
+ */
+bool
+FleetScheduler::MayStart(Instant aNow)
+{
+  const bool may = loaded_ && aNow + kLeastStartTime < StartsUntil();
+  if (loaded_ && may == withheld_) {
+    withheld_ = !may;
+    const auto age = std::chrono::duration_cast<Millis>(aNow - tableAsOf_);
+    Note(may ? "starts-go-on" : "starts-withheld",
+         {},
+         {},
+         "the table was last heard of " + std::to_string(age.count()) +
+           " ms ago");
+  }
+  return may;
+}
+
 std::vector<SideOrders>
 FleetScheduler::TakeOrders(Instant aNow, std::int64_t aWallMs)
 {
   wallMs_ = aWallMs;
   BeginDueJobs(aNow, aWallMs);
   GiveUpUnreachable(aNow);
-  if (loaded_) {
+  if (MayStart(aNow)) {
     PlaceReady(aNow);
   }
   std::vector<SideOrders> due;
@@ -69,6 +99,13 @@
     orders.orders_.epoch_ = epoch_;
     orders.orders_.sequence_ = ++worker.ordersSent_;
     orders.orders_.echoMicros_ = worker.echoMicros_;
+    if (!orders.orders_.starts_.empty()) {
+      // The side's clock read the echo when it reported, which was before the
+      // report was taken in: at worst the starts are void that much sooner.
+      const Micros left = StartsUntil() - worker.reportedAt_;
+      orders.orders_.startsUntilMicros_ =
+        worker.echoMicros_ + static_cast<std::uint64_t>(left.count());
+    }
     orders.orders_.holdMicros_ = static_cast<std::uint64_t>(
       std::chrono::duration_cast<Micros>(kAuthority).count());
     orders.orders_.watchMicros_ =
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -20,6 +20,25 @@
 /** Workers that a long-running task remembers to have failed on. */
 constexpr std::size_t kMostAvoided = 4;
 
+/** Why a run that was ordered did not start, for the log. */
+std::string_view
+TextOf(StartRefusal aWhy)
+{
+  switch (aWhy) {
+    case StartRefusal::Old:
+      return "refused: it, or a later run, has ended there";
+    case StartRefusal::NoRoom:
+      return "refused: its worker has no room";
+    case StartRefusal::Ticket:
+      return "refused: its ticket is not valid there";
+    case StartRefusal::Other:
+      return "refused by its worker";
+    case StartRefusal::Expired:
+      return "given back: its worker did not take it in time";
+  }
+  return "refused";
+}
+
 TaskRun*
 FindRun(FleetTask& aTask, const std::string& aNode, std::uint32_t aRun)
 {
@@ -92,6 +111,7 @@
   FleetWorker& worker = found->second;
   const bool first = !worker.synced_;
   worker.echoMicros_ = aReport.clockMicros_;
+  worker.reportedAt_ = aNow;
   if (aReport.worker_.id_ != worker.facts_.id_) {
     OnNewLife(worker, aReport, aNow);
   }
@@ -331,7 +351,7 @@
       aRefused.why_ == StartRefusal::Other) {
     aWorker.fullUntil_ = aNow + kFullPause;
   }
-  DropRun(aWorker, aRefused.task_, aRefused.run_, "refused", aNow);
+  DropRun(aWorker, aRefused.task_, aRefused.run_, TextOf(aRefused.why_), aNow);
 }
 
 void
--- a/Source/Process/FleetSettings.cxx
+++ b/Source/Process/FleetSettings.cxx
@@ -41,7 +41,7 @@
     "info,warning" },
 } };
 
-constexpr std::array<SettingSpec, 5> kEntry{ {
+constexpr std::array<SettingSpec, 6> kEntry{ {
   RequiredSetting("fleet.callers",
                   SettingKind::Address,
                   "IP:PORT that callers' requests arrive at"),
@@ -60,6 +60,13 @@
                 86400,
                 "s",
                 "time that a finished job is known"),
+  NumberSetting("bounds.cancel-ms",
+                "3000",
+                1000,
+                kHourMs,
+                "ms",
+                "from a cancellation's answer on, no task of its job starts "
+                "later than this"),
   { "bounds.far-factor",
     SettingKind::Text,
     "1.5",
@@ -148,6 +155,7 @@
   settings.readiness_ = file.Address("fleet.readiness");
   FleetBounds& bounds = settings.bounds_;
   bounds.keepFinished_ = Millis(1000 * file.Number("bounds.keep-finished-s"));
+  bounds.cancelBound_ = Millis(file.Number("bounds.cancel-ms"));
   const std::string& factor = file.Text("bounds.far-factor");
   bounds.farFactor_ = ParseFraction(factor).value_or(0);
   if (bounds.farFactor_ < 1) {
--- a/Source/Process/FleetTimings.h
+++ b/Source/Process/FleetTimings.h
@@ -70,6 +70,18 @@
  * and one lost report more. */
 constexpr Millis kWatchHolds{ 2500 };
 
+/**
+ * A start ordered on what the table held at some time begins this much earlier
+ * than the bound for tasks of cancelled jobs counts from then: the side gives a
+ * call to its worker up after 400 ms, and the clocks of leader and side may run
+ * 2 % apart meanwhile.
+ */
+constexpr Millis kStartMargin{ 500 };
+
+/** An order of a start that could not be carried out for so long at least is
+ * not given. */
+constexpr Millis kLeastStartTime{ 300 };
+
 /** A side that heard no leader for so long writes its row again: a leader that
  * gave it up has removed it. */
 constexpr Millis kOrphanedSide{ 5000 };
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -54,6 +54,8 @@
   bool left_ = false;
   /** The side's clock in its last report; echoed. */
   std::uint64_t echoMicros_ = 0;
+  /** When that report was taken in, by the leader's clock. */
+  Instant reportedAt_;
   /** Orders sent on this link. */
   std::uint64_t ordersSent_ = 0;
   /** When the last orders were sent; they renew the side's authority. */
--- a/Source/Process/TableWatch.h
+++ b/Source/Process/TableWatch.h
@@ -55,6 +55,10 @@
     ReadFrom({});
   }
 
+  /** What was stored before then has been handed on; the clock's zero before
+   * the table has been read once. */
+  Instant CurrentAsOf() const { return currentAsOf_; }
+
 private:
   static constexpr Millis kReadTimeout{ 2000 };
   static constexpr Millis kRetry{ 200 };
@@ -66,8 +70,9 @@
 
   void ReadFrom(const std::string& aFirst)
   {
+    sentAt_ = ReadMonotonicClock();
     store_.Read({ table_, parts_.at(part_), aFirst, {} },
-                ReadMonotonicClock() + kReadTimeout,
+                sentAt_ + kReadTimeout,
                 Guarded(this, [this, aFirst](Result<RowPage> aPage) {
                   OnPage(std::move(aPage), aFirst);
                 }));
@@ -85,6 +90,7 @@
       // others are read comes twice rather than never.
       known_ = true;
       version_ = page->version_;
+      readAsOf_ = sentAt_;
     }
     for (const Row& row : page->rows_) {
       onRow_(row);
@@ -98,6 +104,7 @@
       ReadFrom({});
       return;
     }
+    currentAsOf_ = readAsOf_;
     if (use_ == TableUse::Follow) {
       Follow();
     }
@@ -106,6 +113,7 @@
 
   void Follow()
   {
+    sentAt_ = ReadMonotonicClock();
     store_.Watch(table_,
                  version_,
                  kWait,
@@ -130,6 +138,7 @@
     for (const Row& row : changes->rows_) {
       onRow_(row);
     }
+    currentAsOf_ = sentAt_;
     Follow();
   }
 
@@ -142,6 +151,11 @@
   std::size_t part_ = 0;
   bool known_ = false;
   std::uint64_t version_ = 0;
+  /** When the call that is under way was sent. */
+  Instant sentAt_;
+  /** The same of the first page of the reading under way. */
+  Instant readAsOf_;
+  Instant currentAsOf_;
 };
 
 }
--- a/Source/Process/WorkerKeeper.cxx
+++ b/Source/Process/WorkerKeeper.cxx
@@ -227,6 +227,8 @@
       runs_.try_emplace(RunKey(order.task_, order.run_));
     if (added) {
       entry->second.order_ = order;
+      entry->second.startUntil_ =
+        Instant(Micros(static_cast<std::int64_t>(aOrders.startsUntilMicros_)));
       entry->second.nextCallAt_ = aNow;
     }
   }
@@ -396,25 +398,50 @@
   }
 }
 
+/**
+ * Why a start that has no answer yet should not be called again; none if it
+ * should.
+ *
+ * Failures guarded against: a worker that leaves takes new runs for a short
+ * while only. And a worker that did not answer for seconds got the order of a
+ * leader that was gone by then, for a job that had been cancelled: the task
+ * started 4 to 6 s after its caller was told so. Reproduced in 6 of 6 plays of
+ * days on which the leader's host is lost while a tenth of the workers is mute.
+ */
+std::optional<StartRefusal>
+WorkerKeeper::WhyTakeBack(const LocalRun& aRun, Instant aNow) const
+{
+  if (aRun.phase_ != Phase::Starting || aRun.calling_) {
+    return std::nullopt;
+  }
+  if (facts_.draining_) {
+    return StartRefusal::Other;
+  }
+  if (aNow >= aRun.startUntil_) {
+    return StartRefusal::Expired;
+  }
+  return std::nullopt;
+}
+
 void
-WorkerKeeper::RefuseStarts()
+WorkerKeeper::TakeBackStarts(Instant aNow)
 {
-  // A worker that leaves takes new runs for a short while only: what has not
-  // been answered yet is given back, and starts elsewhere.
   for (auto entry = runs_.begin(); entry != runs_.end();) {
     LocalRun& run = entry->second;
-    if (run.phase_ != Phase::Starting || run.calling_) {
+    const std::optional<StartRefusal> why = WhyTakeBack(run, aNow);
+    if (!why.has_value()) {
       ++entry;
       continue;
     }
     if (run.doubted_) {
+      // A call without an answer may still be carried out: only a stop makes
+      // the worker refuse it for good.
       run.phase_ = Phase::Stopping;
-      run.refusal_ = StartRefusal::Other;
+      run.refusal_ = why;
       ++entry;
       continue;
     }
-    refused_.push_back(
-      { entry->first.first, entry->first.second, StartRefusal::Other });
+    refused_.push_back({ entry->first.first, entry->first.second, *why });
     reportDue_ = true;
     entry = runs_.erase(entry);
   }
@@ -429,11 +456,9 @@
     AddKnock(calls, aNow);
     return calls;
   }
+  TakeBackStarts(aNow);
   // Before the first hold was answered, calls of an earlier life of this side
   // may still be carried out; the hold raises the fence.
-  if (facts_.draining_) {
-    RefuseStarts();
-  }
   if (known_ && aNow >= settledAt_ && !stopping_) {
     AddOrders(calls, aNow);
   }
@@ -580,8 +605,9 @@
     case CallOutcome::WrongLife:
       // Asked again; a wrong life shows in the next hold.
       run.doubted_ = run.doubted_ || aAnswer.outcome_ == CallOutcome::Doubt;
-      run.nextCallAt_ =
-        aAnswer.outcome_ == CallOutcome::Doubt ? aNow : aNow + kOrderRetry;
+      // From when it was called: a worker that closes each call at once was
+      // called every 3 ms, on a new connection each time.
+      run.nextCallAt_ = std::max(aNow, aCall.sentAt_ + kOrderRetry);
       return;
     case CallOutcome::Old:
       why = StartRefusal::Old;
--- a/Source/Process/WorkerKeeper.h
+++ b/Source/Process/WorkerKeeper.h
@@ -119,6 +119,8 @@
  * - Each life of the side uses a higher fence, so calls of a life before it
  * that the worker carries out late do nothing once this one was heard.
  * - Nothing is reported before the worker was asked once in this life.
+ * - A start that the worker has not taken before its order is void is given
+ *   back; its job may have been cancelled meanwhile.
  */
 class WorkerKeeper
 {
@@ -175,6 +177,8 @@
   {
     Phase phase_ = Phase::Starting;
     StartOrder order_;
+    /** No start call of it goes out from then on. */
+    Instant startUntil_;
     /** A start or stop call of it is under way. */
     bool calling_ = false;
     /** A start of it had no answer, and may be carried out late. */
@@ -224,7 +228,9 @@
   std::optional<std::int64_t> LeaseUntil(Millis aLease, Instant aNow);
   CallHead Head(OpenCall aCall, Millis aTimeout, Instant aNow);
   void AddHold(std::vector<WorkerCall>& aCalls, Instant aNow);
-  void RefuseStarts();
+  void TakeBackStarts(Instant aNow);
+  std::optional<StartRefusal> WhyTakeBack(const LocalRun& aRun,
+                                          Instant aNow) const;
   void AddOrders(std::vector<WorkerCall>& aCalls, Instant aNow);
   bool AddStart(std::vector<WorkerCall>& aCalls,
                 const RunKey& aKey,
--- a/Tests/Fleet/FleetFailureTest.cxx
+++ b/Tests/Fleet/FleetFailureTest.cxx
@@ -400,6 +400,7 @@
 LeaderWithOneSide(std::uint64_t aEpoch, Instant aNow)
 {
   FleetScheduler scheduler(aEpoch, FleetBounds(), kWallMs);
+  scheduler.OnTableCurrent(aNow);
   scheduler.OnSideRegistered("side", aNow);
   scheduler.OnLoaded(aNow, kWallMs);
   scheduler.OnLinkUp("side", aNow);
--- a/Tests/Fleet/FleetHarmTest.cxx
+++ b/Tests/Fleet/FleetHarmTest.cxx
@@ -51,6 +51,7 @@
     const Instant until = now_ + aFor;
     while (now_ < until) {
       now_ += Millis(100);
+      scheduler_.OnTableCurrent(now_);
       for (const SideOrders& orders : scheduler_.TakeOrders(
              now_, kWallMs + now_.time_since_epoch().count() / 1000)) {
         sequence_ = orders.orders_.sequence_;
--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -274,6 +274,7 @@
     scheduler_->OnSideRegistered(host.node_, now_);
     host.linked_ = false;
   }
+  scheduler_->OnTableCurrent(now_);
   scheduler_->OnLoaded(now_, WallMs());
 }
 
@@ -431,6 +432,9 @@
 {
   const std::int64_t wall = WallMs();
   TellCancellations();
+  if (!storeAway_) {
+    scheduler_->OnTableCurrent(now_ - leaderLag_);
+  }
   for (SideOrders& orders : scheduler_->TakeOrders(now_, wall)) {
     sentOrders_.push_back({ now_ + orderDelay_, std::move(orders) });
   }
--- a/Tests/Fleet/WorkerKeeperTest.cxx
+++ b/Tests/Fleet/WorkerKeeperTest.cxx
@@ -28,6 +28,7 @@
   orders.echoMicros_ =
     static_cast<std::uint64_t>(aEcho.time_since_epoch().count());
   orders.holdMicros_ = 8000000;
+  orders.startsUntilMicros_ = orders.echoMicros_ + orders.holdMicros_;
   return orders;
 }
 
