Tests: A small host that leads hands over to a larger one, failing

Cause: a small host waits 0.475 s longer, but counts from when it saw the lease last renewed, and entries look only every 0.7 s.

Seen failing: after 60 s the small host still led.

--- a/Tests/Fleet/ProcessFleet.cxx
+++ b/Tests/Fleet/ProcessFleet.cxx
@@ -147,21 +147,16 @@
   return WorkerNotice(announcement);
 }
 
-ProcessFleet::ProcessFleet(std::size_t aEntries, std::size_t aSides)
+ProcessFleet::ProcessFleet(std::size_t aEntries,
+                           std::size_t aSides,
+                           double aProcessors)
 {
   MemoryTables& tables = MemoryTables::OfTest();
   RowTransaction configuration;
   configuration.puts_.push_back({ TestPlatform::ConfigurationRow(), "one" });
   tables.Apply(configuration);
   for (std::size_t i = 0; i < aEntries; ++i) {
-    const std::string ip = LoopbackOf(1 + i);
-    FleetEntrySettings settings;
-    settings.fleet_ = CommonOf("entry" + std::to_string(i), ip);
-    settings.callers_ = { ip, 7003 };
-    settings.readiness_ = { ip, 7004 };
-    entrySettings_.push_back(settings);
-    entries_.push_back(std::get<std::unique_ptr<TestEntry>>(
-      TestEntry::Start(entrySettings_.back())));
+    AddEntry(aProcessors);
   }
   for (std::size_t i = 0; i < aSides; ++i) {
     const std::string ip = LoopbackOf(100 + i);
@@ -182,6 +177,34 @@
   Announce();
 }
 
+void
+ProcessFleet::AddEntry(double aProcessors)
+{
+  const std::size_t number = entries_.size();
+  const std::string ip = LoopbackOf(1 + number);
+  FleetEntrySettings settings;
+  settings.fleet_ = CommonOf("entry" + std::to_string(number), ip);
+  settings.callers_ = { ip, 7003 };
+  settings.readiness_ = { ip, 7004 };
+  settings.processors_ = aProcessors;
+  entrySettings_.push_back(settings);
+  entries_.push_back(
+    std::get<std::unique_ptr<TestEntry>>(TestEntry::Start(settings)));
+}
+
+std::string
+ProcessFleet::Leader()
+{
+  const auto& rows = MemoryTables::OfTest().rows_;
+  const auto found = rows.find(LeadRowId());
+  if (found == rows.end()) {
+    return {};
+  }
+  const Result<LeaderRecord> record =
+    DecodeRecord<LeaderRecord>(found->second.value_);
+  return std::get<LeaderRecord>(record).node_;
+}
+
 void
 ProcessFleet::Announce()
 {
--- a/Tests/Fleet/ProcessFleet.h
+++ b/Tests/Fleet/ProcessFleet.h
@@ -57,7 +57,14 @@
 class ProcessFleet
 {
 public:
-  ProcessFleet(std::size_t aEntries, std::size_t aSides);
+  ProcessFleet(std::size_t aEntries,
+               std::size_t aSides,
+               double aProcessors = 1);
+
+  /** One more entry, on a host with so many processors. */
+  void AddEntry(double aProcessors);
+  /** The name of the entry that leads, by the table. */
+  static std::string Leader();
 
   /** Lets the event loop turn until it holds; false after a minute. */
   bool Wait(const std::function<bool()>& aHolds);
--- a/Tests/Fleet/ProcessFleetTest.cxx
+++ b/Tests/Fleet/ProcessFleetTest.cxx
@@ -147,3 +147,29 @@
   cr_assert_not(rows.contains(MemberRowId(fleet.SideName(0))));
   cr_assert(rows.contains(MemberRowId(fleet.SideName(1))));
 }
+
+// The leader's host is lost, and of the entries that look at its lease every
+// 0.7 s a small one happens to look first: it leads. With an eighth of a
+// processor it is seconds behind for the rest of the day, so callers wait and
+// watchers stay away. It hands over as soon as a larger entry is there.
+Test(ProcessFleet, SmallHostHandsTheLeadToALargerOne)
+{
+  const Application application;
+  constexpr double kSmall = 0.12;
+  constexpr double kLarge = 0.5;
+  ProcessFleet fleet(1, 2, kSmall);
+  WarmUp(fleet);
+  cr_assert_eq(ProcessFleet::Leader(), "entry0");
+  fleet.AddEntry(kSmall);
+  cr_assert_eq(fleet.Ask(0, "POST", "before", "4").status_, 200);
+  fleet.AddEntry(kLarge);
+  cr_assert(fleet.Wait([] { return ProcessFleet::Leader() == "entry2"; }));
+  cr_assert(fleet.Completes(2, "before"));
+  cr_assert_eq(fleet.Ask(0, "POST", "after", "4").status_, 200);
+  cr_assert(fleet.Completes(1, "after"));
+  cr_assert_eq(ProcessFleet::Leader(), "entry2");
+  for (int i = 0; i < 4; ++i) {
+    cr_assert_eq(StartsOf(fleet, 2, "before.0.0." + std::to_string(i)), 1);
+    cr_assert_eq(StartsOf(fleet, 2, "after.0.0." + std::to_string(i)), 1);
+  }
+}
