Fleet: Keep a worker's room for a task that lasts and was away for two seconds

Ruled out: the waits for sides, workers set aside, room of stopping runs.

A long-running task that had a run and waits for 2 s gets a worker kept for it on which long-running tasks leave at least twice its room; short work goes on elsewhere and has room enough there in a second or so.

--- a/Source/Process/FleetJob.h
+++ b/Source/Process/FleetJob.h
@@ -70,6 +70,9 @@
   /** Failures of a long-running task. */
   std::uint32_t quickFailures_ = 0;
   Instant notBefore_;
+  /** When its last run ended or was given up; none if it had none, as far as
+   * this leader knows. */
+  std::optional<Instant> endedAt_;
 
   bool Waits() const { return !done_ && runs_.empty(); }
 };
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -6,6 +6,7 @@
 #include "Process/FleetTimings.h"
 #include "Process/FleetWorker.h"
 #include "Process/JobOrder.h"
+#include "Process/RoomReservations.h"
 #include "Process/WorkerChoice.h"
 #include "Version/DurationModel.h"
 #include "Version/WorkerHealth.h"
@@ -224,10 +225,10 @@
                std::uint32_t aRun,
                std::string_view aWhy,
                Instant aNow);
-  void RemoveRun(const TaskKey& aName,
-                 Place& aPlace,
+  void RemoveRun(Place& aPlace,
                  const std::string& aNode,
-                 std::uint32_t aRun);
+                 std::uint32_t aRun,
+                 Instant aNow);
   void BreakGang(Place& aPlace, const TaskKey& aName);
   void DropAllRuns(FleetWorker& aWorker, std::string_view aWhy, Instant aNow);
   void GiveUpUnreachable(Instant aNow);
@@ -284,6 +285,15 @@
     FleetWorker& aWorker,
     std::int64_t aPriority);
 
+  // Tasks that last.
+  /** Since when it has had no run; none if it never had one. */
+  std::optional<Instant> AwaySince(const JobEntry& aEntry,
+                                   const FleetTask& aTask) const;
+  void KeepRoomFor(const JobEntry& aEntry,
+                   const FleetStep& aStep,
+                   const FleetTask& aTask,
+                   Instant aNow);
+
   // Care for what runs.
   void OrderStop(const std::string& aNode,
                  const std::string& aTask,
@@ -362,6 +372,7 @@
   WorkerHealth health_;
   BackfillInterference interference_;
   DurationModel durations_;
+  RoomReservations reservations_;
   std::vector<FleetEvent> events_;
   /** Scratch of a choice; kept to spare allocations. */
   std::vector<WorkerOption> options_;
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -241,6 +241,7 @@
     if (!PlaceTask(entry, step, i, aNow) &&
         !PlaceStarving(entry, step, i, aNow)) {
       MakeRoom(*entry.job_, step, aNow);
+      KeepRoomFor(entry, step, step.tasks_[i], aNow);
       return false;
     }
   }
@@ -267,6 +268,8 @@
     option.worker_ = &worker;
     option.sameStep_ = same == sameStep.end() ? 0 : same->second;
     option.setAside_ = health_.IsSetAside(node, aNow);
+    option.kept_ =
+      reservations_.IsKeptFrom(aJob.Spec().id_, worker.node_, aNow);
     option.fit_ = FitOn(worker, aJob, *aStep.spec_);
     options_.push_back(option);
   }
@@ -492,7 +495,12 @@
       spec.payload_,
       aStep.spec_->checkpoints_ ? task.checkpoint_ : std::string(),
       {} });
-  Note("run-ordered", text, aWorker.node_, "run " + std::to_string(aRun));
+  std::string detail = "run " + std::to_string(aRun);
+  if (aStep.spec_->longRunning_ && task.endedAt_.has_value()) {
+    const auto away = std::chrono::duration_cast<Millis>(aNow - *task.endedAt_);
+    detail += ", away for " + std::to_string(away.count()) + " ms";
+  }
+  Note("run-ordered", text, aWorker.node_, std::move(detail));
 }
 
 std::vector<std::pair<std::string, TaskRun*>>
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -206,7 +206,7 @@
   const StepSpec& spec = *aPlace.step_->spec_;
   task.lastRun_ = std::max(task.lastRun_, aEnd.run_);
   if (aPlace.entry_->job_->IsOver() || task.done_) {
-    RemoveRun(aName, aPlace, aWorker.node_, aEnd.run_);
+    RemoveRun(aPlace, aWorker.node_, aEnd.run_, aNow);
     return false;
   }
   if (aEnd.kind_ == EndKind::Done && !spec.longRunning_) {
@@ -226,7 +226,7 @@
   if (saved) {
     task.checkpoint_ = aEnd.checkpoint_;
   }
-  RemoveRun(aName, aPlace, aWorker.node_, aEnd.run_);
+  RemoveRun(aPlace, aWorker.node_, aEnd.run_, aNow);
   BreakGang(aPlace, aName);
   return saved;
 }
@@ -244,7 +244,7 @@
   if (const TaskRun* run = FindRun(task, aWorker.node_, aEnd.run_)) {
     LearnDuration(aWorker, job, *aPlace.step_, *run, aNow);
   }
-  RemoveRun(aName, aPlace, aWorker.node_, aEnd.run_);
+  RemoveRun(aPlace, aWorker.node_, aEnd.run_, aNow);
   job.OnDone(*aPlace.step_, task, aNow);
   for (TaskRun& copy : task.runs_) {
     OrderStop(copy.node_, aName.Text(), copy, "a copy ended first");
@@ -278,7 +278,7 @@
   JobEntry& entry = *aPlace.entry_;
   const StepSpec& spec = *aPlace.step_->spec_;
   health_.OnFailure(aWorker.node_, aName.job_, aNow);
-  RemoveRun(aName, aPlace, aWorker.node_, aEnd.run_);
+  RemoveRun(aPlace, aWorker.node_, aEnd.run_, aNow);
   task.avoid_.push_back(aWorker.node_);
   Note("run-failed",
        aEnd.task_,
@@ -327,16 +327,16 @@
 }
 
 void
-FleetScheduler::RemoveRun(const TaskKey& aName,
-                          Place& aPlace,
+FleetScheduler::RemoveRun(Place& aPlace,
                           const std::string& aNode,
-                          std::uint32_t aRun)
+                          std::uint32_t aRun,
+                          Instant aNow)
 {
-  (void)aName;
   std::vector<TaskRun>& runs = aPlace.task_->runs_;
   std::erase_if(runs, [&](const TaskRun& aTaskRun) {
     return aTaskRun.run_ == aRun && aTaskRun.node_ == aNode;
   });
+  aPlace.task_->endedAt_ = aNow;
   if (aPlace.task_->Waits()) {
     MarkReady(*aPlace.entry_->job_, *aPlace.step_);
   }
@@ -361,7 +361,6 @@
                         std::string_view aWhy,
                         Instant aNow)
 {
-  (void)aNow;
   aWorker.Release(aTask, aRun);
   const auto name = TaskKey::Parse(aTask);
   std::optional<Place> place = name.has_value() ? Find(*name) : std::nullopt;
@@ -372,7 +371,7 @@
        aTask,
        aWorker.node_,
        "run " + std::to_string(aRun) + ": " + std::string(aWhy));
-  RemoveRun(*name, *place, aWorker.node_, aRun);
+  RemoveRun(*place, aWorker.node_, aRun, aNow);
   if (!place->entry_->job_->IsOver()) {
     BreakGang(*place, *name);
   }
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -23,6 +23,8 @@
   std::int64_t backfillCpuMilli_ = 0;
   /** It serves its own users and has a latency objective. */
   bool serves_ = false;
+  /** It runs until it is cancelled. */
+  bool lasts_ = false;
   /** What it runs. */
   std::string image_;
   /** Its job. */
@@ -75,6 +77,8 @@
    * nothing starts there until they are gone. */
   std::set<std::pair<std::string, std::uint32_t>> strangers_;
   FleetRoom used_;
+  /** The part of used_ that long-running tasks hold. */
+  FleetRoom lasting_;
   std::int64_t backfillCpuMilli_ = 0;
   std::uint32_t serving_ = 0;
   /** It refused for want of room; tried again after this. */
@@ -159,12 +163,20 @@
     }
   }
 
+  static void AddTo(FleetRoom& aSum, const FleetRoom& aRoom, int aSign)
+  {
+    aSum.cpuMilli_ += aSign * aRoom.cpuMilli_;
+    aSum.memoryMb_ += aSign * aRoom.memoryMb_;
+    aSum.accelerators_ += aSign * aRoom.accelerators_;
+  }
+
   void Add(const TaskRoom& aRoom, int aSign)
   {
     fits_.clear();
-    used_.cpuMilli_ += aSign * aRoom.room_.cpuMilli_;
-    used_.memoryMb_ += aSign * aRoom.room_.memoryMb_;
-    used_.accelerators_ += aSign * aRoom.room_.accelerators_;
+    AddTo(used_, aRoom.room_, aSign);
+    if (aRoom.lasts_) {
+      AddTo(lasting_, aRoom.room_, aSign);
+    }
     backfillCpuMilli_ += aSign * aRoom.backfillCpuMilli_;
     if (aRoom.backfillCpuMilli_ > 0) {
       Count(backfillImages_, aRoom.image_, aSign * aRoom.backfillCpuMilli_);
--- /dev/null
+++ b/Source/Process/RoomReservations.cxx
@@ -0,0 +1,54 @@
+#include "Process/RoomReservations.h"
+
+#include <algorithm>
+
+namespace cactusrail {
+
+namespace {
+
+/** Passes of placing are 10 to 50 ms apart, and longer on a choked host. */
+constexpr Millis kHolds{ 500 };
+
+}
+
+void
+RoomReservations::Keep(const std::string& aNode,
+                       std::string_view aJob,
+                       Instant aNow)
+{
+  std::erase_if(
+    kept_, [aNow](const auto& aEntry) { return aNow >= aEntry.second.until_; });
+  kept_[aNode] = { std::string(aJob), aNow + kHolds };
+}
+
+bool
+RoomReservations::IsKeptFrom(std::string_view aJob,
+                             std::string_view aNode,
+                             Instant aNow) const
+{
+  const auto found = kept_.find(aNode);
+  return found != kept_.end() && aNow < found->second.until_ &&
+         found->second.job_ != aJob;
+}
+
+std::string_view
+RoomReservations::NodeOf(std::string_view aJob, Instant aNow) const
+{
+  for (const auto& [node, reservation] : kept_) {
+    if (reservation.job_ == aJob && aNow < reservation.until_) {
+      return node;
+    }
+  }
+  return {};
+}
+
+std::size_t
+RoomReservations::Count(Instant aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(kept_.begin(), kept_.end(), [aNow](const auto& aEntry) {
+      return aNow < aEntry.second.until_;
+    }));
+}
+
+}
--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -191,6 +191,7 @@
                  aStep.accelerators_ };
   room.backfillCpuMilli_ = aStep.backfill_ ? aStep.cpuMilli_ : 0;
   room.serves_ = aStep.latencyObjectiveMs_ > 0;
+  room.lasts_ = aStep.longRunning_;
   room.image_ = aStep.image_;
   room.job_ = aJob;
   return room;
@@ -206,6 +207,10 @@
       worker.facts_.draining_ || !worker.strangers_.empty()) {
     return false;
   }
+  // Backfill takes no room.
+  if (aOption.kept_ && !step.backfill_) {
+    return false;
+  }
   if (!step.requiredLabel_.empty() &&
       !Contains(worker.facts_.labels_, step.requiredLabel_)) {
     return false;
--- a/Source/Process/WorkerChoice.h
+++ b/Source/Process/WorkerChoice.h
@@ -33,6 +33,8 @@
   std::uint32_t sameStep_ = 0;
   /** Set aside for failing what it starts. */
   bool setAside_ = false;
+  /** Its room is kept for another job; see RoomReservations. */
+  bool kept_ = false;
   /** For a backfill task: how it would do beside those that serve there. */
   BackfillFit fit_;
 };
