Side: Queue what can be served in time, refuse at once what can't

Symptom: callers in a burst are turned away with 'No further upstream of the service is there to try', 1 to 6 of 40, though all could be answered within 0.2 s; seen first in a test of a stop. Cause: a side let 16 attempts wait, whatever their time and its upstream's speed. Ruled out: the stop (the same without one).

A side now lets an attempt wait if a slot is expected to be free within its time, by what attempts took, or by how long those that run have taken already; 256 and 16 MB of bodies at most. What can't start in time is refused at once, with the time after which it could.

--- a/Source/Request/SideCore.cxx
+++ b/Source/Request/SideCore.cxx
@@ -15,6 +15,9 @@
 /** How long attempt ids are remembered after their deadline. */
 constexpr Millis kRememberAttempts{ 60000 };
 
+/** Weight of the newest answer in what attempts are taken to need. */
+constexpr double kLearnService = 0.1;
+
 /** More than a day left to a deadline is taken for a day. */
 constexpr std::uint64_t kMaxRemainingMicros = 86400000000;
 
@@ -37,6 +40,12 @@
   std::uint64_t turn_ = 0;
 };
 
+Micros
+TimeLeft(const DispatchMessage& aDispatch)
+{
+  return Micros(std::min(aDispatch.remainingMicros_, kMaxRemainingMicros));
+}
+
 }
 
 class SideCore::Private
@@ -44,6 +53,7 @@
 public:
   explicit Private(const Limits& aLimits)
     : limits_(aLimits)
+    , serviceMicros_(static_cast<double>(aLimits.expectedService_.count()))
   {
   }
 
@@ -59,7 +69,8 @@
   void Refuse(Actions& aActions,
               LinkId aLink,
               const DispatchMessage& aDispatch,
-              std::string aReason) const;
+              std::string aReason,
+              Millis aRetryAfter) const;
   void Remember(const std::string& aAttemptId, Instant aForgetAt);
   bool IsPast(std::uint64_t aIncarnation) const;
   void EndIncarnation(std::uint64_t aIncarnation);
@@ -69,8 +80,12 @@
   void StartQueued(Actions& aActions, Instant aNow);
   void RefuseQueued(Actions& aActions, const std::string& aReason);
   void DropQueued(const std::string& aAttemptId);
+  void LeaveQueue(const Attempt& aAttempt);
+  void LearnService(Micros aTook);
   void Finish(Actions& aActions, AnswerMessage aAnswer, Instant aNow);
   void ForgetOld(Instant aNow);
+  Micros ExpectedWait(Instant aNow) const;
+  Millis RetryAfter(const DispatchMessage& aDispatch, Instant aNow) const;
 
   Limits limits_;
   std::optional<Announcement> upstream_;
@@ -81,7 +96,11 @@
   std::unordered_map<std::string, Attempt> attempts_;
   /** Attempts that wait, by their turn. */
   std::map<std::uint64_t, std::string> queue_;
+  /** Of the bodies that wait. */
+  std::size_t queuedBytes_ = 0;
   std::uint64_t nextTurn_ = 1;
+  /** What attempts took at the upstream; smoothed. */
+  double serviceMicros_;
   std::size_t running_ = 0;
   /** Attempt ids that were taken or refused, and when to forget them. */
   std::unordered_set<std::string> taken_;
@@ -111,7 +130,8 @@
 SideCore::Private::Refuse(Actions& aActions,
                           LinkId aLink,
                           const DispatchMessage& aDispatch,
-                          std::string aReason) const
+                          std::string aReason,
+                          Millis aRetryAfter) const
 {
   Record(aActions,
          aDispatch.requestId_,
@@ -125,8 +145,7 @@
   answer.attemptId_ = aDispatch.attemptId_;
   answer.verdict_ = Verdict::DidNotRun;
   answer.reason_ = std::move(aReason);
-  answer.retryAfterMs_ =
-    static_cast<std::uint32_t>(limits_.retryAfter_.count());
+  answer.retryAfterMs_ = static_cast<std::uint32_t>(aRetryAfter.count());
   aActions.emplace_back(SendAnswer{ aLink, std::move(answer) });
 }
 
@@ -174,12 +193,57 @@
   if (aDispatch.remainingMicros_ == 0) {
     return "The deadline had passed on arrival.";
   }
-  if (running_ >= upstream_->slots_ && queue_.size() >= limits_.maxQueued_) {
+  if (running_ < upstream_->slots_) {
+    return {};
+  }
+  if (queue_.size() >= limits_.maxQueued_ ||
+      queuedBytes_ + aDispatch.body_.size() > limits_.maxQueuedBytes_) {
     return "All slots are taken and the queue is full.";
   }
+  if (ExpectedWait(aNow) > TimeLeft(aDispatch)) {
+    return "All slots are taken, and no slot would be free in time.";
+  }
   return {};
 }
 
+/**
+ * How long an attempt that arrives now would wait for a slot.
+ *
+ * By what answered attempts took, or by how long those that run have taken
+ * already: of an upstream that hangs nothing else is learned.
+ */
+Micros
+SideCore::Private::ExpectedWait(Instant aNow) const
+{
+  if (running_ < upstream_->slots_) {
+    return Micros(0);
+  }
+  Micros elapsed{ 0 };
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.state_ == AttemptState::Running) {
+      elapsed += aNow - attempt.startedAt_;
+    }
+  }
+  const auto running = static_cast<double>(running_);
+  const double service =
+    std::max(serviceMicros_, static_cast<double>(elapsed.count()) / running);
+  const auto ahead = static_cast<double>(queue_.size() + 1);
+  const double slots = std::max<double>(1, upstream_->slots_);
+  return Micros(static_cast<std::int64_t>(service * ahead / slots));
+}
+
+/** When an attempt with as much time left would be taken, as things are. */
+Millis
+SideCore::Private::RetryAfter(const DispatchMessage& aDispatch,
+                              Instant aNow) const
+{
+  if (!upstream_.has_value()) {
+    return limits_.retryAfter_;
+  }
+  const Micros late = ExpectedWait(aNow) - TimeLeft(aDispatch);
+  return std::max(limits_.retryAfter_, std::chrono::ceil<Millis>(late));
+}
+
 void
 SideCore::Private::Start(Actions& aActions,
                          const std::string& aAttemptId,
@@ -188,7 +252,7 @@
   Attempt& attempt = attempts_.at(aAttemptId);
   attempt.state_ = AttemptState::Running;
   attempt.startedAt_ = aNow;
-  queue_.erase(attempt.turn_);
+  LeaveQueue(attempt);
   ++running_;
   Record(aActions,
          attempt.dispatch_.requestId_,
@@ -224,20 +288,36 @@
 {
   for (const auto& [turn, attemptId] : queue_) {
     const Attempt& attempt = attempts_.at(attemptId);
-    Refuse(aActions, attempt.link_, attempt.dispatch_, aReason);
+    Refuse(
+      aActions, attempt.link_, attempt.dispatch_, aReason, limits_.retryAfter_);
     attempts_.erase(attemptId);
   }
   queue_.clear();
+  queuedBytes_ = 0;
 }
 
 void
 SideCore::Private::DropQueued(const std::string& aAttemptId)
 {
   const auto found = attempts_.find(aAttemptId);
-  queue_.erase(found->second.turn_);
+  LeaveQueue(found->second);
   attempts_.erase(found);
 }
 
+void
+SideCore::Private::LeaveQueue(const Attempt& aAttempt)
+{
+  queue_.erase(aAttempt.turn_);
+  queuedBytes_ -= aAttempt.dispatch_.body_.size();
+}
+
+void
+SideCore::Private::LearnService(Micros aTook)
+{
+  serviceMicros_ +=
+    kLearnService * (static_cast<double>(aTook.count()) - serviceMicros_);
+}
+
 void
 SideCore::Private::Finish(Actions& aActions,
                           AnswerMessage aAnswer,
@@ -253,6 +333,9 @@
     (attempt.startedAt_ - attempt.arrivedAt_).count());
   aAnswer.servedMicros_ =
     static_cast<std::uint64_t>((aNow - attempt.startedAt_).count());
+  if (aAnswer.verdict_ == Verdict::Ran) {
+    LearnService(aNow - attempt.startedAt_);
+  }
   const std::string detail = aAnswer.status_ != 0
                                ? "status " + std::to_string(aAnswer.status_)
                                : aAnswer.reason_;
@@ -343,12 +426,15 @@
     return actions;
   }
   std::string reason = self.ReasonToRefuse(aDispatch, aNow);
-  const Instant deadline =
-    aNow + Micros(std::min(aDispatch.remainingMicros_, kMaxRemainingMicros));
+  const Instant deadline = aNow + TimeLeft(aDispatch);
   // A refused one too: its second copy must not run after all.
   self.Remember(aDispatch.attemptId_, deadline + kRememberAttempts);
   if (!reason.empty()) {
-    self.Refuse(actions, aLink, aDispatch, std::move(reason));
+    self.Refuse(actions,
+                aLink,
+                aDispatch,
+                std::move(reason),
+                self.RetryAfter(aDispatch, aNow));
     return actions;
   }
   Attempt attempt;
@@ -358,6 +444,7 @@
   attempt.arrivedAt_ = aNow;
   attempt.turn_ = self.nextTurn_++;
   self.queue_.emplace(attempt.turn_, aDispatch.attemptId_);
+  self.queuedBytes_ += aDispatch.body_.size();
   self.attempts_.emplace(aDispatch.attemptId_, std::move(attempt));
   self.StartQueued(actions, aNow);
   return actions;
@@ -377,7 +464,8 @@
   private_->Refuse(actions,
                    aLink,
                    found->second.dispatch_,
-                   "The caller gave up while the request was queued.");
+                   "The caller gave up while the request was queued.",
+                   private_->limits_.retryAfter_);
   private_->DropQueued(aCancel.attemptId_);
   return actions;
 }
@@ -491,7 +579,8 @@
     self.Refuse(actions,
                 attempt.link_,
                 attempt.dispatch_,
-                "The deadline passed while the request was queued.");
+                "The deadline passed while the request was queued.",
+                self.limits_.retryAfter_);
     self.DropQueued(attemptId);
   }
   self.ForgetOld(aNow);
--- a/Source/Request/SideCore.h
+++ b/Source/Request/SideCore.h
@@ -67,10 +67,18 @@
 public:
   struct Limits
   {
-    /** Attempts that wait for a slot; more are refused at once. */
-    std::size_t maxQueued_ = 16;
-    /** How long the entry should wait after a refusal. */
+    /** Attempts that wait for a slot; more are refused at once. Some 300 bytes
+     * each besides what they carry. */
+    std::size_t maxQueued_ = 256;
+    /** How long the entry should wait after a refusal, at least. */
     Millis retryAfter_{ 200 };
+    /** Bodies of those that wait: sixteen of the largest, of a process's 128
+     * MB. */
+    std::size_t maxQueuedBytes_ = 16U << 20U;
+    /** What an attempt is taken to need at the upstream until answers were
+     * seen.
+     */
+    Micros expectedService_{ 20000 };
     /** Upstream incarnations that are known to be over. */
     std::size_t maxPastIncarnations_ = 64;
     /** How long past its deadline an at-most-once request is listened for. */
