Entry: Take callers until the balancer has heard twice that it is not ready

Symptom: '4 requests were cut off' by a stop (StopTest, beside load); a balancer that asks each second sends callers to an entry that refuses connections already. Cause: the entry stopped listening 1.5 s after the signal, whatever the balancer knew.

StopNotice: 2.3 s at least, until two questions were answered with 'not ready', and 5 s at most if the balancer asks no more. fleet-entry uses it too: it had a fixed 2.3 s, enough while nothing is held up.

--- a/Source/Process/EntryProcess.cxx
+++ b/Source/Process/EntryProcess.cxx
@@ -15,6 +15,7 @@
 #include "Process/OperatorRoutes.h"
 #include "Process/Scheduler.h"
 #include "Process/StepSegments.h"
+#include "Process/StopNotice.h"
 #include "Process/WorkPages.h"
 #include "Version/ConfigurationHolder.h"
 #include "Version/LearnedPlacement.h"
@@ -31,8 +32,6 @@
 constexpr Millis kStopCheck{ 50 };
 /** After the bound, for the answers to those given up to leave. */
 constexpr Millis kLastAnswers{ 1000 };
-/** A stopping entry still listens this long, for the balancer to notice. */
-constexpr Millis kBalancerNotice{ 1500 };
 
 }
 
@@ -99,7 +98,7 @@
   QTimer stopCheck_;
   bool stopping_ = false;
   bool listening_ = true;
-  Instant listenUntil_;
+  StopNotice notice_;
   Instant stopDeadline_;
   /** The bound came first; so many requests were answered unfinished. */
   bool gaveUp_ = false;
@@ -222,6 +221,7 @@
   });
   routes_.Add("GET", "/readyz", [this](const HttpExchange& aExchange) {
     const bool ready = !stopping_ && configuration_.Current()->version_ > 0;
+    notice_.OnAsked(ready, ReadMonotonicClock());
     HttpAnswer answer;
     answer.status_ = ready ? 200 : 503;
     answer.body_ = ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n";
@@ -246,7 +246,7 @@
 EntryProcess::Private::CheckStopped()
 {
   const Instant now = ReadMonotonicClock();
-  if (listening_ && now >= listenUntil_) {
+  if (listening_ && !notice_.TakesConnections(now)) {
     listening_ = false;
     for (const std::unique_ptr<Lane>& lane : lanes_) {
       lane->StopListening();
@@ -305,8 +305,8 @@
   Private* self = private_.get();
   const Instant now = ReadMonotonicClock();
   self->stopping_ = true;
-  self->listenUntil_ = now + kBalancerNotice;
   self->stopDeadline_ = now + Millis(self->settings_.stopBoundMs_);
+  self->notice_.Begin(now, self->stopDeadline_);
   self->stopped_ = std::move(aDone);
   self->scheduler_.HandOver();
   LogChange("stopping", {});
--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -14,6 +14,7 @@
 #include "Process/Log.h"
 #include "Process/Metrics.h"
 #include "Process/MetricsRoutes.h"
+#include "Process/StopNotice.h"
 #include "Process/TableWatch.h"
 #include "Version/FleetConfiguration.h"
 
@@ -95,9 +96,9 @@
     LogChange("stopping", {});
     stopping_ = true;
     stopped_ = std::move(aDone);
-    stopAt_ = ReadMonotonicClock() + kBalancerNotice;
-    stopBound_ =
-      ReadMonotonicClock() + settings_.fleet_.stopBound_ - kStopMargin;
+    const Instant now = ReadMonotonicClock();
+    stopBound_ = now + settings_.fleet_.stopBound_ - kStopMargin;
+    notice_.Begin(now, stopBound_ - kLastAnswers);
     lease_.StepDown();
     callers_->CloseAfterAnswers();
     connect(&stopCheck_, &QTimer::timeout, this, [this] { CheckStopped(); });
@@ -111,8 +112,8 @@
   }
 
 private:
-  /** Balancers miss an entry after two probes, a second apart. */
-  static constexpr Millis kBalancerNotice{ 2300 };
+  /** What is taken last is answered within this. */
+  static constexpr Millis kLastAnswers{ 1500 };
   static constexpr Millis kStopCheck{ 50 };
   /** The process is gone this long before the stop's bound. */
   static constexpr Millis kStopMargin{ 800 };
@@ -473,9 +474,14 @@
   void OnReadiness(const HttpExchange& aExchange)
   {
     HttpAnswer answer;
-    answer.status_ =
-      !Platform::AsksReadiness(aExchange) ? 404 : (IsReady() ? 200 : 503);
     answer.body_ = "{}";
+    if (Platform::AsksReadiness(aExchange)) {
+      const bool ready = IsReady();
+      notice_.OnAsked(ready, ReadMonotonicClock());
+      answer.status_ = ready ? 200 : 503;
+    } else {
+      answer.status_ = 404;
+    }
     aExchange.Answer(answer);
   }
 
@@ -877,7 +883,7 @@
   void CheckStopped()
   {
     const Instant now = ReadMonotonicClock();
-    if (now < stopAt_) {
+    if (notice_.TakesConnections(now)) {
       return;
     }
     if (callers_->Listening()) {
@@ -912,7 +918,7 @@
   std::unique_ptr<FleetLead<Store>> lead_;
   std::uint64_t leadEpoch_ = 0;
   bool stopping_ = false;
-  Instant stopAt_;
+  StopNotice notice_;
   Instant stopBound_;
   QTimer stopCheck_;
   std::function<void()> stopped_;
