--- a/Tests/Fleet/ProcessFleet.cxx
+++ b/Tests/Fleet/ProcessFleet.cxx
@@ -282,6 +282,13 @@
   sides_.at(aSide).reset();
 }
 
+void
+ProcessFleet::StartSide(std::size_t aSide)
+{
+  sides_.at(aSide) =
+    std::get<std::unique_ptr<TestSide>>(TestSide::Start(sideSettings_[aSide]));
+}
+
 void
 ProcessFleet::LeaveForGood(std::size_t aSide)
 {
--- a/Tests/Fleet/ProcessFleet.h
+++ b/Tests/Fleet/ProcessFleet.h
@@ -77,6 +77,8 @@
   void StopEntry(std::size_t aEntry);
   /** The same for a side. */
   void StopSide(std::size_t aSide);
+  /** Starts a stopped side again, as its host does when it has power again. */
+  void StartSide(std::size_t aSide);
   /** The side's worker says that it ends, and does. */
   void LeaveForGood(std::size_t aSide);
   WorkerFake& Worker(std::size_t aSide);
--- a/Tests/Fleet/ProcessFleetTest.cxx
+++ b/Tests/Fleet/ProcessFleetTest.cxx
@@ -173,3 +173,26 @@
     cr_assert_eq(StartsOf(fleet, 2, "after.0.0." + std::to_string(i)), 1);
   }
 }
+
+// A host whose worker has left for good comes back with the power and is gone a
+// moment later. Its side had written its row as soon as it started, so the
+// leader waited for it, and held all older work back until it could hold no
+// lease any more: `started` at 35.3 s, old work from 45 s on.
+Test(ProcessFleet, SideThatHasNoWorkerIsNotWaitedFor)
+{
+  const Application application;
+  ProcessFleet fleet(1, 2);
+  WarmUp(fleet);
+  fleet.LeaveForGood(0);
+  fleet.StopSide(0);
+  const RowId row = MemberRowId(fleet.SideName(0));
+  const auto& rows = MemoryTables::OfTest().rows_;
+  cr_assert_not(rows.contains(row));
+  const std::size_t asked = fleet.Worker(0).calls_;
+  fleet.StartSide(0);
+  // It has found out that nothing is there.
+  constexpr std::size_t kKnocks = 3;
+  cr_assert(fleet.Wait(
+    [&fleet, asked] { return fleet.Worker(0).calls_ >= asked + kKnocks; }));
+  cr_assert_not(rows.contains(row));
+}
