Side: Write no row before there is a worker; say which sides old work waits for

Cause: a side wrote its row as it started. A host whose worker had left for good came back with the power and was gone again, and the leader waited for it. A side now asks the table first: with a row of a former life it registers at once, without one when its worker has announced itself.

--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -24,6 +24,11 @@
 /** A row of a side that is out of reach is removed after this; by then no
  * leader has to wait for it. */
 constexpr Millis kForgetSide{ 20000 };
+/** Sides that are in reach have all reported to a new leader by then; one that
+ * was started anew first waits for stops of its former life, a second or so. */
+constexpr Millis kUsualHold{ 2000 };
+/** Names of such sides in one line of the log. */
+constexpr std::size_t kMostNames = 8;
 constexpr Millis kForgetLeft{ 1000 };
 
 }
@@ -258,6 +263,34 @@
   });
 }
 
+/** Whether work from before this leader still waits for sides; says so in the
+ * log, with their names, if it takes longer than sides that are there need. */
+bool
+FleetScheduler::HoldsOldWork(Instant aNow)
+{
+  const bool holds = AnySuspect();
+  if (holds && !holdNoted_ && aNow - loadedAt_ > kUsualHold) {
+    holdNoted_ = true;
+    std::string names;
+    std::size_t count = 0;
+    for (const auto& [node, worker] : workers_) {
+      if (worker.suspect_ && ++count <= kMostNames) {
+        names += (names.empty() ? "" : ", ") + node;
+      }
+    }
+    if (count > kMostNames) {
+      names += " and " + std::to_string(count - kMostNames) + " more";
+    }
+    Note("old-work-waits", {}, {}, "not heard of yet: " + names);
+  } else if (!holds && holdNoted_) {
+    holdNoted_ = false;
+    const auto waited = std::chrono::duration_cast<Millis>(aNow - loadedAt_);
+    Note(
+      "old-work-goes-on", {}, {}, std::to_string(waited.count()) + " ms later");
+  }
+  return holds;
+}
+
 // Sides.
 
 bool
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -233,6 +233,7 @@
   void DropAllRuns(FleetWorker& aWorker, std::string_view aWhy, Instant aNow);
   void GiveUpUnreachable(Instant aNow);
   bool AnySuspect() const;
+  bool HoldsOldWork(Instant aNow);
 
   // Placement.
   /** Starts that rest on what is known now are void from then on. */
@@ -368,6 +369,8 @@
   Instant tableAsOf_;
   /** Nothing starts, as what is known is too old. */
   bool withheld_ = false;
+  /** The log says that old work waits for sides. */
+  bool holdNoted_ = false;
   std::int64_t wallMs_ = 0;
   WorkerHealth health_;
   BackfillInterference interference_;
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -123,7 +123,7 @@
 void
 FleetScheduler::PlaceReady(Instant aNow)
 {
-  const bool holdOld = AnySuspect();
+  const bool holdOld = HoldsOldWork(aNow);
   std::vector<ReadyKey> placed;
   // Work of a lower priority must not take the room that is being made.
   std::optional<std::int64_t> blocked;
--- a/Source/Process/FleetSide.h
+++ b/Source/Process/FleetSide.h
@@ -170,6 +170,7 @@
       keeper_.OnWorkerLeft(farewell->id_, now);
     }
     aExchange.Answer(Platform::AcknowledgeNotice());
+    RegisterIfKnown();
     Pump();
   }
 
@@ -184,7 +185,42 @@
       return;
     }
     listener_ = std::move(std::get<std::unique_ptr<LinkListener>>(listener));
-    Register();
+    FindFormerRow();
+  }
+
+  /**
+   * Looks whether leaders know this side from a former life.
+   *
+   * Failure guarded against: a host whose worker had left for good came back
+   * with the power, wrote its row and was gone again. The leader waited for its
+   * report, and held all older work back for 9.5 s. A side that has no row and
+   * no worker is of no interest to leaders: where no row is, nothing can run.
+   */
+  void FindFormerRow()
+  {
+    const RowId id = MemberRowId(settings_.fleet_.name_);
+    store_.Read({ id.table_, id.part_, id.key_, id.key_ + " " },
+                ReadMonotonicClock() + kRegisterTimeout,
+                Guarded(this, [this](Result<RowPage> aPage) {
+                  const auto* page = std::get_if<RowPage>(&aPage);
+                  if (page == nullptr) {
+                    QTimer::singleShot(
+                      kRegisterRetry, this, [this] { FindFormerRow(); });
+                    return;
+                  }
+                  mayRegister_ = true;
+                  formerRow_ = !page->rows_.empty();
+                  RegisterIfKnown();
+                }));
+  }
+
+  /** Writes the row once leaders have reason to look for it. */
+  void RegisterIfKnown()
+  {
+    const bool needed = formerRow_ || !keeper_.WorkerId().empty();
+    if (mayRegister_ && needed && registeredAt_ == Instant()) {
+      Register();
+    }
   }
 
   /** Writes the row by which leaders find this side. */
@@ -314,8 +350,8 @@
       LogChange("leader-silent", {});
       DropLink();
     }
-    if (link_.isNull() && now - heardAt_ > kOrphanedSide &&
-        now - registeredAt_ > kOrphanedSide) {
+    if (registeredAt_ != Instant() && link_.isNull() &&
+        now - heardAt_ > kOrphanedSide && now - registeredAt_ > kOrphanedSide) {
       Register();
     }
     Pump();
@@ -372,6 +408,9 @@
   Instant heardAt_;
   Instant registeredAt_;
   bool registering_ = false;
+  /** The table was asked for a row of a former life, and there was one. */
+  bool mayRegister_ = false;
+  bool formerRow_ = false;
   /** Of this side's row, as it was last written. */
   std::uint64_t memberVersion_ = 0;
   bool deregistering_ = false;
--- a/Tests/Fleet/FleetFailureTest.cxx
+++ b/Tests/Fleet/FleetFailureTest.cxx
@@ -169,6 +169,22 @@
   cr_assert_eq(world.MostRunsAtOnce(), 1);
 }
 
+// Old work waits for a host that is out of reach, and an operator asks why
+// nothing starts: the log must name the host, not only say nine seconds later
+// that it was given up.
+Test(FleetFailure, LogNamesTheHostsThatOldWorkWaitsFor)
+{
+  FleetWorld world(3);
+  world.Run(Millis(1500));
+  world.Cut(1, true);
+  world.ChangeLeader();
+  world.Run(Millis(2500));
+  cr_assert_eq(world.Said("old-work-waits"), "not heard of yet: side1; ");
+  cr_assert_eq(world.Said("old-work-goes-on"), "");
+  world.Run(kGivenUp);
+  cr_assert_neq(world.Said("old-work-goes-on"), "");
+}
+
 // The table is away when a task ends; the leader dies with the news. The worker
 // must still list the end for the next leader, or the payout would run again.
 Test(FleetFailure, EndIsAcknowledgedOnlyOnceItIsStored)
--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -385,6 +385,18 @@
   return starts;
 }
 
+std::string
+FleetWorld::Said(std::string_view aEvent) const
+{
+  std::string said;
+  for (const FleetEvent& event : events_) {
+    if (event.event_ == aEvent) {
+      said += event.detail_ + "; ";
+    }
+  }
+  return said;
+}
+
 std::optional<Instant>
 FleetWorld::LastStart(const std::string& aTask) const
 {
@@ -463,6 +475,9 @@
     sentOrders_.push_back({ now_ + orderDelay_, std::move(orders) });
   }
   DeliverOrders();
+  for (FleetEvent& event : scheduler_->TakeEvents()) {
+    events_.push_back(std::move(event));
+  }
   if (storeAway_) {
     return;
   }
@@ -480,7 +495,6 @@
   for (const std::string& id : scheduler_->Expired(wall)) {
     scheduler_->Forget(id);
   }
-  scheduler_->TakeEvents();
 }
 
 void
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -133,6 +133,8 @@
   /** A worker held more than its room at some time. */
   bool EverOverRoom() const { return overRoom_; }
   std::size_t Starts(const std::string& aTask) const;
+  /** What leaders said of an event in their logs; empty if they never did. */
+  std::string Said(std::string_view aEvent) const;
   /** When a task was last started anywhere; none if it never was. */
   std::optional<Instant> LastStart(const std::string& aTask) const;
 
@@ -170,6 +172,7 @@
   /** So many of them the leader has been told. */
   std::size_t cancelsTold_ = 0;
   std::deque<SentOrders> sentOrders_;
+  std::vector<FleetEvent> events_;
   bool leaderGone_ = false;
   std::optional<ProgressBatch> writing_;
   std::size_t mostAtOnce_ = 0;
