--- /dev/null
+++ b/Tests/Unit/HttpCallerTest.cxx
@@ -0,0 +1,148 @@
+#include "Connection/HttpCaller.h"
+
+#include <QCoreApplication>
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace cactusrail;
+
+namespace {
+
+bool
+Wait(const std::function<bool()>& aHolds)
+{
+  const Instant until = ReadMonotonicClock() + Millis(30000);
+  while (!aHolds() && ReadMonotonicClock() < until) {
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
+  }
+  return aHolds();
+}
+
+/**
+ * A listening socket whose queue of new connections is full, so that the kernel
+ * drops the first packet of each further one: a cut, as a caller sees it.
+ */
+class FullListener
+{
+public:
+  FullListener()
+    : descriptor_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    cr_assert(::bind(descriptor_, generic, size) == 0);
+    cr_assert(::listen(descriptor_, 0) == 0);
+    ::getsockname(descriptor_, generic, &size);
+    port_ = ntohs(address.sin_port);
+    Fill();
+  }
+
+  /** The cut is over: what waits is accepted, and what comes from then on. */
+  void Heal(QTcpServer& aServer)
+  {
+    fillers_.clear();
+    ::listen(descriptor_, 64);
+    aServer.setSocketDescriptor(descriptor_);
+  }
+
+  std::uint16_t Port() const { return port_; }
+
+private:
+  /** Connects until a connection is not made any more. */
+  void Fill()
+  {
+    constexpr int kMost = 16;
+    for (int i = 0; i < kMost; ++i) {
+      auto socket = std::make_unique<QTcpSocket>();
+      socket->connectToHost(QHostAddress::LocalHost, port_);
+      const bool made = socket->waitForConnected(100);
+      fillers_.push_back(std::move(socket));
+      if (!made) {
+        return;
+      }
+    }
+  }
+
+  int descriptor_;
+  std::uint16_t port_ = 0;
+  std::vector<std::unique_ptr<QTcpSocket>> fillers_;
+};
+
+HttpCall
+CallTo(std::uint16_t aPort, const std::string& aPath, Instant aDeadline)
+{
+  HttpCall call;
+  call.method_ = "GET";
+  call.url_ = "http://127.0.0.1:" + std::to_string(aPort) + aPath;
+  call.deadline_ = aDeadline;
+  return call;
+}
+
+}
+
+// The table is cut off while an entry connects to it. The call is given up, the
+// cut heals, the entry asks again; the library handed it the connection that
+// was still being made, which TCP tries again only seconds later: the entry was
+// without its table for 4 s more. A connection of its own is made at once.
+Test(HttpCaller, CallAfterACutMakesItsOwnConnection)
+{
+  int argc = 1;
+  char name[] = "test";
+  char* argv[] = { name, nullptr };
+  const QCoreApplication application(argc, argv);
+  FullListener listener;
+  HttpCaller caller;
+  bool givenUp = false;
+  caller.Start(
+    CallTo(listener.Port(), "/first", ReadMonotonicClock() + Millis(300)),
+    [&givenUp](const Result<HttpReply>& aReply) {
+      givenUp = std::holds_alternative<Failure>(aReply);
+    });
+  cr_assert(Wait([&givenUp] { return givenUp; }));
+
+  QTcpServer server;
+  std::vector<std::string> arrived;
+  QObject::connect(&server, &QTcpServer::newConnection, &server, [&] {
+    while (QTcpSocket* socket = server.nextPendingConnection()) {
+      QObject::connect(socket, &QTcpSocket::readyRead, &server, [&, socket] {
+        arrived.push_back(socket->readAll().toStdString());
+      });
+    }
+  });
+  listener.Heal(server);
+  caller.Start(
+    CallTo(listener.Port(), "/second", ReadMonotonicClock() + Millis(20000)),
+    [](const Result<HttpReply>&) {});
+  // Others connect and are heard, one after another: a hundred of them take
+  // some milliseconds, and TCP tries an old connection again after a second.
+  constexpr int kOthers = 100;
+  const auto isCall = [](const std::string& aBytes) {
+    return aBytes.starts_with("GET /second");
+  };
+  const auto called = [&arrived, &isCall] {
+    return std::any_of(arrived.begin(), arrived.end(), isCall);
+  };
+  for (int i = 0; i < kOthers && !called(); ++i) {
+    const std::size_t before = arrived.size();
+    QTcpSocket other;
+    QObject::connect(&other, &QTcpSocket::connected, &other, [&other] {
+      other.write("other");
+    });
+    other.connectToHost(QHostAddress::LocalHost, listener.Port());
+    cr_assert(Wait([&arrived, before] { return arrived.size() > before; }));
+  }
+  cr_assert(called(), "%d others were heard before it", kOthers);
+}
