--- a/Tests/Unit/SideCoreTest.cxx
+++ b/Tests/Unit/SideCoreTest.cxx
@@ -141,5 +141,5 @@
     ++taken;
   }
   cr_assert_leq((taken - kSlots) << 20U, 16U << 20U);
-  cr_assert_geq(taken, 2 * kSlots);
+  cr_assert_geq(taken, std::size_t{ 2 } * kSlots);
 }
