Entry: Move reads of stored jobs and the replies to callers into modules of their own

StoredJobs answers from the table when no leader can be asked; replies and their verdicts stand beside the calls. No behaviour changed.

--- a/Source/Process/CallerCall.h
+++ b/Source/Process/CallerCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Process/Instant.h"
+#include "Request/Verdict.h"
 #include "Version/JobDescription.h"
 #include "Version/JobProgress.h"
 
@@ -84,4 +85,19 @@
   Millis retryAfter_{ 1000 };
 };
 
+/** A reply that is its outcome, with a whole sentence for the caller. */
+CallerReply
+ReplyOf(CallerOutcome aOutcome, std::string aWhy = {});
+
+/** Surely not done; come back when the reply says. */
+CallerReply
+ReplyTryLater(std::string aWhy);
+
+CallerReply
+ReplyState(JobState aState);
+
+/** Whether what a caller asked for may have been done. */
+Verdict
+VerdictOf(CallerOutcome aOutcome);
+
 }
--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -15,6 +15,7 @@
 #include "Process/Metrics.h"
 #include "Process/MetricsRoutes.h"
 #include "Process/StopNotice.h"
+#include "Process/StoredJobs.h"
 #include "Process/TableWatch.h"
 #include "Version/FleetConfiguration.h"
 
@@ -119,12 +120,12 @@
   static constexpr Millis kStopMargin{ 800 };
   /** The leader answers from memory; a store's answer takes some 10 ms. */
   static constexpr Millis kAskTimeout{ 350 };
-  static constexpr Millis kReadTimeout{ 1000 };
+  /** For this entry to store something for another. */
+  static constexpr Millis kPeerStoreTimeout{ 1000 };
   /** It is asked every 0.7 s, and a call is given up after 1 s. */
   static constexpr Millis kTableSilent{ 2000 };
   /** Left of a caller's time for the answer's way. */
   static constexpr Millis kAnswerMargin{ 250 };
-  static constexpr Millis kRetryAfter{ 1000 };
   /** For the leader to store something, its own retries included. */
   static constexpr Millis kStoreTimeout{ 800 };
   /** Between writes of something that may be stored already. */
@@ -137,6 +138,7 @@
     , life_(aSettings.fleet_.name_ + "-" + std::to_string(ReadWallClock()))
     , store_(aSettings.fleet_.store_)
     , intake_(store_)
+    , stored_(store_)
     , leader_(aSettings.fleet_.name_, aSettings.processors_)
     , lease_(store_,
              { aSettings.fleet_.name_,
@@ -387,7 +389,7 @@
   void StoreForPeer(const FleetAskMessage& aAsk,
                     const std::function<void(FleetAnswerMessage)>& aAnswer)
   {
-    const Instant deadline = ReadMonotonicClock() + kReadTimeout;
+    const Instant deadline = ReadMonotonicClock() + kPeerStoreTimeout;
     const auto answer = [this, aAsk, aAnswer](IntakeOutcome aOutcome) {
       if (aOutcome == IntakeOutcome::Stored) {
         FleetAskMessage note = aAsk;
@@ -548,53 +550,17 @@
         { "leader", lease_.Lease().Leader().node_ } });
   }
 
-  /** Whether what a caller asked for may have been done. */
-  static Verdict VerdictOf(CallerOutcome aOutcome)
-  {
-    switch (aOutcome) {
-      case CallerOutcome::Stored:
-      case CallerOutcome::State:
-      case CallerOutcome::Waiting:
-        return Verdict::Ran;
-      case CallerOutcome::InDoubt:
-        return Verdict::MayHaveRun;
-      case CallerOutcome::NoSuchJob:
-      case CallerOutcome::NoSuchQueue:
-      case CallerOutcome::BadRequest:
-      case CallerOutcome::TryLater:
-        return Verdict::DidNotRun;
-    }
-    return Verdict::MayHaveRun;
-  }
-
-  static CallerReply TryLater(std::string aWhy)
-  {
-    CallerReply reply;
-    reply.outcome_ = CallerOutcome::TryLater;
-    reply.why_ = std::move(aWhy);
-    reply.retryAfter_ = kRetryAfter;
-    return reply;
-  }
-
-  static CallerReply Simple(CallerOutcome aOutcome, std::string aWhy = {})
-  {
-    CallerReply reply;
-    reply.outcome_ = aOutcome;
-    reply.why_ = std::move(aWhy);
-    return reply;
-  }
-
   void Serve(const RefuseCall& aCall, Instant, const Answer& aAnswer)
   {
     switch (aCall.refusal_) {
       case CallerRefusal::NoSuchQueue:
-        aAnswer(Simple(CallerOutcome::NoSuchQueue, aCall.why_));
+        aAnswer(ReplyOf(CallerOutcome::NoSuchQueue, aCall.why_));
         return;
       case CallerRefusal::BadRequest:
-        aAnswer(Simple(CallerOutcome::BadRequest, aCall.why_));
+        aAnswer(ReplyOf(CallerOutcome::BadRequest, aCall.why_));
         return;
       case CallerRefusal::NotReady:
-        aAnswer(TryLater(aCall.why_));
+        aAnswer(ReplyTryLater(aCall.why_));
         return;
     }
   }
@@ -612,7 +578,8 @@
     if (IsCutOff()) {
       // Nothing has been tried, so it has surely not been taken; another entry
       // may be better off, and the caller's time is short.
-      aAnswer(TryLater("This entry reaches nothing that it could store with."));
+      aAnswer(
+        ReplyTryLater("This entry reaches nothing that it could store with."));
       return;
     }
     if (intake_.InTrouble() && lead_ == nullptr && leader_.Usable()) {
@@ -625,14 +592,14 @@
       [this, spec, aAnswer, viaLeader](IntakeOutcome aOutcome) {
         if (aOutcome == IntakeOutcome::Stored) {
           TellLeader(FleetQuestion::JobStored, spec.id_, EncodeRecord(spec));
-          aAnswer(Simple(CallerOutcome::Stored));
+          aAnswer(ReplyOf(CallerOutcome::Stored));
         } else if (aOutcome == IntakeOutcome::InDoubt) {
-          aAnswer(Simple(CallerOutcome::InDoubt,
-                         "The table service did not answer in time."));
+          aAnswer(ReplyOf(CallerOutcome::InDoubt,
+                          "The table service did not answer in time."));
         } else if (lead_ == nullptr && leader_.Usable()) {
           viaLeader();
         } else {
-          aAnswer(TryLater("The table service takes nothing now."));
+          aAnswer(ReplyTryLater("The table service takes nothing now."));
         }
       });
   }
@@ -647,22 +614,22 @@
     const Millis left =
       std::chrono::duration_cast<Millis>(aDeadline - kAnswerMargin - now);
     const std::string record = aRecord;
-    AskLeader(aQuestion,
-              aJob,
-              std::move(aRecord),
-              std::clamp(left, kAskTimeout, kStoreTimeout),
-              [this, aQuestion, aJob, record, aDeadline, aAnswer](
-                const std::optional<FleetAnswerMessage>& aReply) {
-                if (!aReply.has_value() ||
-                    aReply->outcome_ == FleetOutcome::InDoubt) {
-                  // It may be stored, or not: the same write again makes sure.
-                  StoreInDoubt(aQuestion, aJob, record, aDeadline, aAnswer);
-                } else if (aReply->outcome_ == FleetOutcome::Ok) {
-                  aAnswer(Simple(CallerOutcome::Stored));
-                } else {
-                  aAnswer(TryLater("The table service takes nothing now."));
-                }
-              });
+    AskLeader(
+      aQuestion,
+      aJob,
+      std::move(aRecord),
+      std::clamp(left, kAskTimeout, kStoreTimeout),
+      [this, aQuestion, aJob, record, aDeadline, aAnswer](
+        const std::optional<FleetAnswerMessage>& aReply) {
+        if (!aReply.has_value() || aReply->outcome_ == FleetOutcome::InDoubt) {
+          // It may be stored, or not: the same write again makes sure.
+          StoreInDoubt(aQuestion, aJob, record, aDeadline, aAnswer);
+        } else if (aReply->outcome_ == FleetOutcome::Ok) {
+          aAnswer(ReplyOf(CallerOutcome::Stored));
+        } else {
+          aAnswer(ReplyTryLater("The table service takes nothing now."));
+        }
+      });
   }
 
   /** Stores what may be stored already; never says that it is not. */
@@ -680,7 +647,7 @@
                      : FleetQuestion::CancelStored,
                    aJob,
                    aRecord);
-        aAnswer(Simple(CallerOutcome::Stored));
+        aAnswer(ReplyOf(CallerOutcome::Stored));
         return;
       }
       if (aOutcome == IntakeOutcome::NotStored && !IsCutOff() &&
@@ -693,8 +660,8 @@
           });
         return;
       }
-      aAnswer(Simple(CallerOutcome::InDoubt,
-                     "The table service did not answer in time."));
+      aAnswer(ReplyOf(CallerOutcome::InDoubt,
+                      "The table service did not answer in time."));
     };
     const Result<JobDescription> spec = DecodeRecord<JobDescription>(aRecord);
     if (aQuestion == FleetQuestion::StoreCancel) {
@@ -714,91 +681,13 @@
       kAskTimeout,
       [this, job, aAnswer](const std::optional<FleetAnswerMessage>& aReply) {
         if (aReply.has_value() && aReply->outcome_ == FleetOutcome::Ok) {
-          CallerReply reply;
-          reply.outcome_ = CallerOutcome::State;
-          reply.state_ = static_cast<JobState>(aReply->value_);
-          aAnswer(reply);
+          aAnswer(ReplyState(static_cast<JobState>(aReply->value_)));
           return;
         }
-        ReadState(job, aAnswer);
+        stored_.ReadState(job, aAnswer);
       });
   }
 
-  /** What the table says of a job, for when no leader does. */
-  void ReadState(const std::string& aJob, const Answer& aAnswer)
-  {
-    const RowId progress = ProgressRowId(aJob);
-    store_.Read(
-      { progress.table_, progress.part_, progress.key_, progress.key_ + " " },
-      ReadMonotonicClock() + kReadTimeout,
-      [this, aJob, aAnswer](Result<RowPage> aPage) {
-        const auto* page = std::get_if<RowPage>(&aPage);
-        if (page == nullptr) {
-          aAnswer(TryLater("The table service does not answer."));
-          return;
-        }
-        JobState state = JobState::Pending;
-        if (!page->rows_.empty()) {
-          const Result<JobProgress> known =
-            DecodeRecord<JobProgress>(page->rows_.front().value_);
-          const auto* decoded = std::get_if<JobProgress>(&known);
-          state = decoded == nullptr         ? JobState::Running
-                  : IsFinal(decoded->state_) ? decoded->state_
-                                             : JobState::Running;
-        }
-        if (IsFinal(state)) {
-          CallerReply reply;
-          reply.outcome_ = CallerOutcome::State;
-          reply.state_ = state;
-          aAnswer(reply);
-          return;
-        }
-        ReadAccepted(aJob, state, aAnswer);
-      });
-  }
-
-  void ReadAccepted(const std::string& aJob,
-                    JobState aState,
-                    const Answer& aAnswer)
-  {
-    ReadRow(JobRowId(aJob),
-            [this, aJob, aState, aAnswer](std::optional<bool> aStored) {
-              if (!aStored.has_value()) {
-                aAnswer(TryLater("The table service does not answer."));
-                return;
-              }
-              if (!*aStored) {
-                aAnswer(Simple(CallerOutcome::NoSuchJob));
-                return;
-              }
-              ReadRow(CancelRowId(aJob),
-                      [aState, aAnswer](std::optional<bool> aCancelled) {
-                        CallerReply reply;
-                        reply.outcome_ = CallerOutcome::State;
-                        reply.state_ = aCancelled.value_or(false)
-                                         ? JobState::Cancelled
-                                         : aState;
-                        aAnswer(reply);
-                      });
-            });
-  }
-
-  /** Whether there is such a row; none if the store does not say. */
-  void ReadRow(const RowId& aId,
-               const std::function<void(std::optional<bool>)>& aCallback)
-  {
-    store_.Read({ aId.table_, aId.part_, aId.key_, aId.key_ + " " },
-                ReadMonotonicClock() + kReadTimeout,
-                [aCallback](Result<RowPage> aPage) {
-                  const auto* page = std::get_if<RowPage>(&aPage);
-                  if (page == nullptr) {
-                    aCallback(std::nullopt);
-                    return;
-                  }
-                  aCallback(!page->rows_.empty());
-                });
-  }
-
   void Serve(const CancelJob& aCall, Instant aDeadline, const Answer& aAnswer)
   {
     const std::string job = aCall.job_;
@@ -811,7 +700,7 @@
                 const bool known =
                   aReply.has_value() && aReply->outcome_ == FleetOutcome::Ok;
                 if (known && IsFinal(static_cast<JobState>(aReply->value_))) {
-                  aAnswer(Simple(CallerOutcome::Stored));
+                  aAnswer(ReplyOf(CallerOutcome::Stored));
                 } else if (known) {
                   StoreCancel(job, aDeadline, aAnswer);
                 } else {
@@ -824,16 +713,17 @@
                      Instant aDeadline,
                      const Answer& aAnswer)
   {
-    ReadRow(JobRowId(aJob),
-            [this, aJob, aDeadline, aAnswer](std::optional<bool> aStored) {
-              if (!aStored.has_value()) {
-                aAnswer(TryLater("The table service does not answer."));
-              } else if (!*aStored) {
-                aAnswer(Simple(CallerOutcome::NoSuchJob));
-              } else {
-                StoreCancel(aJob, aDeadline, aAnswer);
-              }
-            });
+    stored_.Find(JobRowId(aJob),
+                 [this, aJob, aDeadline, aAnswer](std::optional<bool> aStored) {
+                   if (!aStored.has_value()) {
+                     aAnswer(
+                       ReplyTryLater("The table service does not answer."));
+                   } else if (!*aStored) {
+                     aAnswer(ReplyOf(CallerOutcome::NoSuchJob));
+                   } else {
+                     StoreCancel(aJob, aDeadline, aAnswer);
+                   }
+                 });
   }
 
   void StoreCancel(const std::string& aJob,
@@ -846,15 +736,15 @@
       [this, aJob, aDeadline, aAnswer](IntakeOutcome aOutcome) {
         if (aOutcome == IntakeOutcome::Stored) {
           TellLeader(FleetQuestion::CancelStored, aJob, {});
-          aAnswer(Simple(CallerOutcome::Stored));
+          aAnswer(ReplyOf(CallerOutcome::Stored));
         } else if (aOutcome == IntakeOutcome::InDoubt) {
-          aAnswer(Simple(CallerOutcome::InDoubt,
-                         "The table service did not answer in time."));
+          aAnswer(ReplyOf(CallerOutcome::InDoubt,
+                          "The table service did not answer in time."));
         } else if (lead_ == nullptr && leader_.Usable()) {
           StoreByLeader(
             FleetQuestion::StoreCancel, aJob, {}, aDeadline, aAnswer);
         } else {
-          aAnswer(TryLater("The table service takes nothing now."));
+          aAnswer(ReplyTryLater("The table service takes nothing now."));
         }
       });
   }
@@ -868,11 +758,10 @@
               [aAnswer](const std::optional<FleetAnswerMessage>& aReply) {
                 if (!aReply.has_value() ||
                     aReply->outcome_ != FleetOutcome::Ok) {
-                  aAnswer(TryLater("No entry leads at the moment."));
+                  aAnswer(ReplyTryLater("No entry leads at the moment."));
                   return;
                 }
-                CallerReply reply;
-                reply.outcome_ = CallerOutcome::Waiting;
+                CallerReply reply = ReplyOf(CallerOutcome::Waiting);
                 reply.waiting_ = aReply->value_;
                 aAnswer(reply);
               });
@@ -905,6 +794,7 @@
   std::string life_;
   Store store_;
   JobIntake<Store> intake_;
+  StoredJobs<Store> stored_;
   LeaderLink leader_;
   LeaseRunner<Store> lease_;
   KeyKeeper<Store> key_;
