Tests: An entry's own standstill is not the silence of its sides, failing

BadInput/BadFramesEndTheirConnectionOnly failed once beside load: the second call of a test at an entry whose only side lived was not served. Which of call and heartbeat is read first decides.

Seen failing: 2 of the 3; the third holds today and bounds the mend.

--- a/Tests/Unit/EntryCoreTest.cxx
+++ b/Tests/Unit/EntryCoreTest.cxx
@@ -2,7 +2,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <deque>
+#include <variant>
+#include <vector>
 
 using namespace cactusrail;
 
@@ -132,3 +135,97 @@
   const WriteClaim second = std::get<WriteClaim>(actions.back());
   cr_assert(second.alone_, "the claim in doubt goes with others again");
 }
+
+namespace {
+
+/** Whether an attempt of the request went to a side. */
+bool
+IsDispatched(const std::vector<EntryAction>& aActions)
+{
+  return std::any_of(aActions.begin(), aActions.end(), [](const auto& aAction) {
+    return std::holds_alternative<SendDispatch>(aAction);
+  });
+}
+
+/** Whether an attempt in progress was given up. */
+bool
+IsCancelled(const std::vector<EntryAction>& aActions)
+{
+  return std::any_of(aActions.begin(), aActions.end(), [](const auto& aAction) {
+    return std::holds_alternative<SendCancel>(aAction);
+  });
+}
+
+/** Ticks as a lane does, from one time to another. */
+void
+TickUntil(EntryCore& aCore, Instant aFrom, Instant aTo)
+{
+  for (Instant now = aFrom; now <= aTo; now += Millis(100)) {
+    aCore.OnTick(now);
+  }
+}
+
+}
+
+// A machine stands still for some seconds (a busy host, a moved one), the entry
+// and its sides with it. The first caller after that is read before the sides'
+// heartbeats, and was told that no upstream is there, though all are. It must
+// be served whichever of the two is read first, and however long it took.
+Test(EntryCore, OwnStandstillIsNotTakenForSilenceOfSides)
+{
+  for (const int stoodStill : { 400, 1900, 2100, 5000, 60000 }) {
+    for (const bool tickFirst : { false, true }) {
+      EntryCore core(EntryCore::Limits{});
+      TickUntil(core, kStart, kStart + Millis(1000));
+      core.OnHeartbeat(ReadySide("side1", 1), kStart + Millis(1000));
+      const Instant now = kStart + Millis(1000 + stoodStill);
+      if (tickFirst) {
+        core.OnTick(now);
+      }
+      cr_assert(IsDispatched(core.OnRequest(Valuation(1, now), now)),
+                "Turned away after %d ms.",
+                stoodStill);
+    }
+  }
+}
+
+// The same while a caller's request runs at a side whose answer is in the
+// entry's socket already, and the other side's heartbeat is read first. The
+// request must not be given up as lost, nor be sent to the other one as well.
+Test(EntryCore, OwnStandstillLeavesNoAttempt)
+{
+  EntryCore core(EntryCore::Limits{});
+  TickUntil(core, kStart, kStart + Millis(1000));
+  const Instant sent = kStart + Millis(1000);
+  core.OnHeartbeat(ReadySide("side1", 1), sent);
+  core.OnHeartbeat(ReadySide("side2", 1), sent);
+  RequestFacts facts = Valuation(1, sent);
+  facts.deadline_ = sent + Millis(10000);
+  const std::vector<EntryAction> actions = core.OnRequest(facts, sent);
+  cr_assert(IsDispatched(actions));
+  const std::string& side = std::get<SendDispatch>(actions.back()).sideId_;
+  const Instant awake = sent + Millis(3000);
+  core.OnHeartbeat(ReadySide(side == "side1" ? "side2" : "side1", 2), awake);
+  cr_assert_not(IsCancelled(core.OnTick(awake)));
+  cr_assert_not(IsCancelled(core.OnTick(awake + Millis(100))));
+}
+
+// The guard must not keep sides that are gone: what was not heard of for a
+// heartbeat's time after the standstill is silent, and so is what was silent
+// before it.
+Test(EntryCore, SideThatIsGoneIsSilentSoonAfterAStandstill)
+{
+  EntryCore core(EntryCore::Limits{});
+  core.OnHeartbeat(ReadySide("gone", 1), kStart);
+  TickUntil(core, kStart, kStart + Millis(1500));
+  const Instant awake = kStart + Millis(10000);
+  core.OnTick(awake);
+  TickUntil(core, awake, awake + Millis(1300));
+  const Instant now = awake + Millis(1400);
+  cr_assert_not(IsDispatched(core.OnRequest(Valuation(1, now), now)));
+
+  EntryCore other(EntryCore::Limits{});
+  other.OnHeartbeat(ReadySide("gone", 1), kStart);
+  TickUntil(other, kStart, kStart + Millis(2500));
+  cr_assert_not(IsDispatched(other.OnRequest(Valuation(2, awake), awake)));
+}
