Entry: Count the silence of sides in the time for which the entry was awake

Symptom: a caller is turned away with 'No upstream of the service is there just now' though all sides live, right after the host stood still for two seconds; a request that runs is given up, and a repeatable one sent twice. Cause: silence was judged by the clock alone, and a call may be read before the heartbeats that came meanwhile. Ruled out: bad frames on a side's port (the same without any).

--- a/Source/Request/EntryCore.cxx
+++ b/Source/Request/EntryCore.cxx
@@ -1,5 +1,6 @@
 #include "Request/EntryCore.h"
 
+#include "Request/AwakeClock.h"
 #include "Request/ServiceSides.h"
 
 #include <algorithm>
@@ -149,6 +150,8 @@
   void Forget(const std::string& aRequestId, Instant aNow);
 
   Limits limits_;
+  /** Sides' silence is counted in this entry's awake time. */
+  AwakeClock awakeClock_;
   MembershipView membership_;
   std::unordered_map<std::string, ServiceSides> services_;
   /** The service that a side served when it was last heard. */
@@ -194,7 +197,8 @@
 EntryCore::Private::Choose(const Request& aRequest, Instant aNow)
 {
   return SidesOf(aRequest.facts_.service_)
-    .Choose(aRequest.tried_, ++draws_ + limits_.seed_, aNow);
+    .Choose(
+      aRequest.tried_, ++draws_ + limits_.seed_, awakeClock_.At(aNow), aNow);
 }
 
 void
@@ -564,7 +568,7 @@
     return;
   }
   nextForgetting_ = aNow + kForgetPause;
-  for (const std::string& id : membership_.Forget(aNow)) {
+  for (const std::string& id : membership_.Forget(awakeClock_.At(aNow))) {
     SidesOf(serviceOf_[id]).Remove(id);
     serviceOf_.erase(id);
   }
@@ -581,7 +585,7 @@
   // their deadlines although another side has room.
   std::set<std::string> waiting;
   for (const auto& [sideId, ids] : sent_) {
-    if (membership_.IsSilent(sideId, aNow)) {
+    if (membership_.IsSilent(sideId, awakeClock_.At(aNow))) {
       waiting.insert(ids.begin(), ids.end());
     }
   }
@@ -601,7 +605,8 @@
 EntryCore::OnHeartbeat(const HeartbeatMessage& aHeartbeat, Instant aNow)
 {
   Private& self = *private_;
-  const MembershipChange change = self.membership_.Observe(aHeartbeat, aNow);
+  const Instant heardAt = self.awakeClock_.At(aNow);
+  const MembershipChange change = self.membership_.Observe(aHeartbeat, heardAt);
   if (change == MembershipChange::Stale) {
     return change;
   }
@@ -611,7 +616,7 @@
     self.SidesOf(service).Remove(id);
     service = aHeartbeat.service_;
   }
-  self.SidesOf(service).Observe(aHeartbeat, aNow + kSideSilence, aNow);
+  self.SidesOf(service).Observe(aHeartbeat, heardAt + kSideSilence, aNow);
   return change;
 }
 
@@ -646,7 +651,7 @@
   }
   ServiceSides& sides = self.SidesOf(aRequest.service_);
   sides.Budget().OnRequest(aNow);
-  if (!sides.AnyUsable(aNow)) {
+  if (!sides.AnyUsable(self.awakeClock_.At(aNow))) {
     self.GiveUp(
       actions, id, 503, "No upstream of the service is there just now.", aNow);
     return actions;
@@ -808,6 +813,7 @@
 {
   std::vector<EntryAction> actions;
   Private& self = *private_;
+  self.awakeClock_.OnTick(aNow);
   while (!self.deadlines_.empty() && self.deadlines_.begin()->first <= aNow) {
     const std::string id = self.deadlines_.begin()->second;
     self.GiveUp(actions, id, 504, "The deadline passed.", aNow);
--- a/Source/Request/ServiceSides.cxx
+++ b/Source/Request/ServiceSides.cxx
@@ -58,22 +58,23 @@
 }
 
 bool
-ServiceSides::AnyUsable(Instant aNow) const
+ServiceSides::AnyUsable(Instant aAwake) const
 {
   return std::any_of(
-    members_.begin(), members_.end(), [aNow](const auto& aMember) {
-      return aMember.second.usableUntil_ > aNow;
+    members_.begin(), members_.end(), [aAwake](const auto& aMember) {
+      return aMember.second.usableUntil_ > aAwake;
     });
 }
 
 std::optional<ServiceSides::Choice>
 ServiceSides::Choose(const Tried& aTried,
                      std::uint64_t aRandom,
+                     Instant aAwake,
                      Instant aNow) const
 {
   std::vector<Router::Runner> excluded;
   for (const auto& [id, member] : members_) {
-    const bool silent = member.usableUntil_ <= aNow;
+    const bool silent = member.usableUntil_ <= aAwake;
     if (silent || aTried.contains({ id, member.incarnation_ })) {
       excluded.push_back(member.runner_);
     }
--- a/Source/Request/ServiceSides.h
+++ b/Source/Request/ServiceSides.h
@@ -35,7 +35,8 @@
 
   explicit ServiceSides(std::string aDataCentre);
 
-  /** A heartbeat that is the side's newest; usable if it is ready. */
+  /** A heartbeat that is the side's newest; usable if it is ready, until then
+   * by the entry's awake time. */
   void Observe(const HeartbeatMessage& aHeartbeat,
                Instant aUsableUntil,
                Instant aNow);
@@ -43,11 +44,13 @@
   /** The side serves another service now, or was forgotten. */
   void Remove(const std::string& aSideId);
 
-  bool AnyUsable(Instant aNow) const;
+  bool AnyUsable(Instant aAwake) const;
 
-  /** A usable side beside those tried. */
+  /** A usable side beside those tried. The entry's awake time says who is
+   * silent, the other one what the router has learned of late. */
   std::optional<Choice> Choose(const Tried& aTried,
                                std::uint64_t aRandom,
+                               Instant aAwake,
                                Instant aNow) const;
 
   /** Each attempt that is sent ends by one of the three that follow. */
@@ -63,6 +66,7 @@
   {
     Router::Runner runner_ = 0;
     std::uint64_t incarnation_ = 0;
+    /** In the entry's awake time. */
     Instant usableUntil_;
   };
 
--- a/Tests/Unit/RoutingTest.cxx
+++ b/Tests/Unit/RoutingTest.cxx
@@ -195,23 +195,24 @@
 {
   ServiceSides sides("dc1");
   sides.Observe(Heartbeat("s1", 1), At(9000), At(0));
-  const auto old = sides.Choose({}, 1, At(5));
+  const auto old = sides.Choose({}, 1, At(5), At(5));
   cr_assert(old.has_value());
   sides.OnSent(*old, At(10));
   sides.Observe(Heartbeat("s1", 2), At(9000), At(20));
   sides.Observe(Heartbeat("s2", 1), At(9000), At(20));
-  const auto anew = sides.Choose({ { "s2", 1 } }, 1, At(25));
+  const auto anew = sides.Choose({ { "s2", 1 } }, 1, At(25), At(25));
   cr_assert(anew.has_value() && anew->incarnation_ == 2);
   for (int request = 0; request < 8; ++request) {
     sides.OnSent(*anew, At(30));
     sides.OnAnswer(*old, Millis(30), At(40));
   }
   for (std::uint64_t draw = 1; draw <= 50; ++draw) {
-    const auto next = sides.Choose({}, draw, At(50));
+    const auto next = sides.Choose({}, draw, At(50), At(50));
     cr_assert(next.has_value() && next->sideId_ == "s2");
   }
   // What was tried was the old one: the new one may still be.
-  const auto again = sides.Choose({ { "s1", 1 }, { "s2", 1 } }, 1, At(50));
+  const auto again =
+    sides.Choose({ { "s1", 1 }, { "s2", 1 } }, 1, At(50), At(50));
   cr_assert(again.has_value() && again->sideId_ == "s1");
 }
 
@@ -219,11 +220,11 @@
 {
   ServiceSides sides("dc1");
   sides.Observe(Heartbeat("s1", 1), At(9000), At(0));
-  const auto choice = sides.Choose({}, 1, At(5));
+  const auto choice = sides.Choose({}, 1, At(5), At(5));
   cr_assert(choice.has_value());
   HeartbeatMessage goodbye = Heartbeat("s1", 1);
   goodbye.state_ = SideState::NoUpstream;
   sides.Observe(goodbye, At(9000), At(10));
-  cr_assert_not(sides.Choose({}, 1, At(20)).has_value());
+  cr_assert_not(sides.Choose({}, 1, At(20), At(20)).has_value());
   sides.OnFailure(*choice, At(30));
 }
