--- a/Tests/Fleet/LastingTaskTest.cxx
+++ b/Tests/Fleet/LastingTaskTest.cxx
@@ -1,6 +1,9 @@
 #include "FleetWorld.h"
 
 #include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <array>
 
 using namespace cactusrail;
 
@@ -76,42 +79,57 @@
 // them. It was away for as long as the fleet was full: 14 s in the log,
 // run-failed at 20.8 s and run-ordered at 34.8 s, with 400 of 5440 processors
 // in use by quotes all the while and 121 freed by another feed's end.
-Test(LastingTask, IsBackWithinSecondsThoughUrgentWorkTakesEachGap)
+// One process a moment: each takes half a minute of sanitizers.
+ParameterizedTestParameters(LastingTask,
+                            IsBackWithinSecondsThoughUrgentWorkTakesEachGap)
 {
-  for (int wait = 0; wait < 640; wait += 80) {
-    BusyFleet fleet(2, 64000);
-    fleet.world_.Submit(Watcher("watch", 1, 8000));
-    fleet.world_.Submit(Watcher("other", 4, 8000));
-    fleet.world_.Run(Millis(300));
-    fleet.Run(Millis(4000 + wait), 40);
-    fleet.world_.Host(fleet.HostOf(kWatched)).worker_.Fail(kWatched);
-    const Instant failedAt = fleet.world_.Now();
-    fleet.Run(kMostAway, 40);
-    cr_assert(fleet.world_.LastStart(kWatched) > failedAt,
-              "failed after %d ms, not back",
-              4000 + wait);
-  }
+  static std::array<int, 8> waits{ 0, 80, 160, 240, 320, 400, 480, 560 };
+  return cr_make_param_array(int, waits.data(), waits.size());
+}
+
+ParameterizedTest(const int* aWait,
+                  LastingTask,
+                  IsBackWithinSecondsThoughUrgentWorkTakesEachGap)
+{
+  BusyFleet fleet(2, 64000);
+  fleet.world_.Submit(Watcher("watch", 1, 8000));
+  fleet.world_.Submit(Watcher("other", 4, 8000));
+  fleet.world_.Run(Millis(300));
+  fleet.Run(Millis(4000 + *aWait), 40);
+  fleet.world_.Host(fleet.HostOf(kWatched)).worker_.Fail(kWatched);
+  const Instant failedAt = fleet.world_.Now();
+  fleet.Run(kMostAway, 40);
+  cr_assert(fleet.world_.LastStart(kWatched) > failedAt,
+            "failed after %d ms, not back",
+            4000 + *aWait);
 }
 
 // The same while the leader changes: the next one knows of the feed what the
 // table says, and not when its last run ended.
-Test(LastingTask, IsBackWithinSecondsAfterAChangeOfLeader)
+ParameterizedTestParameters(LastingTask,
+                            IsBackWithinSecondsAfterAChangeOfLeader)
 {
-  for (int wait = 0; wait < 640; wait += 160) {
-    BusyFleet fleet(2, 64000);
-    fleet.world_.Submit(Watcher("watch", 1, 8000));
-    fleet.world_.Submit(Watcher("other", 4, 8000));
-    fleet.world_.Run(Millis(300));
-    fleet.Run(Millis(4000 + wait), 40);
-    fleet.world_.Host(fleet.HostOf(kWatched)).worker_.Fail(kWatched);
-    fleet.Run(Millis(200), 40);
-    const Instant changedAt = fleet.world_.Now();
-    fleet.world_.ChangeLeader();
-    fleet.Run(kMostAway, 40);
-    cr_assert(fleet.world_.LastStart(kWatched) > changedAt,
-              "failed after %d ms, not back",
-              4000 + wait);
-  }
+  static std::array<int, 4> waits{ 0, 160, 320, 480 };
+  return cr_make_param_array(int, waits.data(), waits.size());
+}
+
+ParameterizedTest(const int* aWait,
+                  LastingTask,
+                  IsBackWithinSecondsAfterAChangeOfLeader)
+{
+  BusyFleet fleet(2, 64000);
+  fleet.world_.Submit(Watcher("watch", 1, 8000));
+  fleet.world_.Submit(Watcher("other", 4, 8000));
+  fleet.world_.Run(Millis(300));
+  fleet.Run(Millis(4000 + *aWait), 40);
+  fleet.world_.Host(fleet.HostOf(kWatched)).worker_.Fail(kWatched);
+  fleet.Run(Millis(200), 40);
+  const Instant changedAt = fleet.world_.Now();
+  fleet.world_.ChangeLeader();
+  fleet.Run(kMostAway, 40);
+  cr_assert(fleet.world_.LastStart(kWatched) > changedAt,
+            "failed after %d ms, not back",
+            4000 + *aWait);
 }
 
 // Feeds hold nearly all of a fleet, and a worker of it crashes. If its feeds
