--- a/Source/Process/WorkerKeeper.cxx
+++ b/Source/Process/WorkerKeeper.cxx
@@ -427,30 +427,46 @@
 WorkerKeeper::TakeBackStarts(Instant aNow)
 {
   for (auto entry = runs_.begin(); entry != runs_.end();) {
-    LocalRun& run = entry->second;
-    const std::optional<StartRefusal> why = WhyTakeBack(run, aNow);
+    const std::optional<StartRefusal> why = WhyTakeBack(entry->second, aNow);
     if (!why.has_value()) {
       ++entry;
       continue;
     }
-    if (run.doubted_) {
-      // A call without an answer may still be carried out: only a stop makes
-      // the worker refuse it for good. It may have been carried out already,
-      // too: given back with the stop's answer, a run that a late call had
-      // started and that had ended as done ran again elsewhere (2 of 40 days
-      // on which half of the calls are late). So it is given back once the
-      // worker has listed it nowhere for as long as a stop may take.
-      run.phase_ = Phase::Stopping;
-      run.refusal_ = why;
-      ++entry;
-      continue;
-    }
-    refused_.push_back({ entry->first.first, entry->first.second, *why });
-    reportDue_ = true;
-    entry = runs_.erase(entry);
+    entry = GiveBack(entry, *why);
   }
 }
 
+/**
+ * Gives back a start that the worker has not taken; returns the next run.
+ *
+ * Failure guarded against: a call without an answer may be carried out yet, and
+ * only a stop makes the worker refuse it for good. It may have been carried out
+ * already, too: given back with the stop's answer, a run that a late call had
+ * started and that had ended as done ran again elsewhere (2 of 40 days on which
+ * half of the calls are late). So after a doubt a start is stopped, and is
+ * refused once the worker has listed it nowhere for as long as a stop may take.
+ */
+WorkerKeeper::Runs::iterator
+WorkerKeeper::GiveBack(Runs::iterator aEntry, StartRefusal aWhy)
+{
+  LocalRun& run = aEntry->second;
+  if (run.doubted_) {
+    run.phase_ = Phase::Stopping;
+    run.refusal_ = aWhy;
+    return std::next(aEntry);
+  }
+  return Refuse(aEntry, aWhy);
+}
+
+/** Tells the leader that the run surely never started; returns the next. */
+WorkerKeeper::Runs::iterator
+WorkerKeeper::Refuse(Runs::iterator aEntry, StartRefusal aWhy)
+{
+  refused_.push_back({ aEntry->first.first, aEntry->first.second, aWhy });
+  reportDue_ = true;
+  return runs_.erase(aEntry);
+}
+
 std::vector<WorkerCall>
 WorkerKeeper::TakeCalls(Instant aNow)
 {
@@ -631,16 +647,7 @@
     run.answeredAt_ = aNow;
     return;
   }
-  if (run.doubted_) {
-    // An earlier try without an answer may still be carried out: a stop makes
-    // the worker refuse it for good, and only then is it surely not there.
-    run.phase_ = Phase::Stopping;
-    run.refusal_ = why;
-    return;
-  }
-  refused_.push_back({ aCall.key_.first, aCall.key_.second, why });
-  runs_.erase(found);
-  reportDue_ = true;
+  GiveBack(found, why);
 }
 
 void
@@ -757,8 +764,8 @@
       continue;
     }
     if (run.refusal_.has_value()) {
-      refused_.push_back(
-        { entry->first.first, entry->first.second, *run.refusal_ });
+      entry = Refuse(entry, *run.refusal_);
+      continue;
     }
     entry = runs_.erase(entry);
     reportDue_ = true;
--- a/Source/Process/WorkerKeeper.h
+++ b/Source/Process/WorkerKeeper.h
@@ -200,6 +200,7 @@
   };
 
   using RunKey = std::pair<std::string, std::uint32_t>;
+  using Runs = std::map<RunKey, LocalRun>;
 
   /** A call that has no answer yet. */
   struct OpenCall
@@ -231,6 +232,8 @@
   void TakeBackStarts(Instant aNow);
   std::optional<StartRefusal> WhyTakeBack(const LocalRun& aRun,
                                           Instant aNow) const;
+  Runs::iterator GiveBack(Runs::iterator aEntry, StartRefusal aWhy);
+  Runs::iterator Refuse(Runs::iterator aEntry, StartRefusal aWhy);
   void AddOrders(std::vector<WorkerCall>& aCalls, Instant aNow);
   bool AddStart(std::vector<WorkerCall>& aCalls,
                 const RunKey& aKey,
@@ -284,7 +287,7 @@
   Instant settledAt_;
   /** No lease that was asked for can last beyond this. */
   Instant leasesOverAt_;
-  std::map<RunKey, LocalRun> runs_;
+  Runs runs_;
   std::map<std::uint64_t, EndFact> ends_;
   std::uint64_t endsStored_ = 0;
   std::uint64_t endsReported_ = 0;
