--- a/Source/Request/AwakeClock.cxx
+++ b/Source/Request/AwakeClock.cxx
@@ -7,15 +7,13 @@
 void
 AwakeClock::OnTick(Instant aNow)
 {
-  const Instant awake = At(aNow);
   const bool ticked = lastTick_ != Instant();
   if (ticked && aNow - lastTick_ > kLongestTick) {
     stoodStillAt_ = lastTick_;
-    awakeAtStandstill_ = awakeAtLastTick_;
     wokeAt_ = aNow;
+    lost_ += aNow - lastTick_ - kLongestTick;
   }
   lastTick_ = aNow;
-  awakeAtLastTick_ = awake;
 }
 
 Instant
@@ -26,12 +24,12 @@
   }
   const Micros longest = kLongestTick;
   if (aTime >= lastTick_) {
-    return awakeAtLastTick_ + std::min(aTime - lastTick_, longest);
+    return lastTick_ - lost_ + std::min(aTime - lastTick_, longest);
   }
   if (aTime >= wokeAt_) {
-    return awakeAtLastTick_ - (lastTick_ - aTime);
+    return aTime - lost_;
   }
-  return awakeAtStandstill_ + std::min(aTime - stoodStillAt_, longest);
+  return wokeAt_ - lost_ - longest + std::min(aTime - stoodStillAt_, longest);
 }
 
 }
--- a/Source/Request/AwakeClock.h
+++ b/Source/Request/AwakeClock.h
@@ -32,11 +32,11 @@
 
 private:
   Instant lastTick_;
-  Instant awakeAtLastTick_;
   /** The newest standstill: its last tick before, and its first one after. */
   Instant stoodStillAt_;
-  Instant awakeAtStandstill_;
   Instant wokeAt_;
+  /** The time of all standstills that does not count. */
+  Micros lost_{ 0 };
 };
 
 }
