Connection: Name the range of one row

Three readers of a single row put its range together by hand, two of them new. RowRange::Only does, and says why it holds. The side's two flags for a row of a former life are one optional; one sentence to callers is written once. No behaviour changed.

--- a/Source/Connection/RowStore.h
+++ b/Source/Connection/RowStore.h
@@ -83,6 +83,13 @@
   std::string part_;
   std::string first_;
   std::string until_;
+
+  /** Of this one row: keys hold printable characters only, so none lies between
+   * a key and the same one with a space after it. */
+  static RowRange Only(const RowId& aId)
+  {
+    return { aId.table_, aId.part_, aId.key_, aId.key_ + " " };
+  }
 };
 
 /** Rows as of one moment, in order of their keys. */
--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -716,8 +716,7 @@
     stored_.Find(JobRowId(aJob),
                  [this, aJob, aDeadline, aAnswer](std::optional<bool> aStored) {
                    if (!aStored.has_value()) {
-                     aAnswer(
-                       ReplyTryLater("The table service does not answer."));
+                     aAnswer(ReplyTryLater(StoredJobs<Store>::kNoAnswer));
                    } else if (!*aStored) {
                      aAnswer(ReplyOf(CallerOutcome::NoSuchJob));
                    } else {
--- a/Source/Process/FleetLead.h
+++ b/Source/Process/FleetLead.h
@@ -229,9 +229,8 @@
 
   void ReadLearned()
   {
-    const RowId id = LearnedRowId();
     store_.Read(
-      { id.table_, id.part_, id.key_, id.key_ + " " },
+      RowRange::Only(LearnedRowId()),
       ReadMonotonicClock() + kRemoveTimeout,
       Guarded(this, [this](Result<RowPage> aPage) {
         const auto* page = std::get_if<RowPage>(&aPage);
--- a/Source/Process/FleetSide.h
+++ b/Source/Process/FleetSide.h
@@ -198,8 +198,7 @@
    */
   void FindFormerRow()
   {
-    const RowId id = MemberRowId(settings_.fleet_.name_);
-    store_.Read({ id.table_, id.part_, id.key_, id.key_ + " " },
+    store_.Read(RowRange::Only(MemberRowId(settings_.fleet_.name_)),
                 ReadMonotonicClock() + kRegisterTimeout,
                 Guarded(this, [this](Result<RowPage> aPage) {
                   const auto* page = std::get_if<RowPage>(&aPage);
@@ -208,7 +207,6 @@
                       kRegisterRetry, this, [this] { FindFormerRow(); });
                     return;
                   }
-                  mayRegister_ = true;
                   formerRow_ = !page->rows_.empty();
                   RegisterIfKnown();
                 }));
@@ -217,8 +215,10 @@
   /** Writes the row once leaders have reason to look for it. */
   void RegisterIfKnown()
   {
-    const bool needed = formerRow_ || !keeper_.WorkerId().empty();
-    if (mayRegister_ && needed && registeredAt_ == Instant()) {
+    if (!formerRow_.has_value() || registeredAt_ != Instant()) {
+      return;
+    }
+    if (*formerRow_ || !keeper_.WorkerId().empty()) {
       Register();
     }
   }
@@ -408,9 +408,8 @@
   Instant heardAt_;
   Instant registeredAt_;
   bool registering_ = false;
-  /** The table was asked for a row of a former life, and there was one. */
-  bool mayRegister_ = false;
-  bool formerRow_ = false;
+  /** Whether the table holds a row of a former life; none until it said. */
+  std::optional<bool> formerRow_;
   /** Of this side's row, as it was last written. */
   std::uint64_t memberVersion_ = 0;
   bool deregistering_ = false;
--- a/Source/Process/StoredJobs.h
+++ b/Source/Process/StoredJobs.h
@@ -25,6 +25,9 @@
 public:
   using Answer = std::function<void(const CallerReply&)>;
 
+  /** What a caller is told when the store does not say. */
+  static constexpr const char* kNoAnswer = "The table service does not answer.";
+
   explicit StoredJobs(Store& aStore)
     : store_(aStore)
   {
@@ -67,15 +70,13 @@
 private:
   /** A read takes some 10 ms; a caller waits 3 s and may need three reads. */
   static constexpr Millis kReadTimeout{ 1000 };
-  static constexpr const char* kNoAnswer = "The table service does not answer.";
 
   /** Reads the one row of this key. */
   void ReadPage(const RowId& aId,
                 const std::function<void(const Result<RowPage>&)>& aCallback)
   {
-    store_.Read({ aId.table_, aId.part_, aId.key_, aId.key_ + " " },
-                ReadMonotonicClock() + kReadTimeout,
-                aCallback);
+    store_.Read(
+      RowRange::Only(aId), ReadMonotonicClock() + kReadTimeout, aCallback);
   }
 
   /** A row that can't be read shows at least that something has run. */
