Tests: One loop that waits for events, one scene for what is told twice

HttpCallerTest had copied PlatformTest's loop, which ProcessFleet had as well; two tests of lasting tasks and two of starts in doubt set up the same scene. Every assertion stays.

--- /dev/null
+++ b/Tests/EventLoop.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Process/Instant.h"
+
+#include <QCoreApplication>
+#include <QEventLoop>
+
+#include <functional>
+
+namespace cactusrail {
+
+/** Turns the event loop until it holds; false if it doesn't within aMost. */
+inline bool
+WaitInLoop(const std::function<bool()>& aHolds, Millis aMost = Millis(30000))
+{
+  const Instant until = ReadMonotonicClock() + aMost;
+  while (!aHolds() && ReadMonotonicClock() < until) {
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
+  }
+  return aHolds();
+}
+
+}
--- a/Tests/Fleet/LastingTaskTest.cxx
+++ b/Tests/Fleet/LastingTaskTest.cxx
@@ -59,6 +59,16 @@
     }
   }
 
+  /** Fills two hosts with feeds and quotes; one feed's only task fails. */
+  void FailWatcherAfter(Millis aFor)
+  {
+    world_.Submit(Watcher("watch", 1, 8000));
+    world_.Submit(Watcher("other", 4, 8000));
+    world_.Run(Millis(300));
+    Run(aFor, 40);
+    world_.Host(HostOf(kWatched)).worker_.Fail(kWatched);
+  }
+
   std::size_t HostOf(const std::string& aTask)
   {
     std::size_t host = 0;
@@ -92,11 +102,7 @@
                   IsBackWithinSecondsThoughUrgentWorkTakesEachGap)
 {
   BusyFleet fleet(2, 64000);
-  fleet.world_.Submit(Watcher("watch", 1, 8000));
-  fleet.world_.Submit(Watcher("other", 4, 8000));
-  fleet.world_.Run(Millis(300));
-  fleet.Run(Millis(4000 + *aWait), 40);
-  fleet.world_.Host(fleet.HostOf(kWatched)).worker_.Fail(kWatched);
+  fleet.FailWatcherAfter(Millis(4000 + *aWait));
   const Instant failedAt = fleet.world_.Now();
   fleet.Run(kMostAway, 40);
   cr_assert(fleet.world_.LastStart(kWatched) > failedAt,
@@ -118,11 +124,7 @@
                   IsBackWithinSecondsAfterAChangeOfLeader)
 {
   BusyFleet fleet(2, 64000);
-  fleet.world_.Submit(Watcher("watch", 1, 8000));
-  fleet.world_.Submit(Watcher("other", 4, 8000));
-  fleet.world_.Run(Millis(300));
-  fleet.Run(Millis(4000 + *aWait), 40);
-  fleet.world_.Host(fleet.HostOf(kWatched)).worker_.Fail(kWatched);
+  fleet.FailWatcherAfter(Millis(4000 + *aWait));
   fleet.Run(Millis(200), 40);
   const Instant changedAt = fleet.world_.Now();
   fleet.world_.ChangeLeader();
--- a/Tests/Fleet/ProcessFleet.cxx
+++ b/Tests/Fleet/ProcessFleet.cxx
@@ -1,7 +1,8 @@
 #include "ProcessFleet.h"
 
+#include "Tests/EventLoop.h"
+
 #include <QCoreApplication>
-#include <QEventLoop>
 
 #include <unistd.h>
 
@@ -225,14 +226,7 @@
 bool
 ProcessFleet::Wait(const std::function<bool()>& aHolds)
 {
-  const Instant until = ReadMonotonicClock() + Millis(60000);
-  while (!aHolds()) {
-    if (ReadMonotonicClock() > until) {
-      return false;
-    }
-    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
-  }
-  return true;
+  return WaitInLoop(aHolds, Millis(60000));
 }
 
 HttpReply
--- a/Tests/Fleet/WorkerKeeperTest.cxx
+++ b/Tests/Fleet/WorkerKeeperTest.cxx
@@ -94,6 +94,20 @@
     }
   }
 
+  /** Orders a start at 10.8 s whose call has no answer; its order runs out, and
+   * the worker answers a stop of it at 19.31 s. */
+  void StopAStartInDoubt()
+  {
+    Order(2, 10800);
+    const auto starts = Only<StartCall>(AnswerHold(10800, {}));
+    AnswerHoldsUntil(10850, 19250);
+    keeper_.OnAnswer(starts[0].head_.id_, CallAnswer(), At(19300));
+    const auto stops = Only<StopCall>(AnswerHold(19300, {}));
+    cr_assert_eq(stops.size(), 1);
+    keeper_.OnAnswer(
+      stops[0].head_.id_, Answer(CallOutcome::Accepted, 9800), At(19310));
+  }
+
   /** Answers holds that list nothing until a stop must be over; returns all
    * that was refused meanwhile. */
   std::vector<RefusedRun> HoldUntilStopsAreOver(std::int64_t aFrom)
@@ -248,14 +262,7 @@
 {
   for (const bool stillRuns : { false, true }) {
     Bench bench;
-    bench.Order(2, 10800);
-    const auto starts = Only<StartCall>(bench.AnswerHold(10800, {}));
-    bench.AnswerHoldsUntil(10850, 19250);
-    bench.keeper_.OnAnswer(starts[0].head_.id_, CallAnswer(), At(19300));
-    const auto stops = Only<StopCall>(bench.AnswerHold(19300, {}));
-    cr_assert_eq(stops.size(), 1);
-    bench.keeper_.OnAnswer(
-      stops[0].head_.id_, Answer(CallOutcome::Accepted, 9800), At(19310));
+    bench.StopAStartInDoubt();
     std::size_t refused = 0;
     std::size_t ends = 0;
     const std::vector<RunFact> runs{ { "j.0.0.0", 1, false, "", 100, 7 } };
@@ -286,13 +293,7 @@
 Test(WorkerKeeper, StoppedStartIsGivenBackOnceAStopMustBeOver)
 {
   Bench bench;
-  bench.Order(2, 10800);
-  const auto starts = Only<StartCall>(bench.AnswerHold(10800, {}));
-  bench.AnswerHoldsUntil(10850, 19250);
-  bench.keeper_.OnAnswer(starts[0].head_.id_, CallAnswer(), At(19300));
-  const auto stops = Only<StopCall>(bench.AnswerHold(19300, {}));
-  bench.keeper_.OnAnswer(
-    stops[0].head_.id_, Answer(CallOutcome::Accepted, 9800), At(19310));
+  bench.StopAStartInDoubt();
   for (std::int64_t now = 19320; now < 19800; now += 20) {
     bench.AnswerHold(now, {});
     const auto report = bench.keeper_.TakeReport(At(now));
--- a/Tests/Unit/HttpCallerTest.cxx
+++ b/Tests/Unit/HttpCallerTest.cxx
@@ -1,4 +1,5 @@
 #include "Connection/HttpCaller.h"
+#include "Tests/EventLoop.h"
 
 #include <QCoreApplication>
 #include <QHostAddress>
@@ -18,16 +19,6 @@
 
 namespace {
 
-bool
-Wait(const std::function<bool()>& aHolds)
-{
-  const Instant until = ReadMonotonicClock() + Millis(30000);
-  while (!aHolds() && ReadMonotonicClock() < until) {
-    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
-  }
-  return aHolds();
-}
-
 /**
  * A listening socket whose queue of new connections is full, so that the kernel
  * drops the first packet of each further one: a cut, as a caller sees it.
@@ -111,7 +102,7 @@
     [&givenUp](const Result<HttpReply>& aReply) {
       givenUp = std::holds_alternative<Failure>(aReply);
     });
-  cr_assert(Wait([&givenUp] { return givenUp; }));
+  cr_assert(WaitInLoop([&givenUp] { return givenUp; }));
 
   QTcpServer server;
   std::vector<std::string> arrived;
@@ -142,7 +133,8 @@
       other.write("other");
     });
     other.connectToHost(QHostAddress::LocalHost, listener.Port());
-    cr_assert(Wait([&arrived, before] { return arrived.size() > before; }));
+    cr_assert(
+      WaitInLoop([&arrived, before] { return arrived.size() > before; }));
   }
   cr_assert(called(), "%d others were heard before it", kOthers);
 }
