--- a/Tests/Process/Bench.cxx
+++ b/Tests/Process/Bench.cxx
@@ -471,7 +471,9 @@
       }
       return job.over_;
     },
-    "job " + aJob + " to be over");
+    [&job, &aJob] {
+      return "job " + aJob + " to be over; it says " + ToJson(job);
+    });
   cr_assert(job.completed_ == job.tasks_,
             "Of %u tasks of job %s %u completed.",
             job.tasks_,
--- a/Tests/Process/Child.cxx
+++ b/Tests/Process/Child.cxx
@@ -21,6 +21,13 @@
 
 void
 WaitUntil(const std::function<bool()>& aCondition, const std::string& aWhat)
+{
+  WaitUntil(aCondition, [&aWhat] { return aWhat; });
+}
+
+void
+WaitUntil(const std::function<bool()>& aCondition,
+          const std::function<std::string()>& aWhat)
 {
   const auto deadline = cactusrail::ReadMonotonicClock() + kBound;
   QTimer wake;
@@ -28,7 +35,7 @@
   while (!aCondition()) {
     cr_assert(cactusrail::ReadMonotonicClock() < deadline,
               "Waited in vain for: %s",
-              aWhat.c_str());
+              aWhat().c_str());
     QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
   }
 }
--- a/Tests/Process/Child.h
+++ b/Tests/Process/Child.h
@@ -18,6 +18,12 @@
 void
 WaitUntil(const std::function<bool()>& aCondition, const std::string& aWhat);
 
+/** The same; the words are made when it fails, so that they can say what was
+ * seen last. */
+void
+WaitUntil(const std::function<bool()>& aCondition,
+          const std::function<std::string()>& aWhat);
+
 /**
  * One program of a test in a process of its own, killed with the object. Only
  * its own process id is ever signalled.
