Fleet: A job of backfill waits once for a better place, not once a task

Cause: a job that would disturb someone on every worker waited 1.5 s with nothing running before each of its tasks; tasks stopped for their slow pace, whose new place was gone, waited too (three times in 13 s for one task). Mended: it waits once; then the next task starts when the last has ended, still one at a time. On a worker where all backfill stands still it starts at rest. backfill-starving says for how long nothing of the job ran.

--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -152,6 +152,8 @@
     JobState batchState_ = JobState::Pending;
     /** Since when it has had nothing running although a task could. */
     std::optional<Instant> idleSince_;
+    /** It waited for a good place in vain; set until a task of it finds one. */
+    bool starving_ = false;
   };
 
   /** Ready work in the order in which it is placed. */
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -10,7 +10,8 @@
 namespace {
 
 /** A job of backfill with nothing running takes any worker after this; users
- * count one as lost after three seconds. */
+ * count one as lost after three seconds. It waits so once, see PlaceStarving.
+ */
 constexpr Millis kStarved{ 1500 };
 /** Backfill is placed for so long a time ahead at most: its task's duration,
  * but further ahead the load of those that serve can't be told. */
@@ -238,8 +239,9 @@
       allPlaced = false;
       continue;
     }
-    if (!PlaceTask(entry, step, i, aNow) &&
-        !PlaceStarving(entry, step, i, aNow)) {
+    if (PlaceTask(entry, step, i, aNow)) {
+      entry.starving_ = false;
+    } else if (!PlaceStarving(entry, step, i, aNow)) {
       MakeRoom(*entry.job_, step, aNow);
       KeepRoomFor(entry, step, step.tasks_[i], aNow);
       return false;
@@ -382,20 +384,28 @@
   }
 }
 
+/**
+ * Starts one task of a job of backfill that would disturb someone wherever it
+ * went: slowly, where it disturbs least, at a pace that keeps it harmless.
+ *
+ * Failure guarded against: such a job must still get on. It waits kStarved for
+ * a better place, but once, not after each of its tasks: those waits were half
+ * to two thirds of its time, and it started one task each 2 to 4 s beside free
+ * processors until its users counted it as lost. A task that is stopped to move
+ * elsewhere and finds the place taken is back at once for the same reason.
+ */
 bool
 FleetScheduler::PlaceStarving(JobEntry& aEntry,
                               FleetStep& aStep,
                               std::uint32_t aIndex,
                               Instant aNow)
 {
-  // A job whose backfill would disturb someone wherever it went must still get
-  // on: slowly, where it disturbs least, at a pace that keeps it harmless.
   if (!aStep.spec_->backfill_ || !aEntry.job_->Idle()) {
     aEntry.idleSince_.reset();
     return false;
   }
   aEntry.idleSince_ = aEntry.idleSince_.value_or(aNow);
-  if (aNow - *aEntry.idleSince_ < kStarved) {
+  if (!aEntry.starving_ && aNow - *aEntry.idleSince_ < kStarved) {
     return false;
   }
   FleetTask& task = aStep.tasks_[aIndex];
@@ -403,9 +413,16 @@
   if (!chosen.has_value()) {
     return false;
   }
+  const auto idle =
+    std::chrono::duration_cast<Millis>(aNow - *aEntry.idleSince_);
+  aEntry.starving_ = true;
   aEntry.idleSince_.reset();
   PlaceOn(*chosen, aEntry, aStep, aIndex, aNow);
   task.runs_.back().starving_ = true;
+  Note("backfill-starving",
+       aEntry.job_->Spec().id_,
+       task.runs_.back().node_,
+       "nothing of it ran for " + std::to_string(idle.count()) + " ms");
   return true;
 }
 
--- a/Source/Process/FleetSchedulerSharing.cxx
+++ b/Source/Process/FleetSchedulerSharing.cxx
@@ -236,7 +236,10 @@
                             std::uint32_t aIndex,
                             double aSpeed)
 {
-  const std::uint32_t pace = std::max(kLeastPace, PaceOf(aSpeed));
+  // Where all backfill stands still for someone's sake this stands still too,
+  // until PaceBackfill lets it go on with the others.
+  const std::uint32_t pace =
+    aWorker.backfillPaused_ ? 0 : std::max(kLeastPace, PaceOf(aSpeed));
   if (pace >= kFullPace) {
     return;
   }
--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -27,6 +27,11 @@
 /** Speed by which starving backfill is compared where it may not work at all.
  */
 constexpr double kCrawl = 0.02;
+/** The share of its processors by which it is compared where none are left. */
+constexpr double kLeastShare = 0.05;
+/** It starts where all backfill stands still only if it must: that counts as
+ * much as a crawl. */
+constexpr double kAtRest = 1 / kCrawl;
 
 /** Weights of a choice, in units of "a task takes so many times as long". */
 constexpr double kBesideServing = 0.2;
@@ -102,7 +107,9 @@
   const double share = BackfillShare(worker, aFacts.step_->cpuMilli_);
   const BackfillFit& fit = aOption.fit_;
   if (aFacts.starving_) {
-    return 1 / std::max(fit.speed_, kCrawl) + 1 / std::max(share, 0.05);
+    const double cost =
+      1 / std::max(fit.speed_, kCrawl) + 1 / std::max(share, kLeastShare);
+    return worker.backfillPaused_ ? cost + kAtRest : cost;
   }
   if (share < kLeastBackfillShare || worker.backfillShare_ < kSaturated ||
       worker.backfillPaused_ || fit.speed_ < kLeastSpeed) {
--- a/Tests/Fleet/StarvingBackfillTest.cxx
+++ b/Tests/Fleet/StarvingBackfillTest.cxx
@@ -1,10 +1,10 @@
 // An accountant's batch that disturbs a watcher on every worker crawls, though
 // two thirds of the processors are free: after each of its tasks it waits 1.5 s
-// for a better place again, although there was none the last time. On a day with
-// this fault such jobs started one task each 2 to 4 s from 31 to 51 s (their
-// "run-ordered" lines) and were not done at its end. Some of their tasks were
-// also stopped for being slow ("it may work at 5 percent here") and, once they
-// had stopped, waited again: three times in 13 s for one task.
+// for a better place again, although there was none the last time. On a day
+// with this fault such jobs started one task each 2 to 4 s from 31 to 51 s
+// (their "run-ordered" lines) and were not done at its end. Some of their tasks
+// were also stopped for being slow ("it may work at 5 percent here") and, once
+// they had stopped, waited again: three times in 13 s for one task.
 
 #include "HarmBench.h"
 
@@ -26,15 +26,21 @@
   {
     bench_.scheduler_.OnJobStored(HarmBench::Serving(), bench_.now_);
     bench_.Run(Millis(2000));
-    ContentionModel& model = bench_.scheduler_.Interference().Model();
-    model.Teach(
-      model.Number("victim"), model.Number("aggressor"), 3, bench_.now_);
+    TeachHarm();
     JobDescription batch = HarmBench::Backfill("batch");
     batch.steps_.front().count_ = 4;
     bench_.scheduler_.OnJobStored(batch, bench_.now_);
     bench_.Run(kFirstWait);
   }
 
+  /** A task of the batch would triple the watcher's load. */
+  void TeachHarm()
+  {
+    ContentionModel& model = bench_.scheduler_.Interference().Model();
+    model.Teach(
+      model.Number("victim"), model.Number("aggressor"), 3, bench_.now_);
+  }
+
   HarmBench bench_;
 };
 
@@ -65,21 +71,23 @@
   cr_assert(bench.Runs("batch"));
 }
 
-// One at a time, slowly: it must not disturb more than it did before.
+// One at a time, and the first one slowly: it must not disturb more than it did
+// when it waited between its tasks.
 Test(StarvingBackfill, OneTaskAtATimeAtALowPace)
 {
   DisturbingBatch scene;
   HarmBench& bench = scene.bench_;
   cr_assert_lt(bench.paces_.front().percent_, 20);
-  bench.paces_.clear();
-  bench.End("batch", EndKind::Done);
-  bench.Run(kNextReport);
-  const auto runs =
-    std::count_if(bench.runs_.begin(), bench.runs_.end(), [](const auto& aRun) {
-      return aRun.task_.starts_with("batch");
-    });
-  cr_assert_eq(runs, 1);
-  cr_assert_lt(bench.paces_.front().percent_, 20);
+  for (int task = 0; task < 3; ++task) {
+    scene.TeachHarm();
+    bench.End("batch", EndKind::Done);
+    bench.Run(kNextReport);
+    const auto runs = std::count_if(
+      bench.runs_.begin(), bench.runs_.end(), [](const auto& aRun) {
+        return aRun.task_.starts_with("batch");
+      });
+    cr_assert_eq(runs, 1);
+  }
 }
 
 // The watcher is over its objective and all backfill beside it stands still:
