--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -152,7 +152,7 @@
     JobState batchState_ = JobState::Pending;
     /** Since when it has had nothing running although a task could. */
     std::optional<Instant> idleSince_;
-    /** It waited for a good place in vain; set until a task of it finds one. */
+    /** It has waited for a good place in vain once, and waits no more. */
     bool starving_ = false;
   };
 
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -240,7 +240,7 @@
       continue;
     }
     if (PlaceTask(entry, step, i, aNow)) {
-      entry.starving_ = false;
+      entry.idleSince_.reset();
     } else if (!PlaceStarving(entry, step, i, aNow)) {
       MakeRoom(*entry.job_, step, aNow);
       KeepRoomFor(entry, step, step.tasks_[i], aNow);
