--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -283,10 +283,31 @@
                 FleetWorker& aWorker,
                 std::uint32_t aRun,
                 Instant aNow);
+
+  // Preemption.
+  /** A run of a lower priority, with its task's name. */
+  struct PreemptibleRun
+  {
+    std::string task_;
+    TaskRun* run_ = nullptr;
+  };
+  /** How room for a task could be made on one worker. */
+  struct RoomPlan
+  {
+    /** What stops there already gives room enough. */
+    bool underWay_ = false;
+    /** Room enough once stops_ have ended. */
+    bool enough_ = false;
+    std::vector<PreemptibleRun> stops_;
+  };
+  /** Stops runs of lower priorities on the worker where the fewest must go. */
   void MakeRoom(const FleetJob& aJob, const FleetStep& aStep, Instant aNow);
-  std::vector<std::pair<std::string, TaskRun*>> Preemptible(
-    FleetWorker& aWorker,
-    std::int64_t aPriority);
+  RoomPlan PlanRoom(FleetWorker& aWorker,
+                    const FleetRoom& aWanted,
+                    std::int64_t aPriority);
+  /** Those that would lose the least work first. */
+  std::vector<PreemptibleRun> Preemptible(FleetWorker& aWorker,
+                                          std::int64_t aPriority);
 
   // Tasks that last.
   /** Since when it has had no run; none if it never had one. */
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -17,22 +17,6 @@
  * but further ahead the load of those that serve can't be told. */
 constexpr Millis kFarthestAhead{ 300 };
 
-FleetRoom
-Sum(const FleetRoom& aLeft, const FleetRoom& aRight)
-{
-  return { aLeft.cpuMilli_ + aRight.cpuMilli_,
-           aLeft.memoryMb_ + aRight.memoryMb_,
-           aLeft.accelerators_ + aRight.accelerators_ };
-}
-
-bool
-Covers(const FleetRoom& aRoom, const FleetRoom& aWanted)
-{
-  return aRoom.cpuMilli_ >= aWanted.cpuMilli_ &&
-         aRoom.memoryMb_ >= aWanted.memoryMb_ &&
-         aRoom.accelerators_ >= aWanted.accelerators_;
-}
-
 }
 
 FleetOrders&
@@ -520,87 +504,4 @@
   Note("run-ordered", text, aWorker.node_, std::move(detail));
 }
 
-std::vector<std::pair<std::string, TaskRun*>>
-FleetScheduler::Preemptible(FleetWorker& aWorker, std::int64_t aPriority)
-{
-  std::vector<std::pair<std::string, TaskRun*>> runs;
-  for (const auto& [key, room] : aWorker.held_) {
-    const auto name = TaskKey::Parse(key.first);
-    const auto place = name.has_value() ? Find(*name) : std::nullopt;
-    if (!place.has_value() ||
-        place->entry_->job_->Spec().priority_ <= aPriority ||
-        place->step_->spec_->longRunning_ || place->step_->spec_->gang_) {
-      continue;
-    }
-    for (TaskRun& run : place->task_->runs_) {
-      if (run.run_ == key.second && run.node_ == aWorker.node_) {
-        runs.emplace_back(key.first, &run);
-      }
-    }
-  }
-  // The least work lost first: what has run for the shortest time.
-  std::sort(
-    runs.begin(), runs.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second->startedAt_ > aRight.second->startedAt_;
-    });
-  return runs;
-}
-
-void
-FleetScheduler::MakeRoom(const FleetJob& aJob,
-                         const FleetStep& aStep,
-                         Instant aNow)
-{
-  const std::int64_t priority = aJob.Spec().priority_;
-  if (aStep.spec_->backfill_) {
-    return;
-  }
-  const FleetRoom wanted = RoomOf(*aStep.spec_, aJob.Spec().id_).room_;
-  ChoiceFacts facts;
-  facts.step_ = aStep.spec_;
-  facts.service_ = aJob.Spec().service_;
-  facts.now_ = aNow;
-  FillOptions(aJob, aStep, aNow);
-  FleetWorker* best = nullptr;
-  std::vector<std::pair<std::string, TaskRun*>> bestRuns;
-  for (const WorkerOption& option : options_) {
-    if (!MayRunOn(option, facts) || option.setAside_) {
-      continue;
-    }
-    FleetWorker& worker = workers_.at(option.worker_->node_);
-    FleetRoom room = worker.Free();
-    std::vector<std::pair<std::string, TaskRun*>> runs;
-    for (const auto& [task, run] : Preemptible(worker, priority)) {
-      const FleetRoom& held = worker.held_.at({ task, run->run_ }).room_;
-      if (run->phase_ == RunPhase::Stopping) {
-        room = Sum(room, held);
-      }
-    }
-    if (Covers(room, wanted)) {
-      return; // Room is being made already.
-    }
-    for (const auto& [task, run] : Preemptible(worker, priority)) {
-      if (Covers(room, wanted)) {
-        break;
-      }
-      if (run->phase_ == RunPhase::Stopping) {
-        continue;
-      }
-      room = Sum(room, worker.held_.at({ task, run->run_ }).room_);
-      runs.emplace_back(task, run);
-    }
-    if (Covers(room, wanted) &&
-        (best == nullptr || runs.size() < bestRuns.size())) {
-      best = &worker;
-      bestRuns = std::move(runs);
-    }
-  }
-  if (best == nullptr) {
-    return;
-  }
-  for (const auto& [task, run] : bestRuns) {
-    OrderStop(best->node_, task, *run, "preempted");
-  }
-}
-
 }
--- /dev/null
+++ b/Source/Process/FleetSchedulerPreemption.cxx
@@ -0,0 +1,126 @@
+// FleetScheduler: makes room for work of a higher priority by stopping runs of
+// a lower one.
+
+#include "Process/FleetScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusrail {
+
+namespace {
+
+FleetRoom
+Sum(const FleetRoom& aLeft, const FleetRoom& aRight)
+{
+  return { aLeft.cpuMilli_ + aRight.cpuMilli_,
+           aLeft.memoryMb_ + aRight.memoryMb_,
+           aLeft.accelerators_ + aRight.accelerators_ };
+}
+
+bool
+Covers(const FleetRoom& aRoom, const FleetRoom& aWanted)
+{
+  return aRoom.cpuMilli_ >= aWanted.cpuMilli_ &&
+         aRoom.memoryMb_ >= aWanted.memoryMb_ &&
+         aRoom.accelerators_ >= aWanted.accelerators_;
+}
+
+}
+
+std::vector<FleetScheduler::PreemptibleRun>
+FleetScheduler::Preemptible(FleetWorker& aWorker, std::int64_t aPriority)
+{
+  std::vector<PreemptibleRun> runs;
+  for (const auto& [key, room] : aWorker.held_) {
+    const auto name = TaskKey::Parse(key.first);
+    const auto place = name.has_value() ? Find(*name) : std::nullopt;
+    if (!place.has_value() ||
+        place->entry_->job_->Spec().priority_ <= aPriority ||
+        place->step_->spec_->longRunning_ || place->step_->spec_->gang_) {
+      continue;
+    }
+    for (TaskRun& run : place->task_->runs_) {
+      if (run.run_ == key.second && run.node_ == aWorker.node_) {
+        runs.push_back({ key.first, &run });
+      }
+    }
+  }
+  // The least work lost first: what has run for the shortest time.
+  std::sort(
+    runs.begin(), runs.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.run_->startedAt_ > aRight.run_->startedAt_;
+    });
+  return runs;
+}
+
+FleetScheduler::RoomPlan
+FleetScheduler::PlanRoom(FleetWorker& aWorker,
+                         const FleetRoom& aWanted,
+                         std::int64_t aPriority)
+{
+  RoomPlan plan;
+  FleetRoom room = aWorker.Free();
+  const auto runs = Preemptible(aWorker, aPriority);
+  const auto roomOf = [&aWorker](const PreemptibleRun& aRun) {
+    return aWorker.held_.at({ aRun.task_, aRun.run_->run_ }).room_;
+  };
+  for (const PreemptibleRun& run : runs) {
+    if (run.run_->phase_ == RunPhase::Stopping) {
+      room = Sum(room, roomOf(run));
+    }
+  }
+  plan.underWay_ = Covers(room, aWanted);
+  for (const PreemptibleRun& run : runs) {
+    if (Covers(room, aWanted)) {
+      break;
+    }
+    if (run.run_->phase_ != RunPhase::Stopping) {
+      room = Sum(room, roomOf(run));
+      plan.stops_.push_back(run);
+    }
+  }
+  plan.enough_ = Covers(room, aWanted);
+  return plan;
+}
+
+void
+FleetScheduler::MakeRoom(const FleetJob& aJob,
+                         const FleetStep& aStep,
+                         Instant aNow)
+{
+  if (aStep.spec_->backfill_) {
+    return;
+  }
+  const FleetRoom wanted = RoomOf(*aStep.spec_, aJob.Spec().id_).room_;
+  ChoiceFacts facts;
+  facts.step_ = aStep.spec_;
+  facts.service_ = aJob.Spec().service_;
+  facts.now_ = aNow;
+  FillOptions(aJob, aStep, aNow);
+  const FleetWorker* best = nullptr;
+  RoomPlan bestPlan;
+  for (const WorkerOption& option : options_) {
+    if (!MayRunOn(option, facts) || option.setAside_) {
+      continue;
+    }
+    FleetWorker& worker = workers_.at(option.worker_->node_);
+    RoomPlan plan = PlanRoom(worker, wanted, aJob.Spec().priority_);
+    if (plan.underWay_) {
+      return;
+    }
+    if (plan.enough_ &&
+        (best == nullptr || plan.stops_.size() < bestPlan.stops_.size())) {
+      best = &worker;
+      bestPlan = std::move(plan);
+    }
+  }
+  if (best == nullptr) {
+    return;
+  }
+  for (const PreemptibleRun& stop : bestPlan.stops_) {
+    OrderStop(best->node_, stop.task_, *stop.run_, "preempted");
+  }
+}
+
+}
