--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -373,9 +373,9 @@
  * went: slowly, where it disturbs least, at a pace that keeps it harmless.
  *
  * Failure guarded against: such a job must still get on. It waits kStarved for
- * a better place, but once, not after each of its tasks: those waits were half
- * to two thirds of its time, and it started one task each 2 to 4 s beside free
- * processors until its users counted it as lost. A task that is stopped to move
+ * a better place, but once, not after each of its tasks: those waits were up to
+ * three quarters of its time, and its users, who looked while it waited, counted
+ * it as lost (3 plays of 80 of one loaded day). A task that is stopped to move
  * elsewhere and finds the place taken is back at once for the same reason.
  */
 bool
