Tests: Urgent work starts at full pace where backfill is paused, failing

PlaceOn paces every task that it starts; since starving backfill starts at rest on a worker whose backfill is paused, an urgent task there was ordered to pace 0.

--- a/Tests/Fleet/StarvingBackfillTest.cxx
+++ b/Tests/Fleet/StarvingBackfillTest.cxx
@@ -108,3 +108,21 @@
   bench.Run(Millis(1500));
   cr_assert_gt(bench.paces_.back().percent_, 0);
 }
+
+// A caller's urgent task is placed on a worker where backfill stands still for
+// a watcher's sake. It is no backfill: ordered to stand still with it, it would
+// never be told to go on, as only backfill is.
+Test(StarvingBackfill, UrgentTaskStartsAtFullPaceWhereBackfillIsPaused)
+{
+  DisturbingBatch scene;
+  HarmBench& bench = scene.bench_;
+  bench.latency_ = 40;
+  bench.Run(Millis(3000));
+  cr_assert_eq(bench.paces_.back().percent_, 0);
+  bench.scheduler_.OnJobStored(MakeJob("urgent", 1, 1000), bench.now_);
+  bench.Run(kNextReport);
+  cr_assert(bench.Runs("urgent"));
+  for (const PaceOrder& pace : bench.paces_) {
+    cr_assert_not(pace.task_.starts_with("urgent"));
+  }
+}
