Fleet: Pace only backfill when it starts

Symptom: none seen by a rule; found by reading. Cause: since starving backfill starts at rest where all backfill stands still, StartAtPace ordered pace 0, and PlaceOn calls it for every task: an urgent or serving task placed on such a worker stood still for good. The new test failed before.

--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -362,7 +362,10 @@
   FleetWorker& worker = workers_.at(options_[aOption].worker_->node_);
   StartRun(aEntry, aStep, aIndex, worker, aEntry.job_->NextRun(task), aNow);
   NotePlaced(aOption, *aEntry.job_, aStep);
-  StartAtPace(worker, aEntry, aStep, aIndex, fit.speed_);
+  if (aStep.spec_->backfill_) {
+    // Others would never be told to go on: PaceBackfill minds backfill only.
+    StartAtPace(worker, aEntry, aStep, aIndex, fit.speed_);
+  }
   if (!fit.known_) {
     worker.triedAt_ = aNow;
   }
