Lease: A yield puts the renewal off once

Cause: each job that an entry stored and told its leader of was one more yield while the leader took its table for silent; each put the next renewal off by 1.5 s anew. So it never renewed while callers came, and where a renewal had been under way at the first yield nobody could take over either.

Ruled out: yields that are void for another reason. The version they name did not move meanwhile.

Change: a leader that has yielded yields no more until it leads again; further askers are told the same version.

LeaderLease/RepeatedYieldsDoNotPutTheRenewalOff fails without the guard: 'first.Leads(At(5000)) is false'.

--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -305,10 +305,12 @@
 
   void YieldTo(SideLink* aLink, std::string aWhy)
   {
-    LogChange(
-      "yielding",
-      { { "epoch", std::to_string(leadEpoch_) }, { "why", std::move(aWhy) } });
-    lease_.Yield();
+    if (lease_.Lease().Leads(ReadMonotonicClock())) {
+      LogChange("yielding",
+                { { "epoch", std::to_string(leadEpoch_) },
+                  { "why", std::move(aWhy) } });
+      lease_.Yield();
+    }
     aLink->Send(Outcome(FleetOutcome::TakeOver, lease_.Lease().RowVersion()));
   }
 
@@ -457,8 +459,10 @@
   /** The table has answered nothing for a while. */
   bool TableIsSilent() const
   {
-    const Instant answered =
-      std::max(lease_.AnsweredAt(), intake_.AnsweredAt());
+    Instant answered = std::max(lease_.AnsweredAt(), intake_.AnsweredAt());
+    if (lead_ != nullptr) {
+      answered = std::max(answered, lead_->TableAnsweredAt());
+    }
     return ReadMonotonicClock() - answered > kTableSilent;
   }
 
--- a/Source/Process/LeaderLease.cxx
+++ b/Source/Process/LeaderLease.cxx
@@ -220,6 +220,10 @@
 void
 LeaderLease::Yield(Instant aNow)
 {
+  // Each further yield would put the next renewal off once more.
+  if (aNow >= deadline_) {
+    return;
+  }
   deadline_ = aNow;
   nextAt_ = aNow + kYieldPause;
 }
--- a/Tests/Fleet/LeaderLeaseTest.cxx
+++ b/Tests/Fleet/LeaderLeaseTest.cxx
@@ -225,6 +225,23 @@
   cr_assert(first.Leads(At(now + 300)) || second.Leads(At(now + 300)));
 }
 
+// Guards against a leader that is asked again and again to yield, never renews
+// and is never replaced.
+Test(LeaderLease, RepeatedYieldsDoNotPutTheRenewalOff)
+{
+  Table table;
+  LeaderLease first = Make("a");
+  Play(first, table, 1000, 2000);
+  first.Yield(At(2000));
+  for (std::int64_t now = 2000; now < 5000; now += 100) {
+    if (!first.Leads(At(now))) {
+      first.Yield(At(now));
+    }
+    Play(first, table, now, now + 100);
+  }
+  cr_assert(first.Leads(At(5000)));
+}
+
 Test(LeaderLease, YieldedLeaderGoesOnIfNobodyTookOver)
 {
   Table table;
