Fleet: Jobs lie in 32 parts of the table, read eight at a time

A part does its transactions one after another, so four of them took some twelve a second where 28 jobs come: in 53 callers in two seconds were told 'The table service takes nothing now.' and 38 'did not answer in time.'

Ruled out: the leader's link and its processor at that moment; other entries said the same.

Change: 32 parts instead of four; a new leader reads eight at a time, and follows changes from the oldest page on.

WorkParts/NoPartGetsMoreJobsThanASlowTableTakes fails with four parts.

--- a/Source/Process/FleetRecords.h
+++ b/Source/Process/FleetRecords.h
@@ -15,13 +15,14 @@
 
 /**
  * Where the fleet's records lie in the table service. Jobs are spread over
- * parts, as one part takes some 125 transactions a second; what the leader
- * writes lies in one part, fenced by its head row.
+ * parts: one part carries out its transactions one after another, and a slow
+ * table does three a second. What the leader writes lies in one part, fenced by
+ * its head row.
  */
 
 /** Jobs and cancellations, written by whoever accepts them. */
 constexpr std::string_view kWorkTable = "work";
-constexpr std::size_t kWorkParts = 4;
+constexpr std::size_t kWorkParts = 32;
 /** What became of jobs; written by the leader only. */
 constexpr std::string_view kProgressTable = "progress";
 constexpr std::string_view kProgressPart = "progress";
@@ -35,7 +36,7 @@
 constexpr std::string_view kJobPrefix = "j/";
 constexpr std::string_view kCancelPrefix = "c/";
 
-/** "0" to "3", by the job's id. */
+/** "0" to the last part, by the job's id. */
 std::string
 WorkPartOf(std::string_view aJob);
 
--- a/Source/Process/TableWatch.h
+++ b/Source/Process/TableWatch.h
@@ -7,8 +7,10 @@
 #include <QObject>
 #include <QTimer>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <string>
 #include <utility>
 #include <vector>
@@ -50,9 +52,13 @@
 
   void Start()
   {
-    part_ = 0;
-    known_ = false;
-    ReadFrom({});
+    nextPart_ = 0;
+    unread_ = parts_.size();
+    version_ = std::numeric_limits<std::uint64_t>::max();
+    readAsOf_ = Instant::max();
+    for (std::size_t i = 0; i < std::min(kReadsAtOnce, parts_.size()); ++i) {
+      ReadNextPart();
+    }
   }
 
   /** What was stored before then has been handed on; the clock's zero before
@@ -60,48 +66,62 @@
   Instant CurrentAsOf() const { return currentAsOf_; }
 
 private:
+  /** Where the reading of the table goes on. */
+  struct Position
+  {
+    std::size_t part_ = 0;
+    std::string key_;
+  };
+
+  static constexpr std::size_t kReadsAtOnce = 8;
   static constexpr Millis kReadTimeout{ 2000 };
   static constexpr Millis kRetry{ 200 };
   /** A watch without a change returns after this. A connection may fall silent
    * without an end (a cut, a frozen peer): the client gives the watch up soon
-   * after, so a change is missed for less than two seconds after the cut. With
-   * 3 s an entry went on for 4.5 s with an old configuration. */
+   * after, so a change is missed for less than two seconds after the cut. */
   static constexpr Millis kWait{ 800 };
 
-  void ReadFrom(const std::string& aFirst)
+  void ReadNextPart()
   {
-    sentAt_ = ReadMonotonicClock();
-    store_.Read({ table_, parts_.at(part_), aFirst, {} },
-                sentAt_ + kReadTimeout,
-                Guarded(this, [this, aFirst](Result<RowPage> aPage) {
-                  OnPage(std::move(aPage), aFirst);
+    if (nextPart_ < parts_.size()) {
+      ReadFrom({ nextPart_++, {} });
+    }
+  }
+
+  void ReadFrom(const Position& aPosition)
+  {
+    const Instant sentAt = ReadMonotonicClock();
+    store_.Read({ table_, parts_.at(aPosition.part_), aPosition.key_, {} },
+                sentAt + kReadTimeout,
+                Guarded(this, [this, aPosition, sentAt](Result<RowPage> aPage) {
+                  OnPage(std::move(aPage), aPosition, sentAt);
                 }));
   }
 
-  void OnPage(Result<RowPage> aPage, const std::string& aFirst)
+  void OnPage(Result<RowPage> aPage,
+              const Position& aPosition,
+              Instant aSentAt)
   {
     const auto* page = std::get_if<RowPage>(&aPage);
     if (page == nullptr) {
-      QTimer::singleShot(kRetry, this, [this, aFirst] { ReadFrom(aFirst); });
+      QTimer::singleShot(
+        kRetry, this, [this, aPosition] { ReadFrom(aPosition); });
       return;
     }
-    if (!known_) {
-      // Changes are followed from the first page on: what changes while the
-      // others are read comes twice rather than never.
-      known_ = true;
-      version_ = page->version_;
-      readAsOf_ = sentAt_;
-    }
+    // Changes are followed from the oldest page on: what changes while the
+    // others are read comes twice rather than never.
+    version_ = std::min(version_, page->version_);
+    readAsOf_ = std::min(readAsOf_, aSentAt);
     for (const Row& row : page->rows_) {
       onRow_(row);
     }
     if (page->more_ && !page->rows_.empty()) {
       // No key of ours has a character before the space.
-      ReadFrom(page->rows_.back().id_.key_ + " ");
+      ReadFrom({ aPosition.part_, page->rows_.back().id_.key_ + " " });
       return;
     }
-    if (++part_ < parts_.size()) {
-      ReadFrom({});
+    if (--unread_ > 0) {
+      ReadNextPart();
       return;
     }
     currentAsOf_ = readAsOf_;
@@ -148,12 +168,13 @@
   TableUse use_;
   RowCallback onRow_;
   std::function<void()> onRead_;
-  std::size_t part_ = 0;
-  bool known_ = false;
+  std::size_t nextPart_ = 0;
+  /** Parts that have not been read to their end. */
+  std::size_t unread_ = 0;
   std::uint64_t version_ = 0;
-  /** When the call that is under way was sent. */
+  /** When the watch that is under way was sent. */
   Instant sentAt_;
-  /** The same of the first page of the reading under way. */
+  /** When the first page of the reading under way was asked for. */
   Instant readAsOf_;
   Instant currentAsOf_;
 };
