--- a/Source/Connection/BoundedInputArchive.h
+++ b/Source/Connection/BoundedInputArchive.h
@@ -18,9 +18,9 @@
 /**
  * Reads what cereal's PortableBinaryOutputArchive wrote in little endian.
  *
- * Failure guarded against: cereal's own reader resizes a string or vector to
- * the length that the message states before it looks for the bytes, so nine
- * hostile bytes take a gigabyte. Here every length is compared with the bytes
+ * cereal's own reader resizes a string or vector to the length that the message
+ * states before it looks for the bytes, so nine hostile bytes take a gigabyte.
+ * Here every length is compared with the bytes
  * that are left first, and lists grow element by element, so memory is bounded
  * by the size of the frame. Breaches throw cereal::Exception; Codec catches.
  */
--- a/Source/Connection/GuardedSocket.cxx
+++ b/Source/Connection/GuardedSocket.cxx
@@ -142,10 +142,10 @@
 }
 
 /**
- * Failure guarded against: closing while the caller still sends resets the
- * connection, and the reset wipes out the refusal before the caller reads it.
- * So only the sending side is closed, and what arrives is read and dropped
- * until the caller closes or the linger time is over.
+ * Closing while the caller still sends resets the connection, and the reset
+ * discards the refusal before the caller reads it. So only the sending side is
+ * closed, and what arrives is read and dropped until the caller closes or the
+ * linger time is over.
  */
 void
 GuardedSocket::Private::Refuse(const char* aStatusLine,
--- a/Source/Connection/GuardedSocket.h
+++ b/Source/Connection/GuardedSocket.h
@@ -34,7 +34,7 @@
  * A caller's connection as the HTTP library sees it. Owned by the library once
  * handed over; the real socket is inside.
  *
- * Failures guarded against, each seen with QHttpServer 6.4.2:
+ * Works around these faults of QHttpServer 6.4.2:
  * - the caller hangs up while its request is handled, and writing the answer
  *   crashes the process: the library is told of the end only after
  *   FinishRequest();
--- a/Source/Connection/HttpCaller.cxx
+++ b/Source/Connection/HttpCaller.cxx
@@ -189,12 +189,10 @@
 /**
  * Forgets connections after a call without an answer.
  *
- * Failure guarded against: a cut or a frozen peer leaves connections silent
- * without an end, and one that was being made waits for TCP's next try, seconds
- * after the cut has healed. The library keeps such a connection when its call
- * is aborted and hands it to the next call, so an entry was without its table
- * for four seconds more. The other idle ones lead to the same server and are
- * doubtful as well; new ones cost a handshake each.
+ * A cut or a frozen peer leaves connections silent without an end, and one that
+ * was being made waits for TCP's next try. The library keeps such a connection
+ * when its call is aborted and hands it to the next call. The other idle ones
+ * lead to the same server and are doubtful as well.
  */
 void
 HttpCaller::Private::DropConnections(QNetworkAccessManager* aManager)
--- a/Source/Connection/HttpCaller.h
+++ b/Source/Connection/HttpCaller.h
@@ -34,7 +34,7 @@
 /**
  * Makes HTTP calls through Qt, in the thread that created it.
  *
- * Failures guarded against, each seen with QNetworkAccessManager 6.4.2:
+ * Works around these faults of QNetworkAccessManager 6.4.2:
  * - it sends a POST a second time by itself when the connection ends without an
  *   answer: bodies come from a device that can't be rewound, so the library
  *   fails the call instead;
--- a/Source/Connection/OperatorSignature.cxx
+++ b/Source/Connection/OperatorSignature.cxx
@@ -159,8 +159,8 @@
   if (nonces_.size() >= kMaxNonces) {
     return Refuse("Too many signed requests in the last minutes; try later.");
   }
-  // Failure guarded against: somebody who reads the network sends a drain or a
-  // cancel again. Its nonce is still here as long as its time is accepted.
+  // A recorded request that is sent again is refused: its nonce is kept for as
+  // long as its time is accepted.
   const bool fresh =
     nonces_
       .emplace(std::string(read->moment_), read->seconds_ + kMaxSkewSeconds)
--- a/Source/Process/BackfillInterference.cxx
+++ b/Source/Process/BackfillInterference.cxx
@@ -12,8 +12,7 @@
 constexpr Millis kFigureWindow{ 500 };
 /** A run's figures overlap if they are taken more often. */
 constexpr Millis kFigureEvery{ 400 };
-/** A figure still holds this part of the one half a second before: measured,
- * one falls to a quarter each half second once its cause has gone. */
+/** A figure still holds this part of the one half a second before. */
 constexpr double kFigureMemory = 0.25;
 /** Figures and loads of runs that are gone are forgotten after this. */
 constexpr Millis kForget{ 30000 };
--- a/Source/Process/FleetTimings.h
+++ b/Source/Process/FleetTimings.h
@@ -59,10 +59,7 @@
 /**
  * A side that watches closely asks its worker this often and reports each
  * answer: latencies of serving tasks beside backfill climb from half of their
- * objective to six times it within a second. At half a second and a report a
- * second, their backfill was slowed a second and a half late: serving tasks
- * earned 0.025 (+-0.006) less of what they could, batch jobs 0.02 (+-0.02), on
- * 25 days of a fleet of eleven workers. 150 ms were no better beyond noise.
+ * objective to six times it within a second.
  */
 constexpr Millis kCloseWatch{ 250 };
 
--- a/Source/Process/Guarded.h
+++ b/Source/Process/Guarded.h
@@ -10,10 +10,9 @@
 /**
  * A callback that does nothing once its owner is gone.
  *
- * Failure guarded against: the part of an entry that leads is destroyed when
- * the lease is lost, while calls to the table that it made have no answer yet.
- * Their callbacks come later, from a client that lives on, and the process died
- * in the first one (SIGSEGV). The pointer is null by then.
+ * What made a call to the table may be destroyed before the answer comes from a
+ * client that lives on, as the part of an entry that leads is when the lease is
+ * lost. The pointer is null by then.
  */
 template<typename Callback>
 auto
--- a/Source/Process/JobOrder.h
+++ b/Source/Process/JobOrder.h
@@ -13,10 +13,8 @@
 {
   /** An answer can still be of use, in time or late. */
   OfUse,
-  /** It runs until it is cancelled. Once all workers are full, what ends is
-   * refilled at once: in order of arrival, watchers that waited took each gap
-   * of ten processors, and urgent work of a second had none. In the gaps that
-   * it leaves they still start in the same pass. */
+  /** It runs until it is cancelled. Ahead of urgent work, tasks that last would
+   * take each gap of a full fleet and keep it. */
   Standing,
   /** It is over the time for which a late answer is of use. */
   Overdue,
@@ -56,11 +54,8 @@
  * The rank of a job's waiting steps: by the latest start with which it ends in
  * time or, once that has passed, with which it is still of use late. Pure.
  *
- * In order of arrival, a backlog of ten seconds made every job late that came
- * after it, though there was room for most of them. Over 24 loaded days of two
- * deployments the batch work that was in time rose from 0.51 to 0.55; with late
- * work behind all that can be in time it was the same, and more jobs were never
- * answered.
+ * In order of arrival, a backlog would make every job late that comes after it,
+ * though there is room for most of them.
  */
 JobRank
 RankOf(const JobDescription& aJob, const JobTimes& aTimes, std::int64_t aNowMs);
--- a/Source/Process/JournalStore.cxx
+++ b/Source/Process/JournalStore.cxx
@@ -83,8 +83,8 @@
   for (const auto& [slot, steps] : bySlot) {
     Append(slot, steps);
   }
-  // Failure guarded against: a store that is down for hours would fill the
-  // memory. The oldest go: live processes remember those best.
+  // A store that is down for hours would fill the memory. The oldest go: live
+  // processes remember those best.
   while (waitingBytes_ > kMaxWaitingBytes && waiting_.size() > 1) {
     const auto oldest = waiting_.begin() + (writing_ ? 1 : 0);
     counts_.droppedSteps_ += oldest->steps_;
--- a/Source/Process/LeaderLease.h
+++ b/Source/Process/LeaderLease.h
@@ -119,11 +119,7 @@
    * Whether this process, which leads, should yield to one on a host with so
    * many processors, which reaches the table.
    *
-   * Failure guarded against: a leader of 73 workers uses 0.12 of a processor at
-   * the peak. On a host that has no more one is seconds behind for as long as
-   * it leads: callers' jobs start late, watchers stay away. Of 17 takeovers
-   * after the loss of a leader 9 went to such a host, and those days were worth
-   * 0.21 instead of 0.44 in the mean.
+   * A leader on a host with too little of a processor falls seconds behind.
    */
   bool HandsOverTo(double aProcessors) const;
 
--- a/Source/Process/LogOutput.h
+++ b/Source/Process/LogOutput.h
@@ -9,11 +9,10 @@
  * Where log lines go: a descriptor that may stop taking them. Owned by the
  * process's log, which calls it under a lock.
  *
- * Failure guarded against: the reader of standard output stops (a log collector
- * that hangs), the pipe fills, and the next line blocks the only thread: leases
- * lapse and callers wait, because of a log. A line is written only if the
- * descriptor takes it whole now; else it is counted, and the count is written
- * as a line once there is room again.
+ * If the reader of standard output stops, the pipe fills, and a line that waits
+ * for it blocks the only thread. So a line is written only if the descriptor
+ * takes it whole now; else it is counted, and the count is written as a line
+ * once there is room again.
  */
 class LogOutput
 {
--- a/Source/Process/StopNotice.h
+++ b/Source/Process/StopNotice.h
@@ -8,12 +8,9 @@
  * How long an entry that is being stopped still takes new connections: until
  * the balancer in front of it knows. Pure. Owned by the entry's process.
  *
- * Failure guarded against: a balancer asks whether the entry is ready, each
- * second as a rule, and sends it callers until it has heard twice that it is
- * not. An entry that stopped listening 1.5 s after the signal refused all
- * connections that came between then and the second answer: 40 of 40 callers in
- * a burst at 1.53 s. By a fixed time no choice is right, as either process may
- * be held up; by the answers given each is.
+ * A balancer asks whether the entry is ready, each second as a rule, and sends
+ * it callers until it has heard twice that it is not. No fixed time is right, as
+ * either process may be held up, so the answers given are counted.
  */
 class StopNotice
 {
--- a/Source/Request/AwakeClock.h
+++ b/Source/Request/AwakeClock.h
@@ -8,13 +8,10 @@
  * The time for which a process was awake: the monotonic clock, less what the
  * process stood still. By it the silence of others is judged.
  *
- * Failure guarded against: a process stands still for seconds (a busy host, a
- * moved one). What others sent meanwhile lies unread in its sockets, and what
- * is read first is often a caller's request: it was turned away, or a running
- * one given up, because all sides seemed silent. By this clock they are not,
- * until they have been silent while the process could hear them. That holds
- * because a standstill counts as one long tick, however long it was; a process
- * that is held up again and again still sees who is gone, a little later.
+ * After a standstill of a process (a busy or suspended host) what others sent
+ * meanwhile lies unread in its sockets, and all sides seem silent. By this clock
+ * they are not, until they have been silent while the process could hear them: a
+ * standstill counts as one long tick, however long it was.
  *
  * Pure: told of each tick of the loop. Owned by an EntryCore.
  */
--- a/Source/Version/ConfigurationVersion.cxx
+++ b/Source/Version/ConfigurationVersion.cxx
@@ -181,9 +181,8 @@
     }
     return;
   }
-  // Failure guarded against: the table was restored from an old copy, or
-  // answers from the past. Following it would silently undo a change that an
-  // operator was told is in force.
+  // The table was restored from an old copy, or answers from the past:
+  // following it would undo a change that an operator was told is in force.
   if (firstSight) {
     alarmed_ = aRow.revision_;
     ++counts_.regressions_;
--- a/Source/Version/ContentionModel.cxx
+++ b/Source/Version/ContentionModel.cxx
@@ -8,23 +8,20 @@
 namespace {
 
 /** The lowest latency seen is that of the lowest load; without any it would be
- * shorter by this factor, at the least load of 0.2 that was measured. */
+ * shorter by this factor. */
 constexpr double kBaseOfLeast = 0.8;
 /** Until so many figures of an image are known the lowest of them is not
  * trusted, and the base is taken to be this part of the objective at most. */
 constexpr std::uint32_t kTrustedFigures = 30;
 constexpr double kFirstLeast = 0.3;
 /** The pressure up to which backfill may bring a task: just below its
- * objective. Over 25 days of a fleet of eleven workers batch jobs earned 0.50
- * of what they could and serving tasks 0.80, at 0.9 they earned 0.46 and 0.82:
- * less in all. Over 36 days 0.75 took 0.07 from batch jobs and gave 0.04 to
- * serving tasks, against 0.9 (errors of differences 0.02 and 0.005). */
+ * objective. */
 constexpr double kMostPressure = 0.98;
 /** Above this use a queue's latency tells no more how full it is. */
 constexpr double kMostUtilisation = 0.97;
 
-/** A pair that was never seen: between the many that cost nothing and the one
- * in four that cost 0.1 to 0.3. */
+/** A pair that was never seen: between the many that cost nothing and the few
+ * that cost much. */
 constexpr double kFirstCost = 0.05;
 constexpr double kFirstDeviation = 0.12;
 /** Variance that a second adds: pairs change, within a minute or so. */
--- a/Source/Version/ContentionModel.h
+++ b/Source/Version/ContentionModel.h
@@ -74,9 +74,7 @@
  *   pressure = base / (1 - load - sum of costs)
  *
  * The load is learned for each job, the costs for each pair of images, by a
- * Kalman filter without cross terms. On quiet days of two deployments the
- * latencies' residual fell from 0.11 to 0.07 of the capacity with them; most
- * pairs cost less than 0.02, one in four 0.1 to 0.3.
+ * Kalman filter without cross terms.
  */
 class ContentionModel
 {
--- a/Source/Version/DurationModel.h
+++ b/Source/Version/DurationModel.h
@@ -11,14 +11,9 @@
  * How long a step's tasks take, learned from what tasks of the same queue took
  * beside their callers' estimates. Owned by the scheduler. Pure.
  *
- * Callers' estimates are off by a factor of three either way, while what their
- * steps really take differs by much less: an estimate of 27 s belonged to tasks
- * of 2 s. So the logarithm of a duration is a line over the logarithm of the
- * estimate, whose slope is learned: 1 where estimates are right, 0 where they
- * say nothing. On days of the users' it is 0.2, and what is left of a step's
- * error is a factor of 1.6; estimates are off by 2.4 (standard deviations of
- * 222 batch steps, from a fit to all of them). Deadlines, slow workers and what
- * leaving workers may still finish are judged by it.
+ * Callers' estimates differ more than what their steps really take. So the
+ * logarithm of a duration is a line over the logarithm of the estimate, whose
+ * slope is learned: 1 where estimates are right, 0 where they say nothing.
  */
 class DurationModel
 {
--- a/Source/Version/ServingLoad.cxx
+++ b/Source/Version/ServingLoad.cxx
@@ -6,15 +6,14 @@
 
 namespace {
 
-/** What is expected of a job that was never measured: the middle, and a peak of
- * two thirds, as services are sized to have a third to spare. */
+/** What is expected of a job that was never measured: services are sized to
+ * have a third to spare. */
 constexpr double kFirstLoad = 0.45;
 constexpr double kFirstDeviation = 0.2;
 constexpr double kFirstPeak = 0.65;
-/** Variance that a second adds. Measured loads swing by 0.2 around their middle
- * within 14 s, so by 0.1 a second at most. */
+/** Variance that a second adds. */
 constexpr double kDriftPerSecond = 0.01;
-/** Steepest rise, in load a second: see above. */
+/** Steepest rise, in load a second. */
 constexpr double kSteepest = 0.1;
 /** A peak is forgotten by this much a second. */
 constexpr double kForgetPeak = 0.004;
--- a/Source/Version/WorkTimings.h
+++ b/Source/Version/WorkTimings.h
@@ -19,16 +19,10 @@
   /**
    * The longest that one grant lets a task run.
    *
-   * Failure guarded against: an owner dies, and its tasks end at their grants'
-   * deadline before another entry has taken the cell and renewed them; those
-   * that must not run twice are then parked until an operator looks. 15 s left
-   * 0.8 s for all that may hold the other entry up, and beside load 6 of 10
-   * takeovers came too late (WorkTest, release build). It takes renewEvery_
-   * since the last renewal, pollEvery_, cellLease_, margin_ and one rankDelay_:
-   * 14 s; a host that freezes for 3 s, as the users' do, and an answer of the
-   * table that is lost, tableTimeout_, make it 19 s.
-   *
-   * Price: what ran on a worker that dies alone starts again 5 s later.
+   * It outlasts a change of the cell's owner: renewEvery_ since the last
+   * renewal, pollEvery_, cellLease_, margin_ and one rankDelay_ are 14 s; a host
+   * that freezes for 3 s and a lost answer of the table, tableTimeout_, make it
+   * 19 s. Tasks whose grants end before that may have run and are parked.
    */
   Micros taskLease_ = std::chrono::seconds(20);
   /** Grants may reach this far beyond the cell's lease: what a long outage of
