Tests: An end is acknowledged before its job's failure is stored, failing

Two tasks; one fails for the last time and the other ends well in the same moment, while the table is away: 'ending.acknowledged_ == 0 is false'.

--- a/Tests/Fleet/FleetFailureTest.cxx
+++ b/Tests/Fleet/FleetFailureTest.cxx
@@ -464,3 +464,33 @@
     last = run;
   }
 }
+
+// Guards against a task that is done and runs again: its end was acknowledged
+// because its job had failed, and power was lost before that was stored.
+Test(FleetFailure, EndOfAFailedJobIsAcknowledgedOnlyOnceTheFailureIsStored)
+{
+  FleetWorld world(2);
+  world.Run(Millis(1500));
+  JobDescription job = MakeJob("job", 2, 10000);
+  job.maxAttempts_ = 1;
+  world.Submit(job);
+  world.Run(Millis(500));
+  WorkerFake& failing = world.Host(0).worker_;
+  WorkerFake& ending = world.Host(1).worker_;
+  cr_assert_eq(failing.runs_.size(), 1);
+  cr_assert_eq(ending.runs_.size(), 1);
+  const std::string done = ending.runs_.front().task_;
+  world.storeAway_ = true;
+  world.Run(std::chrono::duration_cast<Millis>(ending.runs_.front().endsAt_ -
+                                               world.Now()) -
+            Millis(10));
+  failing.Fail(failing.runs_.front().task_);
+  world.Run(Millis(1000));
+  cr_assert_eq(ending.RunsOf(done), 0);
+  cr_assert_eq(ending.acknowledged_, 0);
+  world.ChangeLeader();
+  world.storeAway_ = false;
+  world.Run(Millis(2000));
+  cr_assert_eq(world.Starts(done), 1);
+  cr_assert_eq(ending.acknowledged_, 1);
+}
