Fleet: An end of an ended job waits until the job's end is stored

Ruled out: two leaders (one epoch, head row held), the worker's lists.

Change: what an end of an over job, or of a done task, would change is stored with the job's final state; until then the worker keeps the end.

FleetFailure/EndOfAFailedJobIsAcknowledgedOnlyOnceTheFailureIsStored failed before.

--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -207,7 +207,9 @@
   task.lastRun_ = std::max(task.lastRun_, aEnd.run_);
   if (aPlace.entry_->job_->IsOver() || task.done_) {
     RemoveRun(aPlace, aWorker.node_, aEnd.run_, aNow);
-    return false;
+    // Until the table says why this end changes nothing, a next leader would
+    // start the task again.
+    return !IsFinal(aPlace.entry_->storedState_);
   }
   if (aEnd.kind_ == EndKind::Done && !spec.longRunning_) {
     OnRunDone(aWorker, aEnd, aPlace, aName, aNow);
