--- a/Source/Connection/HttpFront.cxx
+++ b/Source/Connection/HttpFront.cxx
@@ -136,9 +136,10 @@
  * Drops further connection requests (SYN) at a listening socket.
  *
  * Closing a listening socket resets the connections that wait in its accept
- * queue, and callers that had already sent a request on one see it cut off. With SYNs dropped no new one can enter the queue, so
- * it is empty for good once the handshakes under way have ended. A caller whose
- * SYN was dropped has sent nothing; its next try is refused or goes elsewhere.
+ * queue, and callers that had already sent a request on one see it cut off.
+ * With SYNs dropped no new one can enter the queue, so it is empty for good
+ * once the handshakes under way have ended. A caller whose SYN was dropped has
+ * sent nothing; its next try is refused or goes elsewhere.
  */
 void
 RefuseHandshakes(int aDescriptor)
--- a/Source/Process/PlacementMisses.cxx
+++ b/Source/Process/PlacementMisses.cxx
@@ -33,8 +33,7 @@
 }
 
 bool
-PlacementMisses::Covers(const JobDescription& aJob,
-                        const StepSpec& aStep) const
+PlacementMisses::Covers(const JobDescription& aJob, const StepSpec& aStep) const
 {
   if (!IsPlain(aStep)) {
     return false;
--- a/Source/Process/SideProcess.cxx
+++ b/Source/Process/SideProcess.cxx
@@ -475,9 +475,9 @@
     return;
   }
   const Instant now = ReadMonotonicClock();
-  // An answer that is still in this process's buffers when it ends never reaches
-  // the caller, and one that is on its way is lost if the connection is reset
-  // because a late dispatch arrived unread.
+  // An answer that is still in this process's buffers when it ends never
+  // reaches the caller, and one that is on its way is lost if the connection is
+  // reset because a late dispatch arrived unread.
   const bool quiet = now >= quietSince_ + kQuietBeforeEnd;
   const bool flushed =
     std::all_of(links_.begin(), links_.end(), [](const auto& aLink) {
--- a/Source/Process/StopNotice.h
+++ b/Source/Process/StopNotice.h
@@ -9,8 +9,8 @@
  * the balancer in front of it knows. Pure. Owned by the entry's process.
  *
  * A balancer asks whether the entry is ready, each second as a rule, and sends
- * it callers until it has heard twice that it is not. No fixed time is right, as
- * either process may be held up, so the answers given are counted.
+ * it callers until it has heard twice that it is not. No fixed time is right,
+ * as either process may be held up, so the answers given are counted.
  */
 class StopNotice
 {
--- a/Source/Process/TableWatch.h
+++ b/Source/Process/TableWatch.h
@@ -98,9 +98,7 @@
                 }));
   }
 
-  void OnPage(Result<RowPage> aPage,
-              const Position& aPosition,
-              Instant aSentAt)
+  void OnPage(Result<RowPage> aPage, const Position& aPosition, Instant aSentAt)
   {
     const auto* page = std::get_if<RowPage>(&aPage);
     if (page == nullptr) {
--- a/Source/Request/AwakeClock.h
+++ b/Source/Request/AwakeClock.h
@@ -9,9 +9,9 @@
  * process stood still. By it the silence of others is judged.
  *
  * After a standstill of a process (a busy or suspended host) what others sent
- * meanwhile lies unread in its sockets, and all sides seem silent. By this clock
- * they are not, until they have been silent while the process could hear them: a
- * standstill counts as one long tick, however long it was.
+ * meanwhile lies unread in its sockets, and all sides seem silent. By this
+ * clock they are not, until they have been silent while the process could hear
+ * them: a standstill counts as one long tick, however long it was.
  *
  * Pure: told of each tick of the loop. Owned by an EntryCore.
  */
--- a/Source/Version/WorkTimings.h
+++ b/Source/Version/WorkTimings.h
@@ -20,9 +20,10 @@
    * The longest that one grant lets a task run.
    *
    * It outlasts a change of the cell's owner: renewEvery_ since the last
-   * renewal, pollEvery_, cellLease_, margin_ and one rankDelay_ are 14 s; a host
-   * that freezes for 3 s and a lost answer of the table, tableTimeout_, make it
-   * 19 s. Tasks whose grants end before that may have run and are parked.
+   * renewal, pollEvery_, cellLease_, margin_ and one rankDelay_ are 14 s; a
+   * host that freezes for 3 s and a lost answer of the table, tableTimeout_,
+   * make it 19 s. Tasks whose grants end before that may have run and are
+   * parked.
    */
   Micros taskLease_ = std::chrono::seconds(20);
   /** Grants may reach this far beyond the cell's lease: what a long outage of
--- a/Tests/Fuzz/FuzzTargets.cxx
+++ b/Tests/Fuzz/FuzzTargets.cxx
@@ -154,8 +154,7 @@
   report.runs_.front().starting_ = false;
   report.runs_.pop_back();
   report.runs_.push_back({ "5c0e7a21d94b36f8.0.1.3", 2, true, "", 0, 0 });
-  report.ends_.push_back(
-    { 7, "5c0e7a21d94b36f8.0.1.2", 1, EndKind::Done, "" });
+  report.ends_.push_back({ 7, "5c0e7a21d94b36f8.0.1.2", 1, EndKind::Done, "" });
   report.refused_.push_back(
     { "5c0e7a21d94b36f8.0.1.4", 1, StartRefusal::NoRoom });
   const std::string change = EncodeFrame(encoder.Encode(report));
