Fleet: More room is left to short work only once some of it found none

Tests: QuotesFindRoomWhenNewWatchersArrive comes in waves now, as it passed without the guard but for its last line; WatcherThatHasRunIsNotHeldBackByTheNextLeader looks at all watchers. Both seen failing without their guards.

--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -253,6 +253,8 @@
   std::vector<ReadyKey> PlacementOrder();
   JobRank RankNow(const FleetJob& aJob, const FleetStep& aStep) const;
   bool PlaceStep(const ReadyKey& aKey, Instant aNow);
+  /** A task of the step found no worker. */
+  void NoteMiss(const FleetJob& aJob, const FleetStep& aStep, Instant aNow);
   bool MissesAgain(JobEntry& aEntry, const FleetStep& aStep, Instant aNow);
   bool PlaceTask(JobEntry& aEntry,
                  FleetStep& aStep,
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -232,7 +232,7 @@
     if (PlaceTask(entry, step, i, aNow)) {
       entry.idleSince_.reset();
     } else if (!PlaceStarving(entry, step, i, aNow)) {
-      misses_.Add(entry.job_->Spec(), *step.spec_);
+      NoteMiss(*entry.job_, step, aNow);
       MakeRoom(*entry.job_, step, aNow);
       KeepRoomFor(entry, step, step.tasks_[i], aNow);
       return false;
@@ -241,6 +241,18 @@
   return allPlaced;
 }
 
+void
+FleetScheduler::NoteMiss(const FleetJob& aJob,
+                         const FleetStep& aStep,
+                         Instant aNow)
+{
+  const JobDescription& spec = aJob.Spec();
+  misses_.Add(spec, *aStep.spec_);
+  if (!aStep.spec_->longRunning_ && !aStep.spec_->backfill_) {
+    standing_.OnMissed(spec.service_, spec.priority_, aNow);
+  }
+}
+
 /** Whether a step like this one has found no worker in this pass. */
 bool
 FleetScheduler::MissesAgain(JobEntry& aEntry,
--- a/Source/Process/StandingRoom.cxx
+++ b/Source/Process/StandingRoom.cxx
@@ -12,10 +12,13 @@
 constexpr double kFadeMs = 15000;
 /** A rate is taken over so long at least. */
 constexpr double kLeastSpanMs = 2000;
-/** Processors left to short work, over those that it would keep busy: workers
- * have room for parts of tasks only, and runs hold theirs until their ends are
- * known. */
-constexpr double kSpare = 2.5;
+/** Processors left to short work, over those that it would keep busy. */
+constexpr double kSpare = 1.3;
+/** The same once a task has found no room: what is free lies in pieces on many
+ * workers, and large tasks need large ones. */
+constexpr double kSpareWhenMissed = 2.5;
+/** So long is such a miss remembered. */
+constexpr Millis kMissMemory{ 15000 };
 /** Jobs that last may always hold this share. */
 constexpr double kLeastShare = 0.6;
 
@@ -57,6 +60,29 @@
   asked.addedAt_ = aNow;
 }
 
+void
+StandingRoom::OnMissed(std::string_view aService,
+                       std::int64_t aPriority,
+                       Instant aNow)
+{
+  const auto found = asked_.find({ std::string(aService), aPriority });
+  if (found != asked_.end()) {
+    found->second.missedAt_ = aNow;
+  }
+}
+
+bool
+StandingRoom::MissedLately(std::string_view aService,
+                           std::int64_t aPriority,
+                           Instant aNow) const
+{
+  return std::any_of(asked_.begin(), asked_.end(), [&](const auto& aEntry) {
+    const std::optional<Instant>& missedAt = aEntry.second.missedAt_;
+    return aEntry.first.first == aService && aEntry.first.second <= aPriority &&
+           missedAt.has_value() && aNow - *missedAt < kMissMemory;
+  });
+}
+
 double
 StandingRoom::AskedCpuMilli(std::string_view aService,
                             std::int64_t aPriority,
@@ -78,7 +104,9 @@
                            Instant aNow) const
 {
   const auto capacity = static_cast<double>(aCapacityMilli);
-  const double spare = kSpare * AskedCpuMilli(aService, aPriority, aNow);
+  const double times =
+    MissedLately(aService, aPriority, aNow) ? kSpareWhenMissed : kSpare;
+  const double spare = times * AskedCpuMilli(aService, aPriority, aNow);
   return std::max(kLeastShare * capacity, capacity - spare);
 }
 
--- a/Source/Process/StandingRoom.h
+++ b/Source/Process/StandingRoom.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -16,8 +17,9 @@
  *
  * Short work frees its room within seconds; a job that lasts takes what is free
  * at that moment and keeps it. So a part of a service's processors is left to
- * short work, by how much of it callers have asked for lately. Jobs that have
- * started are never held back again.
+ * short work, by how much of it callers have asked for lately, and more once
+ * some of it has found no room. Jobs that have started are never held back
+ * again.
  */
 class StandingRoom
 {
@@ -29,6 +31,11 @@
                double aCpuMilliMs,
                Instant aNow);
 
+  /** A task of short work of this priority found no room. */
+  void OnMissed(std::string_view aService,
+                std::int64_t aPriority,
+                Instant aNow);
+
   /** Thousandths of processors that short work of this priority and more urgent
    * work has kept busy lately, had it run at once. */
   double AskedCpuMilli(std::string_view aService,
@@ -48,11 +55,17 @@
     double cpuMilliMs_ = 0;
     Instant since_;
     Instant addedAt_;
+    /** When a task found no room; none if none did. */
+    std::optional<Instant> missedAt_;
 
     double FadedAt(Instant aNow) const;
     double RateAt(Instant aNow) const;
   };
 
+  bool MissedLately(std::string_view aService,
+                    std::int64_t aPriority,
+                    Instant aNow) const;
+
   std::map<std::pair<std::string, std::int64_t>, Asked> asked_;
 };
 
--- a/Tests/Fleet/StandingRoomTest.cxx
+++ b/Tests/Fleet/StandingRoomTest.cxx
@@ -86,10 +86,14 @@
   SharedFleet fleet;
   fleet.RunWithQuotes(Millis(5000));
   fleet.SubmitNewWatchers();
-  fleet.RunWithQuotes(Millis(10000));
+  // In waves: between them there is room for a moment.
+  for (int wave = 0; wave < 4; ++wave) {
+    fleet.world_.Run(Millis(1500));
+    fleet.RunWithQuotes(Millis(2500));
+  }
   const int last = fleet.next_;
   fleet.world_.Run(Millis(2000));
-  for (int i = last - 20; i < last; ++i) {
+  for (int i = last - 15; i < last; ++i) {
     cr_assert_eq(fleet.world_.StateOf("quote" + std::to_string(i)),
                  JobState::Completed);
   }
@@ -136,7 +140,9 @@
   }
   fleet.world_.Run(Millis(4000));
   for (int i = 0; i < 8; ++i) {
-    cr_assert_eq(fleet.world_.Starts("new" + std::to_string(i) + ".0.0.0"), 2);
+    const std::string number = std::to_string(i);
+    cr_assert_eq(fleet.world_.Starts("new" + number + ".0.0.0"), 2);
+    cr_assert_eq(fleet.world_.Starts("watch" + number + ".0.0.0"), 2);
   }
 }
 
@@ -162,3 +168,16 @@
   cr_assert_eq(room.MostCpuMilli("service", 1, 64000, At(1000)), 64000);
   cr_assert_lt(room.MostCpuMilli("service", 2, 64000, At(1000)), 64000);
 }
+
+// Guards against watchers that wait though short work finds room all the time.
+Test(StandingRoom, MoreIsLeftOnceShortWorkFoundNoRoom)
+{
+  StandingRoom room;
+  room.OnAsked("service", 0, 10000.0 * 2000, At(0));
+  const double before = room.MostCpuMilli("service", 0, 64000, At(1000));
+  room.OnMissed("service", 0, At(1000));
+  const double missed = room.MostCpuMilli("service", 0, 64000, At(1000));
+  cr_assert_lt(missed, before);
+  cr_assert_eq(room.MostCpuMilli("other", 0, 64000, At(1000)), 64000);
+  cr_assert_gt(room.MostCpuMilli("service", 0, 64000, At(17000)), before);
+}
