--- a/Tests/Fleet/StandingRoomTest.cxx
+++ b/Tests/Fleet/StandingRoomTest.cxx
@@ -93,7 +93,7 @@
   }
   const int last = fleet.next_;
   fleet.world_.Run(Millis(2000));
-  for (int i = last - 15; i < last; ++i) {
+  for (int i = last - 20; i < last; ++i) {
     cr_assert_eq(fleet.world_.StateOf("quote" + std::to_string(i)),
                  JobState::Completed);
   }
