Fleet: A failed task that lasts finds its room kept after its pause

What callers saw: a task that is to run until it is cancelled failed and was away for half a minute and more.

Cause: a task that failed waits out its pause of 100 ms or more, and nothing kept its room meanwhile. From then on it competes in a full fleet.

Change: the room of such a run stays taken, for its task alone, until the task starts again or 2 s are over; then a worker is kept for it as before. Tasks that ran go before tasks that never ran, of their own job and of others.

Tests, each seen failing with its guard out: KeepsItsRoomFromTasksThatNeverRan (4 of 4), KeepsItsRoomFromUrgentWork, RoomOfACancelledJobIsFreeAtOnce, GoesBeforeTasksThatNeverRan and its twin.

--- a/Source/Process/FleetJob.h
+++ b/Source/Process/FleetJob.h
@@ -73,6 +73,8 @@
   /** When its last run ended or was given up; none if it had none, as far as
    * this leader knows. */
   std::optional<Instant> endedAt_;
+  /** The worker that keeps room for its next run; empty for none. */
+  std::string keptOn_;
 
   bool Waits() const { return !done_ && runs_.empty(); }
 };
--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -192,6 +192,7 @@
     for (FleetStep& step : occurrence.steps_) {
       for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
         const TaskKey name{ aJob.Spec().id_, number, step.index_, i };
+        DropKeptRoom(name, step.tasks_[i]);
         for (TaskRun& run : step.tasks_[i].runs_) {
           OrderStop(run.node_, name.Text(), run, "job ended");
         }
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -256,6 +256,12 @@
   /** A task of the step found no worker. */
   void NoteMiss(const FleetJob& aJob, const FleetStep& aStep, Instant aNow);
   bool MissesAgain(JobEntry& aEntry, const FleetStep& aStep, Instant aNow);
+  /** Places a task or, if it finds no worker, says so to what depends on it.
+   */
+  bool PlaceOrMiss(JobEntry& aEntry,
+                   FleetStep& aStep,
+                   std::uint32_t aIndex,
+                   Instant aNow);
   bool PlaceTask(JobEntry& aEntry,
                  FleetStep& aStep,
                  std::uint32_t aIndex,
@@ -337,6 +343,14 @@
   /** Since when it has had no run; none if it never had one. */
   std::optional<Instant> AwaySince(const JobEntry& aEntry,
                                    const FleetTask& aTask) const;
+  /** Some task of the step waits that ran before. */
+  bool HasReturning(const JobEntry& aEntry, const FleetStep& aStep) const;
+  /** Keeps the room of a run that failed until its task starts again. */
+  void KeepRoomOfFailed(FleetWorker& aWorker,
+                        const TaskKey& aName,
+                        Place& aPlace,
+                        Instant aNow);
+  void DropKeptRoom(const TaskKey& aName, FleetTask& aTask);
   void KeepRoomFor(const JobEntry& aEntry,
                    const FleetStep& aStep,
                    const FleetTask& aTask,
--- a/Source/Process/FleetSchedulerLasting.cxx
+++ b/Source/Process/FleetSchedulerLasting.cxx
@@ -4,6 +4,7 @@
 #include "Process/FleetScheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cactusrail {
 
@@ -13,6 +14,10 @@
  * Short work ends there within two seconds or so; users allow six in all. */
 constexpr Millis kPatience{ 2000 };
 
+/** Room of a failed run is kept so long at most; its task's pause is shorter.
+ * Later a worker is kept for it. */
+constexpr Millis kKeepsRoom = kPatience;
+
 /** One in so many workers at most is kept at a time: short work goes on
  * elsewhere. */
 constexpr std::size_t kWorkersPerReservation = 16;
@@ -145,6 +150,50 @@
   return aEntry.old_ ? std::optional(loadedAt_) : std::nullopt;
 }
 
+bool
+FleetScheduler::HasReturning(const JobEntry& aEntry,
+                             const FleetStep& aStep) const
+{
+  return aStep.spec_->longRunning_ &&
+         std::any_of(aStep.tasks_.begin(),
+                     aStep.tasks_.end(),
+                     [&](const FleetTask& aTask) {
+                       return aTask.Waits() &&
+                              AwaySince(aEntry, aTask).has_value();
+                     });
+}
+
+/**
+ * Keeps the room of a run that failed for its task's next run.
+ *
+ * Such a task pauses before it starts again. In a full fleet its room would be
+ * gone by then: to short work, or to a task of the same job that never ran.
+ */
+void
+FleetScheduler::KeepRoomOfFailed(FleetWorker& aWorker,
+                                 const TaskKey& aName,
+                                 Place& aPlace,
+                                 Instant aNow)
+{
+  if (aPlace.step_->spec_->gang_) {
+    return;
+  }
+  DropKeptRoom(aName, *aPlace.task_);
+  aPlace.task_->keptOn_ = aWorker.node_;
+  aWorker.Keep(aName.Text(),
+               { RoomOf(*aPlace.step_->spec_, aPlace.entry_->job_->Spec()),
+                 aNow + kKeepsRoom });
+}
+
+void
+FleetScheduler::DropKeptRoom(const TaskKey& aName, FleetTask& aTask)
+{
+  const auto keeper = workers_.find(std::exchange(aTask.keptOn_, {}));
+  if (keeper != workers_.end()) {
+    keeper->second.TakeKept(aName.Text());
+  }
+}
+
 /**
  * Keeps a worker's room for a task that lasts and has been away for a while.
  *
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -109,6 +109,9 @@
 {
   const bool holdOld = HoldsOldWork(aNow);
   misses_.Clear();
+  for (auto& [node, worker] : workers_) {
+    worker.DropKeptUntil(aNow);
+  }
   std::vector<ReadyKey> placed;
   // Work of a lower priority must not take the room that is being made.
   std::optional<std::int64_t> blocked;
@@ -150,7 +153,9 @@
 {
   const JobDescription& spec = aJob.Spec();
   if (aStep.spec_->longRunning_) {
-    return { JobOutlook::Standing, spec.acceptedAtMs_ };
+    const bool returning = HasReturning(jobs_.at(spec.id_), aStep);
+    return { returning ? JobOutlook::Returning : JobOutlook::Standing,
+             spec.acceptedAtMs_ };
   }
   std::vector<double> all;
   std::vector<double> left;
@@ -221,26 +226,43 @@
   }
   FillOptions(*entry.job_, step, aNow);
   bool allPlaced = true;
+  // Tasks that never ran would take the room of those that come back, of other
+  // jobs too.
+  const bool returning = HasReturning(entry, step);
   for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
-    if (!step.tasks_[i].Waits()) {
+    const FleetTask& task = step.tasks_[i];
+    if (!task.Waits()) {
       continue;
     }
-    if (step.tasks_[i].notBefore_ > aNow) {
+    const bool yields = returning && !AwaySince(entry, task).has_value();
+    if (yields || task.notBefore_ > aNow) {
       allPlaced = false;
-      continue;
-    }
-    if (PlaceTask(entry, step, i, aNow)) {
-      entry.idleSince_.reset();
-    } else if (!PlaceStarving(entry, step, i, aNow)) {
-      NoteMiss(*entry.job_, step, aNow);
-      MakeRoom(*entry.job_, step, aNow);
-      KeepRoomFor(entry, step, step.tasks_[i], aNow);
+    } else if (!PlaceOrMiss(entry, step, i, aNow)) {
       return false;
     }
   }
   return allPlaced;
 }
 
+bool
+FleetScheduler::PlaceOrMiss(JobEntry& aEntry,
+                            FleetStep& aStep,
+                            std::uint32_t aIndex,
+                            Instant aNow)
+{
+  if (PlaceTask(aEntry, aStep, aIndex, aNow)) {
+    aEntry.idleSince_.reset();
+    return true;
+  }
+  if (PlaceStarving(aEntry, aStep, aIndex, aNow)) {
+    return true;
+  }
+  NoteMiss(*aEntry.job_, aStep, aNow);
+  MakeRoom(*aEntry.job_, aStep, aNow);
+  KeepRoomFor(aEntry, aStep, aStep.tasks_[aIndex], aNow);
+  return false;
+}
+
 void
 FleetScheduler::NoteMiss(const FleetJob& aJob,
                          const FleetStep& aStep,
@@ -380,10 +402,20 @@
                           Instant aNow)
 {
   FleetTask& task = aStep.tasks_[aIndex];
+  const auto keeper = workers_.find(task.keptOn_);
+  const std::string name =
+    TaskKey{ aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, aIndex }
+      .Text();
+  const std::optional<KeptRoom> kept =
+    keeper == workers_.end() ? std::nullopt : keeper->second.TakeKept(name);
   const auto chosen = ChooseAmongOptions(*aEntry.job_, aStep, task, aNow);
   if (!chosen.has_value()) {
+    if (kept.has_value()) {
+      keeper->second.Keep(name, *kept);
+    }
     return false;
   }
+  task.keptOn_.clear();
   PlaceOn(*chosen, aEntry, aStep, aIndex, aNow);
   return true;
 }
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -156,6 +156,7 @@
          aWorker.facts_.id_ + " is now " + aReport.worker_.id_);
     DropAllRuns(aWorker, "its worker crashed", aNow);
   }
+  aWorker.DropKept();
   aWorker.endsSeen_ = 0;
   aWorker.endsStored_ = 0;
   aWorker.acknowledgementDue_ = false;
@@ -294,6 +295,9 @@
     if (task.avoid_.size() > kMostAvoided) {
       task.avoid_.erase(task.avoid_.begin());
     }
+    if (task.Waits()) {
+      KeepRoomOfFailed(aWorker, aName, aPlace, aNow);
+    }
     return;
   }
   const bool counted = FleetJob::OnFailed(task, aEnd.run_);
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -34,6 +35,13 @@
   std::string job_;
 };
 
+/** Room that a failed run left, for its task's next run. */
+struct KeptRoom
+{
+  TaskRoom room_;
+  Instant until_;
+};
+
 /** An end that the worker lists until what it changed is stored. */
 struct UnstoredEnd
 {
@@ -76,6 +84,8 @@
   std::deque<UnstoredEnd> unstored_;
   /** By task name and run. */
   std::map<std::pair<std::string, std::uint32_t>, TaskRoom> held_;
+  /** By task name; counted as in use, so that nothing else takes it. */
+  std::map<std::string, KeptRoom> kept_;
   /** Runs that nothing is known of; told to stop. Their room is unknown, so
    * nothing starts there until they are gone. */
   std::set<std::pair<std::string, std::uint32_t>> strangers_;
@@ -165,6 +175,45 @@
     held_.erase(found);
   }
 
+  void Keep(const std::string& aTask, const KeptRoom& aKept)
+  {
+    if (kept_.emplace(aTask, aKept).second) {
+      Add(aKept.room_, 1);
+    }
+  }
+
+  /** Ends the keeping of room for a task; what was kept, none if nothing was.
+   */
+  std::optional<KeptRoom> TakeKept(const std::string& aTask)
+  {
+    const auto found = kept_.find(aTask);
+    if (found == kept_.end()) {
+      return std::nullopt;
+    }
+    KeptRoom kept = std::move(found->second);
+    kept_.erase(found);
+    Add(kept.room_, -1);
+    return kept;
+  }
+
+  void DropKept()
+  {
+    for (const auto& [task, kept] : std::exchange(kept_, {})) {
+      Add(kept.room_, -1);
+    }
+  }
+
+  void DropKeptUntil(Instant aNow)
+  {
+    std::erase_if(kept_, [this, aNow](const auto& aEntry) {
+      const bool over = aNow >= aEntry.second.until_;
+      if (over) {
+        Add(aEntry.second.room_, -1);
+      }
+      return over;
+    });
+  }
+
 private:
   template<typename Kind, typename Number>
   static void Count(std::map<Kind, Number>& aCounts,
--- a/Source/Process/JobOrder.h
+++ b/Source/Process/JobOrder.h
@@ -13,6 +13,8 @@
 {
   /** An answer can still be of use, in time or late. */
   OfUse,
+  /** As Standing, and a task of it waits that ran before. */
+  Returning,
   /** It runs until it is cancelled. Ahead of urgent work, tasks that last would
    * take each gap of a full fleet and keep it. */
   Standing,
--- a/Tests/Fleet/LastingTaskTest.cxx
+++ b/Tests/Fleet/LastingTaskTest.cxx
@@ -4,6 +4,8 @@
 #include <criterion/parameterized.h>
 
 #include <array>
+#include <string>
+#include <vector>
 
 using namespace cactusrail;
 
@@ -125,7 +127,7 @@
 {
   BusyFleet fleet(2, 64000);
   fleet.FailWatcherAfter(Millis(4000 + *aWait));
-  fleet.Run(Millis(200), 40);
+  fleet.Run(Millis(50), 40);
   const Instant changedAt = fleet.world_.Now();
   fleet.world_.ChangeLeader();
   fleet.Run(kMostAway, 40);
@@ -158,3 +160,138 @@
   }
   cr_assert_eq(served, kLast);
 }
+
+namespace {
+
+/** A fleet that one job fills; more tasks of it than there is room for. */
+class CrowdedFleet
+{
+public:
+  CrowdedFleet()
+    : world_(2, { 16000, 512000, 0 })
+  {
+    world_.Run(Millis(1500));
+    for (std::size_t host = 0; host < 2; ++host) {
+      world_.Host(host).worker_.lasting_ = { "watch" };
+    }
+    world_.Submit(Watcher("watch", 6, 8000));
+    world_.Run(Millis(500));
+  }
+
+  std::size_t HostOf(const std::string& aTask)
+  {
+    return world_.Host(0).worker_.RunsOf(aTask) > 0 ? 0 : 1;
+  }
+
+  /** How many tasks of the job run now. */
+  std::size_t Running()
+  {
+    return world_.Host(0).worker_.runs_.size() +
+           world_.Host(1).worker_.runs_.size();
+  }
+
+  FleetWorld world_;
+};
+
+}
+
+// Guards against a task of the same job that never ran and takes the room of
+// one that failed while that one pauses.
+ParameterizedTestParameters(LastingTask, KeepsItsRoomFromTasksThatNeverRan)
+{
+  static std::array<int, 4> failures{ 1, 2, 5, 12 };
+  return cr_make_param_array(int, failures.data(), failures.size());
+}
+
+ParameterizedTest(const int* aFailures,
+                  LastingTask,
+                  KeepsItsRoomFromTasksThatNeverRan)
+{
+  CrowdedFleet fleet;
+  for (int i = 0; i < *aFailures; ++i) {
+    fleet.world_.Host(fleet.HostOf("watch.0.0.1")).worker_.Fail("watch.0.0.1");
+    fleet.world_.Run(Millis(1500));
+    cr_assert_eq(fleet.world_.Starts("watch.0.0.1"),
+                 static_cast<std::size_t>(i) + 2);
+  }
+  cr_assert_eq(fleet.world_.Starts("watch.0.0.4"), 0);
+  cr_assert_eq(fleet.world_.Starts("watch.0.0.5"), 0);
+  cr_assert_eq(fleet.Running(), 4);
+}
+
+// Guards against callers' work that takes the room of a task that failed while
+// that one pauses.
+Test(LastingTask, KeepsItsRoomFromUrgentWork)
+{
+  BusyFleet fleet(2, 64000);
+  fleet.FailWatcherAfter(Millis(4000));
+  const Instant failedAt = fleet.world_.Now();
+  fleet.Run(Millis(1000), 40);
+  cr_assert(fleet.world_.LastStart(kWatched) > failedAt);
+}
+
+// Guards against room that stays kept for a task that needs none any more.
+Test(LastingTask, RoomOfACancelledJobIsFreeAtOnce)
+{
+  CrowdedFleet fleet;
+  fleet.world_.Host(fleet.HostOf("watch.0.0.1")).worker_.Fail("watch.0.0.1");
+  fleet.world_.Run(Millis(50));
+  fleet.world_.Cancel("watch");
+  fleet.world_.Submit(MakeJob("quote", 4, 8000));
+  fleet.world_.Run(Millis(1000));
+  cr_assert_eq(fleet.Running(), 4);
+}
+
+// Guards against tasks that never ran and start along with those of their job
+// that come back, before those of a younger job have.
+Test(LastingTask, GoesBeforeTasksThatNeverRanOfAJobThatComesBackToo)
+{
+  FleetWorld world(2, { 16000, 512000, 0 });
+  world.Run(Millis(1500));
+  world.Host(0).worker_.lasting_ = { "watch", "other" };
+  world.Host(1).worker_.lasting_ = { "watch", "other" };
+  JobDescription younger = Watcher("other", 1, 8000);
+  younger.acceptedAtMs_ = world.WallMs() + 1000;
+  JobDescription older = Watcher("watch", 6, 8000);
+  older.acceptedAtMs_ = world.WallMs();
+  world.Submit(younger);
+  world.Run(Millis(100));
+  world.Submit(older);
+  world.Run(Millis(500));
+  cr_assert_eq(world.Starts("watch.0.0.2"), 1);
+  cr_assert_eq(world.Starts("watch.0.0.3"), 0);
+  const std::size_t lost =
+    world.Host(0).worker_.RunsOf("other.0.0.0") > 0 ? 0 : 1;
+  world.Host(lost).worker_.Crash("anew");
+  world.Run(Millis(3000));
+  cr_assert_eq(world.Starts("other.0.0.0"), 2);
+  cr_assert_eq(world.Starts("watch.0.0.3"), 0);
+}
+
+// Guards against tasks that never ran, of an older job, and that take the room
+// of those that lost theirs with their worker.
+Test(LastingTask, GoesBeforeTasksThatNeverRan)
+{
+  FleetWorld world(3, { 16000, 512000, 0 });
+  world.Host(0).labels_ = { "fast" };
+  world.Run(Millis(1500));
+  world.Host(0).worker_.lasting_ = { "watch", "other" };
+  world.Host(1).worker_.lasting_ = { "watch" };
+  world.Host(2).worker_.lasting_ = { "watch" };
+  JobDescription younger = Watcher("other", 2, 8000);
+  younger.steps_.front().requiredLabel_ = "fast";
+  younger.acceptedAtMs_ = world.WallMs() + 1000;
+  JobDescription older = Watcher("watch", 6, 8000);
+  older.acceptedAtMs_ = world.WallMs();
+  world.Submit(younger);
+  world.Run(Millis(100));
+  world.Submit(older);
+  world.Run(Millis(500));
+  cr_assert_eq(world.Starts("watch.0.0.3"), 1);
+  cr_assert_eq(world.Starts("watch.0.0.4"), 0);
+  world.Host(0).worker_.Crash("anew");
+  world.Run(Millis(3000));
+  cr_assert_eq(world.Starts("other.0.0.0"), 2);
+  cr_assert_eq(world.Starts("other.0.0.1"), 2);
+  cr_assert_eq(world.Starts("watch.0.0.4"), 0);
+}
