--- a/Source/Process/FleetJob.h
+++ b/Source/Process/FleetJob.h
@@ -75,6 +75,8 @@
   std::optional<Instant> endedAt_;
   /** The worker that keeps room for its next run; empty for none. */
   std::string keptOn_;
+  /** The log says no sooner what it waits for. */
+  Instant nextWaitNote_;
 
   bool Waits() const { return !done_ && runs_.empty(); }
 };
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -202,6 +202,7 @@
   void SettleJob(JobEntry& aEntry);
 
   // Reports.
+  std::size_t OrdersUnderWay(const FleetWorker& aWorker);
   void OnNewLife(FleetWorker& aWorker,
                  const FleetReport& aReport,
                  Instant aNow);
@@ -351,6 +352,11 @@
                         Place& aPlace,
                         Instant aNow);
   void DropKeptRoom(const TaskKey& aName, FleetTask& aTask);
+  /** Says in the log what a task that lasts and ran before waits for. */
+  void NoteLastingWaits(const JobEntry& aEntry,
+                        FleetStep& aStep,
+                        std::uint32_t aIndex,
+                        Instant aNow);
   void KeepRoomFor(const JobEntry& aEntry,
                    const FleetStep& aStep,
                    const FleetTask& aTask,
@@ -440,6 +446,9 @@
   StandingRoom standing_;
   PlacementMisses misses_;
   std::vector<FleetEvent> events_;
+  /** Lines of NoteLastingWaits() since a second began, and when it is over. */
+  std::size_t waitNotes_ = 0;
+  Instant waitNotesUntil_;
   std::uint64_t fleetLooks_ = 0;
   /** Scratch of a choice; kept to spare allocations. */
   std::vector<WorkerOption> options_;
--- a/Source/Process/FleetSchedulerLasting.cxx
+++ b/Source/Process/FleetSchedulerLasting.cxx
@@ -18,6 +18,10 @@
  * Later a worker is kept for it. */
 constexpr Millis kKeepsRoom = kPatience;
 
+/** What a task waits for is said so often, for so many tasks at most. */
+constexpr Millis kWaitNotePeriod{ 1000 };
+constexpr std::size_t kMostWaitNotes = 8;
+
 /** One in so many workers at most is kept at a time: short work goes on
  * elsewhere. */
 constexpr std::size_t kWorkersPerReservation = 16;
@@ -194,6 +198,63 @@
   }
 }
 
+void
+FleetScheduler::NoteLastingWaits(const JobEntry& aEntry,
+                                 FleetStep& aStep,
+                                 std::uint32_t aIndex,
+                                 Instant aNow)
+{
+  FleetTask& task = aStep.tasks_[aIndex];
+  const std::optional<Instant> since = AwaySince(aEntry, task);
+  if (!aStep.spec_->longRunning_ || !since.has_value() ||
+      aNow < std::max(task.nextWaitNote_, *since + kWaitNotePeriod)) {
+    return;
+  }
+  if (aNow >= waitNotesUntil_) {
+    waitNotesUntil_ = aNow + kWaitNotePeriod;
+    waitNotes_ = 0;
+  }
+  if (waitNotes_ >= kMostWaitNotes) {
+    return;
+  }
+  ++waitNotes_;
+  task.nextWaitNote_ = aNow + kWaitNotePeriod;
+  const FleetRoom wanted = FixedRoomOf(*aStep.spec_);
+  ChoiceFacts facts;
+  facts.step_ = aStep.spec_;
+  facts.service_ = aEntry.job_->Spec().service_;
+  facts.now_ = aNow;
+  std::size_t eligible = 0;
+  std::size_t setAside = 0;
+  std::size_t spares = 0;
+  std::int64_t mostFree = 0;
+  for (const WorkerOption& option : options_) {
+    if (MayRunOn(option, facts)) {
+      ++eligible;
+      setAside += option.setAside_ ? 1 : 0;
+      spares += LeavesRoomFor(*option.worker_, wanted) ? 1 : 0;
+      mostFree = std::max(mostFree, option.worker_->Free().cpuMilli_);
+    }
+  }
+  const auto away = std::chrono::duration_cast<Millis>(aNow - *since);
+  const ServiceRoom room = RoomOfService(facts.service_);
+  Note(
+    "lasting-waits",
+    TaskKey{ aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, aIndex }
+      .Text(),
+    std::string(reservations_.NodeOf(aEntry.job_->Spec().id_, aNow)),
+    "for " + std::to_string(away.count()) + " ms, it needs " +
+      std::to_string(wanted.cpuMilli_) + "; of " +
+      std::to_string(options_.size()) + " workers " + std::to_string(eligible) +
+      " may run it, " + std::to_string(setAside) + " of them set aside, " +
+      std::to_string(spares) + " can be kept for it; at most " +
+      std::to_string(mostFree) + " free on one, " +
+      std::to_string(room.cpuMilli_ - room.usedCpuMilli_) +
+      " on all, tasks that last hold or want " +
+      std::to_string(StandingCpuMilli(facts.service_)) + " of " +
+      std::to_string(room.cpuMilli_));
+}
+
 /**
  * Keeps a worker's room for a task that lasts and has been away for a while.
  *
@@ -241,9 +302,17 @@
       best = &worker;
     }
   }
-  if (best != nullptr) {
-    reservations_.Keep(best->node_, job, aNow);
+  if (best == nullptr) {
+    return;
+  }
+  if (best->node_ != kept) {
+    Note("worker-kept",
+         job,
+         best->node_,
+         std::to_string(best->Free().cpuMilli_) + " are free, " +
+           std::to_string(wanted.cpuMilli_) + " are needed");
   }
+  reservations_.Keep(best->node_, job, aNow);
 }
 
 }
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -259,6 +259,7 @@
   }
   NoteMiss(*aEntry.job_, aStep, aNow);
   MakeRoom(*aEntry.job_, aStep, aNow);
+  NoteLastingWaits(aEntry, aStep, aIndex, aNow);
   KeepRoomFor(aEntry, aStep, aStep.tasks_[aIndex], aNow);
   return false;
 }
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -110,6 +110,7 @@
   }
   FleetWorker& worker = found->second;
   const bool first = !worker.synced_;
+  const std::size_t underWay = first ? OrdersUnderWay(worker) : 0;
   worker.echoMicros_ = aReport.clockMicros_;
   worker.reportedAt_ = aNow;
   if (aReport.worker_.id_ != worker.facts_.id_) {
@@ -134,14 +135,34 @@
   Reconcile(worker, aReport, aNow);
   CareForRuns(worker, aNow);
   if (first) {
+    const auto unlinked =
+      std::chrono::duration_cast<Millis>(aNow - worker.lostAt_);
     Note("side-synced",
          {},
          aNode,
          aReport.worker_.id_ + ", " + std::to_string(worker.held_.size()) +
-           " runs");
+           " runs, nothing was ordered for " +
+           std::to_string(unlinked.count()) + " ms, " +
+           std::to_string(underWay) + " starts were under way");
   }
 }
 
+/** Starts that were ordered on the last link and not reported on it. */
+std::size_t
+FleetScheduler::OrdersUnderWay(const FleetWorker& aWorker)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aWorker.held_.begin(), aWorker.held_.end(), [&](const auto& aEntry) {
+      const auto name = TaskKey::Parse(aEntry.first.first);
+      const auto place = name.has_value() ? Find(*name) : std::nullopt;
+      const TaskRun* run =
+        place.has_value()
+          ? FindRun(*place->task_, aWorker.node_, aEntry.first.second)
+          : nullptr;
+      return run != nullptr && run->phase_ == RunPhase::Ordered;
+    }));
+}
+
 void
 FleetScheduler::OnNewLife(FleetWorker& aWorker,
                           const FleetReport& aReport,
@@ -210,7 +231,14 @@
     RemoveRun(aPlace, aWorker.node_, aEnd.run_, aNow);
     // Until the table says why this end changes nothing, a next leader would
     // start the task again.
-    return !IsFinal(aPlace.entry_->storedState_);
+    const bool waits = !IsFinal(aPlace.entry_->storedState_);
+    if (waits && aEnd.kind_ == EndKind::Done) {
+      Note("end-waits",
+           aEnd.task_,
+           aWorker.node_,
+           "acknowledged once its job's state is stored");
+    }
+    return waits;
   }
   if (aEnd.kind_ == EndKind::Done && !spec.longRunning_) {
     OnRunDone(aWorker, aEnd, aPlace, aName, aNow);
