Tests: Links lost at any message, over the reports that are really sent

FleetWorld's hosts report through ReportEncoder and ReportDecoder, with a way of their own in each direction; a lost link loses what is on its way.

ReportChange/LinkLostAtAnyMomentStartsNothingTwice: 8 timings, 120 moments each.

--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -257,9 +257,10 @@
 {
   for (std::size_t i = 0; i < aHosts; ++i) {
     const std::string number = std::to_string(i);
-    HostFake host{ "side" + number, nullptr, WorkerFake("w" + number + "-1"),
-                   aRoom,           "r1",    {},
-                   false,           false,   0 };
+    HostFake host{ .node_ = "side" + number,
+                   .worker_ = WorkerFake("w" + number + "-1"),
+                   .room_ = aRoom,
+                   .rack_ = "r1" };
     WorkerKeeper::Settings settings;
     settings.fence_ = 1;
     settings.stopTimeout_ = Millis(500);
@@ -325,20 +326,31 @@
   settings.fence_ = host.worker_.fence_ + 1;
   settings.stopTimeout_ = Millis(500);
   host.keeper_ = std::make_unique<WorkerKeeper>(settings, now_);
-  if (host.linked_) {
-    host.linked_ = false;
-    scheduler_->OnLinkLost(host.node_, now_);
+  LoseLink(host);
+}
+
+void
+FleetWorld::LoseLink(HostFake& aHost)
+{
+  if (aHost.linked_) {
+    aHost.linked_ = false;
+    scheduler_->OnLinkLost(aHost.node_, now_);
   }
 }
 
+void
+FleetWorld::Relink(std::size_t aHost)
+{
+  LoseLink(hosts_.at(aHost));
+}
+
 void
 FleetWorld::Cut(std::size_t aHost, bool aCut)
 {
   HostFake& host = hosts_.at(aHost);
   host.cut_ = aCut;
-  if (aCut && host.linked_) {
-    host.linked_ = false;
-    scheduler_->OnLinkLost(host.node_, now_);
+  if (aCut) {
+    LoseLink(host);
   }
 }
 
@@ -455,11 +467,48 @@
   }
   if (!aHost.linked_) {
     aHost.linked_ = true;
+    aHost.up_ = false;
+    ++aHost.link_;
+    aHost.encoder_.Reset();
+    aHost.decoder_ = ReportDecoder();
     aHost.keeper_->OnLeaderLink(now_);
-    scheduler_->OnLinkUp(aHost.node_, now_);
   }
-  if (const auto report = aHost.keeper_->TakeReport(now_)) {
-    scheduler_->OnReport(aHost.node_, *report, now_);
+  if (auto report = aHost.keeper_->TakeReport(now_)) {
+    const auto host = static_cast<std::size_t>(&aHost - hosts_.data());
+    sentReports_.push_back({ now_ + reportDelay_,
+                             host,
+                             aHost.link_,
+                             aHost.encoder_.Encode(std::move(*report)) });
+  }
+  DeliverReports();
+}
+
+/** As FleetLead does: a link is up for the scheduler with its first report. */
+void
+FleetWorld::DeliverReports()
+{
+  while (!sentReports_.empty() && sentReports_.front().arrivesAt_ <= now_) {
+    const SentReport sent = std::move(sentReports_.front());
+    sentReports_.pop_front();
+    HostFake& host = hosts_.at(sent.host_);
+    if (!host.linked_ || sent.link_ != host.link_) {
+      continue;
+    }
+    const auto* whole = std::get_if<FleetReport>(&sent.message_);
+    const std::optional<FleetReport> report =
+      whole != nullptr
+        ? host.decoder_.Take(*whole)
+        : host.decoder_.Take(std::get<FleetReportChange>(sent.message_));
+    if (!report.has_value()) {
+      ++reportsRefused_;
+      LoseLink(host);
+      continue;
+    }
+    if (!host.up_) {
+      host.up_ = true;
+      scheduler_->OnLinkUp(host.node_, now_);
+    }
+    scheduler_->OnReport(host.node_, *report, now_);
   }
 }
 
@@ -472,7 +521,12 @@
     scheduler_->OnTableCurrent(now_ - leaderLag_);
   }
   for (SideOrders& orders : scheduler_->TakeOrders(now_, wall)) {
-    sentOrders_.push_back({ now_ + orderDelay_, std::move(orders) });
+    const auto host = std::find_if(
+      hosts_.begin(), hosts_.end(), [&orders](const HostFake& aHost) {
+        return aHost.node_ == orders.node_;
+      });
+    sentOrders_.push_back(
+      { now_ + orderDelay_, host->link_, std::move(orders) });
   }
   DeliverOrders();
   for (FleetEvent& event : scheduler_->TakeEvents()) {
@@ -502,7 +556,8 @@
 {
   while (!sentOrders_.empty() && sentOrders_.front().arrivesAt_ <= now_) {
     for (HostFake& host : hosts_) {
-      if (host.node_ == sentOrders_.front().orders_.node_ && host.linked_) {
+      if (host.node_ == sentOrders_.front().orders_.node_ && host.linked_ &&
+          host.link_ == sentOrders_.front().link_) {
         host.keeper_->OnOrders(sentOrders_.front().orders_.orders_, now_);
       }
     }
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Connection/ReportDecoder.h"
+#include "Connection/ReportEncoder.h"
 #include "Process/FleetScheduler.h"
 #include "Process/WorkerKeeper.h"
 
@@ -89,14 +91,20 @@
 struct HostFake
 {
   std::string node_;
-  std::unique_ptr<WorkerKeeper> keeper_;
+  std::unique_ptr<WorkerKeeper> keeper_ = {};
   WorkerFake worker_;
   FleetRoom room_;
   std::string rack_;
-  std::vector<std::string> labels_;
+  std::vector<std::string> labels_ = {};
   bool linked_ = false;
   bool cut_ = false;
   std::uint64_t sequence_ = 0;
+  /** Rises with each link; messages of links before are lost. */
+  std::uint64_t link_ = 0;
+  /** The leader has had a report on it. */
+  bool up_ = false;
+  ReportEncoder encoder_ = {};
+  ReportDecoder decoder_ = {};
 };
 
 /**
@@ -121,6 +129,8 @@
   void RestartSide(std::size_t aHost);
   /** A cut between the leader and the host. */
   void Cut(std::size_t aHost, bool aCut);
+  /** The link is lost with all that is on its way, and made anew at once. */
+  void Relink(std::size_t aHost);
 
   FleetScheduler& Scheduler() { return *scheduler_; }
   HostFake& Host(std::size_t aHost) { return hosts_.at(aHost); }
@@ -143,20 +153,36 @@
   Millis leaderLag_{ 0 };
   /** Orders take so long to their side. */
   Millis orderDelay_{ 0 };
+  /** Reports take so long to the leader. */
+  Millis reportDelay_{ 0 };
+  /** So many reports reached the leader but did not follow the last one. */
+  std::size_t reportsRefused_ = 0;
 
 private:
   /** Orders on their way. */
   struct SentOrders
   {
     Instant arrivesAt_;
+    std::uint64_t link_ = 0;
     SideOrders orders_;
   };
 
+  /** A report on its way. */
+  struct SentReport
+  {
+    Instant arrivesAt_;
+    std::size_t host_ = 0;
+    std::uint64_t link_ = 0;
+    WireMessage message_;
+  };
+
   void Step();
   void StepHost(HostFake& aHost);
   void StepLeader();
   void TellCancellations();
   void DeliverOrders();
+  void DeliverReports();
+  void LoseLink(HostFake& aHost);
   void Announce(HostFake& aHost);
   void Check();
   void StartLeader(std::uint64_t aEpoch);
@@ -172,6 +198,7 @@
   /** So many of them the leader has been told. */
   std::size_t cancelsTold_ = 0;
   std::deque<SentOrders> sentOrders_;
+  std::deque<SentReport> sentReports_;
   std::vector<FleetEvent> events_;
   bool leaderGone_ = false;
   std::optional<ProgressBatch> writing_;
--- a/Tests/Fleet/ReportChangeTest.cxx
+++ b/Tests/Fleet/ReportChangeTest.cxx
@@ -5,13 +5,16 @@
 #include "Connection/ReportEncoder.h"
 
 #include <criterion/criterion.h>
+#include <criterion/parameterized.h>
 
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <random>
 #include <string>
 #include <tuple>
 #include <variant>
+#include <vector>
 
 using namespace cactusrail;
 
@@ -207,3 +210,84 @@
   cr_log_info("whole %zu bytes, change %zu bytes", whole, change);
   cr_assert_lt(4 * change, whole);
 }
+
+namespace {
+
+struct Relinking
+{
+  /** The way of a report and of orders. */
+  int reportMs_;
+  int ordersMs_;
+  /** A second link follows the first one after so long; none if negative. */
+  int secondMs_;
+};
+
+/** Quick tasks on two hosts; the link of one is lost at a moment. */
+void
+RunWithLostLink(const Relinking& aRelinking, int aMomentMs)
+{
+  constexpr std::uint32_t kTasks = 2;
+  constexpr int kStepMs = 10;
+  constexpr int kApartMs = 30;
+  constexpr int kSpanMs = 1500;
+  FleetWorld world(2, { 4000, 64000, 0 });
+  world.reportDelay_ = Millis(aRelinking.reportMs_);
+  world.orderDelay_ = Millis(aRelinking.ordersMs_);
+  world.Host(0).worker_.taskTime_ = Millis(150);
+  world.Host(1).worker_.taskTime_ = Millis(250);
+  world.Run(Millis(2000));
+  // Orders and reports are under way at each moment.
+  std::vector<int> relinksAt{ aMomentMs };
+  if (aRelinking.secondMs_ >= 0) {
+    relinksAt.push_back(aMomentMs + aRelinking.secondMs_);
+  }
+  for (int at = 0; at < kSpanMs; at += kStepMs) {
+    if (at % kApartMs == 0) {
+      world.Submit(MakeJob("job" + std::to_string(at / kApartMs), kTasks, 600));
+    }
+    if (std::find(relinksAt.begin(), relinksAt.end(), at) != relinksAt.end()) {
+      world.Relink(0);
+    }
+    world.Run(Millis(kStepMs));
+  }
+  world.Run(Millis(6000));
+  cr_assert_eq(world.MostRunsAtOnce(), 1, "after %d ms", aMomentMs);
+  cr_assert_not(world.EverOverRoom(), "after %d ms", aMomentMs);
+  cr_assert_eq(world.reportsRefused_, 0, "after %d ms", aMomentMs);
+  for (int i = 0; i < kSpanMs / kApartMs; ++i) {
+    const std::string job = "job" + std::to_string(i);
+    cr_assert_eq(world.StateOf(job), JobState::Completed);
+    for (std::uint32_t task = 0; task < kTasks; ++task) {
+      const std::string name = job + ".0.0." + std::to_string(task);
+      cr_assert_eq(
+        world.Starts(name), 1, "%s after %d ms", name.c_str(), aMomentMs);
+    }
+  }
+}
+
+}
+
+// Guards against a task that starts twice because a link was lost between an
+// order, its start and the report of it, at any message.
+ParameterizedTestParameters(ReportChange, LinkLostAtAnyMomentStartsNothingTwice)
+{
+  static std::array<Relinking, 8> relinkings{ { { 0, 0, -1 },
+                                                { 30, 0, -1 },
+                                                { 0, 30, -1 },
+                                                { 30, 30, -1 },
+                                                { 0, 0, 10 },
+                                                { 30, 30, 20 },
+                                                { 30, 30, 60 },
+                                                { 0, 80, 100 } } };
+  return cr_make_param_array(Relinking, relinkings.data(), relinkings.size());
+}
+
+ParameterizedTest(const Relinking* aRelinking,
+                  ReportChange,
+                  LinkLostAtAnyMomentStartsNothingTwice)
+{
+  constexpr int kLastMomentMs = 1200;
+  for (int moment = 0; moment < kLastMomentMs; moment += 10) {
+    RunWithLostLink(*aRelinking, moment);
+  }
+}
