--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -352,6 +352,12 @@
                         Place& aPlace,
                         Instant aNow);
   void DropKeptRoom(const TaskKey& aName, FleetTask& aTask);
+  /** Whether the log has room for a line on the task's wait now. */
+  bool MayNoteWait(FleetTask& aTask, Instant aNow);
+  /** What a task of the step finds on the workers; of options_. */
+  std::string DescribeWait(const JobEntry& aEntry,
+                           const FleetStep& aStep,
+                           Instant aNow) const;
   /** Says in the log what a task that lasts and ran before waits for. */
   void NoteLastingWaits(const JobEntry& aEntry,
                         FleetStep& aStep,
--- a/Source/Process/FleetSchedulerLasting.cxx
+++ b/Source/Process/FleetSchedulerLasting.cxx
@@ -4,6 +4,7 @@
 #include "Process/FleetScheduler.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace cactusrail {
@@ -198,27 +199,26 @@
   }
 }
 
-void
-FleetScheduler::NoteLastingWaits(const JobEntry& aEntry,
-                                 FleetStep& aStep,
-                                 std::uint32_t aIndex,
-                                 Instant aNow)
+bool
+FleetScheduler::MayNoteWait(FleetTask& aTask, Instant aNow)
 {
-  FleetTask& task = aStep.tasks_[aIndex];
-  const std::optional<Instant> since = AwaySince(aEntry, task);
-  if (!aStep.spec_->longRunning_ || !since.has_value() ||
-      aNow < std::max(task.nextWaitNote_, *since + kWaitNotePeriod)) {
-    return;
-  }
   if (aNow >= waitNotesUntil_) {
     waitNotesUntil_ = aNow + kWaitNotePeriod;
     waitNotes_ = 0;
   }
-  if (waitNotes_ >= kMostWaitNotes) {
-    return;
+  if (aNow < aTask.nextWaitNote_ || waitNotes_ >= kMostWaitNotes) {
+    return false;
   }
   ++waitNotes_;
-  task.nextWaitNote_ = aNow + kWaitNotePeriod;
+  aTask.nextWaitNote_ = aNow + kWaitNotePeriod;
+  return true;
+}
+
+std::string
+FleetScheduler::DescribeWait(const JobEntry& aEntry,
+                             const FleetStep& aStep,
+                             Instant aNow) const
+{
   const FleetRoom wanted = FixedRoomOf(*aStep.spec_);
   ChoiceFacts facts;
   facts.step_ = aStep.spec_;
@@ -229,30 +229,49 @@
   std::size_t spares = 0;
   std::int64_t mostFree = 0;
   for (const WorkerOption& option : options_) {
-    if (MayRunOn(option, facts)) {
-      ++eligible;
-      setAside += option.setAside_ ? 1 : 0;
-      spares += LeavesRoomFor(*option.worker_, wanted) ? 1 : 0;
-      mostFree = std::max(mostFree, option.worker_->Free().cpuMilli_);
+    if (!MayRunOn(option, facts)) {
+      continue;
+    }
+    ++eligible;
+    setAside += option.setAside_ ? 1 : 0;
+    spares += LeavesRoomFor(*option.worker_, wanted) ? 1 : 0;
+    const FleetRoom free = option.worker_->Free();
+    if (free.memoryMb_ >= wanted.memoryMb_) {
+      mostFree = std::max(mostFree, free.cpuMilli_);
     }
   }
-  const auto away = std::chrono::duration_cast<Millis>(aNow - *since);
   const ServiceRoom room = RoomOfService(facts.service_);
-  Note(
-    "lasting-waits",
-    TaskKey{ aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, aIndex }
-      .Text(),
-    std::string(reservations_.NodeOf(aEntry.job_->Spec().id_, aNow)),
-    "for " + std::to_string(away.count()) + " ms, it needs " +
-      std::to_string(wanted.cpuMilli_) + "; of " +
-      std::to_string(options_.size()) + " workers " + std::to_string(eligible) +
-      " may run it, " + std::to_string(setAside) + " of them set aside, " +
-      std::to_string(spares) + " can be kept for it; at most " +
-      std::to_string(mostFree) + " free on one, " +
-      std::to_string(room.cpuMilli_ - room.usedCpuMilli_) +
-      " on all, tasks that last hold or want " +
-      std::to_string(StandingCpuMilli(facts.service_)) + " of " +
-      std::to_string(room.cpuMilli_));
+  std::ostringstream text;
+  text << "it needs " << wanted.cpuMilli_ << "; of " << options_.size()
+       << " workers " << eligible << " may run it, " << setAside
+       << " of them set aside, " << spares << " can be kept for it; at most "
+       << mostFree << " free on one with the memory for it, "
+       << room.cpuMilli_ - room.usedCpuMilli_
+       << " on all, tasks that last hold or want "
+       << StandingCpuMilli(facts.service_) << " of " << room.cpuMilli_;
+  return text.str();
+}
+
+void
+FleetScheduler::NoteLastingWaits(const JobEntry& aEntry,
+                                 FleetStep& aStep,
+                                 std::uint32_t aIndex,
+                                 Instant aNow)
+{
+  FleetTask& task = aStep.tasks_[aIndex];
+  const std::optional<Instant> since = AwaySince(aEntry, task);
+  if (!aStep.spec_->longRunning_ || !since.has_value() ||
+      aNow < *since + kWaitNotePeriod || !MayNoteWait(task, aNow)) {
+    return;
+  }
+  const std::string& job = aEntry.job_->Spec().id_;
+  const TaskKey name{ job, aStep.occurrence_, aStep.index_, aIndex };
+  const auto away = std::chrono::duration_cast<Millis>(aNow - *since);
+  Note("lasting-waits",
+       name.Text(),
+       std::string(reservations_.NodeOf(job, aNow)),
+       "for " + std::to_string(away.count()) + " ms, " +
+         DescribeWait(aEntry, aStep, aNow));
 }
 
 /**
