--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -267,6 +267,10 @@
                  FleetStep& aStep,
                  std::uint32_t aIndex,
                  Instant aNow);
+  bool PlaceReturned(JobEntry& aEntry,
+                     FleetStep& aStep,
+                     std::uint32_t aIndex,
+                     Instant aNow);
   void PlaceOn(std::size_t aOption,
                JobEntry& aEntry,
                FleetStep& aStep,
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -403,24 +403,41 @@
                           Instant aNow)
 {
   FleetTask& task = aStep.tasks_[aIndex];
-  const auto keeper = workers_.find(task.keptOn_);
-  const std::string name =
-    TaskKey{ aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, aIndex }
-      .Text();
-  const std::optional<KeptRoom> kept =
-    keeper == workers_.end() ? std::nullopt : keeper->second.TakeKept(name);
+  if (!task.keptOn_.empty()) {
+    return PlaceReturned(aEntry, aStep, aIndex, aNow);
+  }
   const auto chosen = ChooseAmongOptions(*aEntry.job_, aStep, task, aNow);
   if (!chosen.has_value()) {
-    if (kept.has_value()) {
-      keeper->second.Keep(name, *kept);
-    }
     return false;
   }
-  task.keptOn_.clear();
   PlaceOn(*chosen, aEntry, aStep, aIndex, aNow);
   return true;
 }
 
+/** Places a task for which room is kept, there or elsewhere. */
+bool
+FleetScheduler::PlaceReturned(JobEntry& aEntry,
+                              FleetStep& aStep,
+                              std::uint32_t aIndex,
+                              Instant aNow)
+{
+  FleetTask& task = aStep.tasks_[aIndex];
+  const std::string node = std::exchange(task.keptOn_, {});
+  const TaskKey name{
+    aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, aIndex
+  };
+  const auto keeper = workers_.find(node);
+  const std::optional<KeptRoom> kept = keeper == workers_.end()
+                                         ? std::nullopt
+                                         : keeper->second.TakeKept(name.Text());
+  const bool placed = PlaceTask(aEntry, aStep, aIndex, aNow);
+  if (!placed && kept.has_value()) {
+    keeper->second.Keep(name.Text(), *kept);
+    task.keptOn_ = node;
+  }
+  return placed;
+}
+
 void
 FleetScheduler::PlaceOn(std::size_t aOption,
                         JobEntry& aEntry,
