Fleet: An end is acknowledged once all changes of its job are stored

What callers saw: a task whose run had ended as done, and whose end its worker was told to forget, started again under the next leader.

Cause: an end that changes nothing was acknowledged at once unless its job was over or its task done. A completed occurrence of a timed job is removed from memory as soon as its last task is done, so the end of a second member of a gang found no task and was acknowledged while the completion was still unstored. If the leader and the first member's worker are then lost, no one knows of the completion, and the gang runs again.

Change: one rule for all ends in place of the special case. The end waits for the batch that stores the last change of its job, whether it is being written or not taken yet, and whether the end is known to be irrelevant by its job, its task or its occurrence. A job that is over is no longer written once more for each such end.

RunEnd/EndOfACompletedOccurrenceIsAcknowledgedOnlyOnceItIsStored failed before on: 'world.Starts("job.0.0.0") == 1 is false'.

--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -126,6 +126,15 @@
   changed_.insert(aEntry.job_->Spec().id_);
 }
 
+std::uint64_t
+FleetScheduler::UnstoredBatch(const std::string& aJob) const
+{
+  if (changed_.contains(aJob)) {
+    return nextBatch_;
+  }
+  return storing_.contains(aJob) ? nextBatch_ - 1 : 0;
+}
+
 void
 FleetScheduler::OnJobStored(const JobDescription& aSpec, Instant aNow)
 {
@@ -390,7 +399,7 @@
     }
     found->second.stateInBatch_ = found->second.job_->State();
     batch.jobs_.emplace_back(id, found->second.job_->Progress());
-    storing_.push_back(id);
+    storing_.insert(id);
   }
   changed_.clear();
   return batch;
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -83,8 +83,9 @@
  *   leadership wait until each known side has reported or kAuthority has
  *   passed.
  * - The end of a run is acknowledged to the worker, which then discards it,
- *   only after the resulting changes are stored. If the leader dies earlier,
- *   the worker reports the end to the next leader.
+ *   only after all changes of its job so far are stored, whether they result
+ *   from this end or make it irrelevant. If the leader dies earlier, the worker
+ *   reports the end to the next leader.
  * - The resources of a run are allocated from the order of its start until its
  *   end is known, so late starts and slow stops never exceed the capacity of a
  *   worker.
@@ -224,6 +225,9 @@
   void MarkReady(const FleetJob& aJob, const FleetStep& aStep);
   void MarkAllReady(JobEntry& aEntry);
   void MarkChanged(JobEntry& aEntry);
+  /** Batch after which all changes of the job so far are stored; 0 if they are
+   * stored. */
+  std::uint64_t UnstoredBatch(const std::string& aJob) const;
   void BeginDueJobs(Instant aNow, std::int64_t aWallMs);
   void FinishJob(JobEntry& aEntry, JobState aState);
   void StopAllRuns(FleetJob& aJob);
@@ -235,6 +239,7 @@
                         const FleetReport& aReport,
                         Instant aNow);
   void HandleEnd(FleetWorker& aWorker, const RunEndReport& aEnd, Instant aNow);
+  /** Returns whether the end changes the progress of the job. */
   bool ApplyEnd(FleetWorker& aWorker,
                 const RunEndReport& aEnd,
                 const TaskKey& aName,
@@ -505,7 +510,7 @@
   std::set<std::string> changed_;
   std::uint64_t nextBatch_ = 1;
   /** Jobs of the batch that is being stored. */
-  std::vector<std::string> storing_;
+  std::set<std::string> storing_;
   bool loaded_ = false;
   Instant loadedAt_;
   /** All changes stored before this time are known. */
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -211,14 +211,22 @@
   const auto name = TaskKey::Parse(aEnd.task_);
   std::optional<TaskLocation> place =
     name.has_value() ? Find(*name) : std::nullopt;
-  bool storeRequired = false;
-  if (place.has_value()) {
-    storeRequired = ApplyEnd(aWorker, aEnd, *name, *place, aNow);
-    if (storeRequired) {
-      MarkChanged(*place->entry_);
-    }
+  const bool changesJob =
+    place.has_value() && ApplyEnd(aWorker, aEnd, *name, *place, aNow);
+  if (changesJob) {
+    MarkChanged(*place->entry_);
+  }
+  // An end that changes nothing is irrelevant because of earlier changes of its
+  // job. Until these are stored, the next leader would start the task again.
+  const std::uint64_t batch = name.has_value() ? UnstoredBatch(name->job_) : 0;
+  if (batch != 0 && !changesJob && aEnd.kind_ == EndKind::Done) {
+    LogEvent("end-waits",
+             aEnd.task_,
+             aWorker.node_,
+             "run " + std::to_string(aEnd.run_) + ": acknowledged once batch " +
+               std::to_string(batch) + " is stored");
   }
-  aWorker.unstored_.push_back({ aEnd.number_, storeRequired ? nextBatch_ : 0 });
+  aWorker.unstored_.push_back({ aEnd.number_, batch });
   while (!aWorker.unstored_.empty() && aWorker.unstored_.front().batch_ == 0) {
     aWorker.endsStored_ = aWorker.unstored_.front().number_;
     aWorker.acknowledgementDue_ = true;
@@ -238,17 +246,7 @@
   task.lastRun_ = std::max(task.lastRun_, aEnd.run_);
   if (aPlace.entry_->job_->IsOver() || task.done_) {
     RemoveRun(aPlace, aWorker.node_, aEnd.run_, aNow);
-    // This end changes nothing, because its job or task has already ended.
-    // Until that is stored in the table, the next leader would start the task
-    // again.
-    const bool awaitsStore = !IsFinal(aPlace.entry_->storedState_);
-    if (awaitsStore && aEnd.kind_ == EndKind::Done) {
-      LogEvent("end-waits",
-               aEnd.task_,
-               aWorker.node_,
-               "acknowledged once its job's state is stored");
-    }
-    return awaitsStore;
+    return false;
   }
   if (aEnd.kind_ == EndKind::Done && !spec.longRunning_) {
     OnRunDone(aWorker, aEnd, aPlace, aName, aNow);
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -46,7 +46,8 @@
 struct UnstoredEnd
 {
   std::uint64_t number_ = 0;
-  /** Batch of changes that contains the end; 0 if nothing had to be stored. */
+  /** Batch after which the end can be acknowledged; 0 if nothing had to be
+   * stored. */
   std::uint64_t batch_ = 0;
 };
 
--- /dev/null
+++ b/Tests/Fleet/RunEndTest.cxx
@@ -0,0 +1,54 @@
+#include "FleetWorld.h"
+
+#include <criterion/criterion.h>
+
+using namespace cactusrail;
+
+namespace {
+
+/** Returns a job of one gang with two members. */
+JobDescription
+MakeGang(const std::string& aId)
+{
+  JobDescription job = MakeJob(aId, 2, 10000);
+  job.steps_.front().gang_ = true;
+  return job;
+}
+
+/** Runs the world until the current run of a task has ended on the worker. */
+void
+RunUntilEnd(FleetWorld& aWorld, std::size_t aHost)
+{
+  const WorkerFake& worker = aWorld.Host(aHost).worker_;
+  cr_assert_eq(worker.runs_.size(), 1);
+  aWorld.Run(std::chrono::duration_cast<Millis>(worker.runs_.front().endsAt_ -
+                                                aWorld.Now()));
+}
+
+}
+
+// Guards against a completed gang that starts again under the next leader.
+Test(RunEnd, EndOfACompletedOccurrenceIsAcknowledgedOnlyOnceItIsStored)
+{
+  FleetWorld world(2);
+  world.Run(Millis(1500));
+  JobDescription job = MakeGang("job");
+  job.occurrences_ = 2;
+  job.startAtMs_ = world.WallMs();
+  job.intervalMs_ = 60000;
+  world.Submit(job);
+  world.Run(Millis(500));
+  world.storeUnavailable_ = true;
+  RunUntilEnd(world, 0);
+  world.Run(Millis(1000));
+  const std::uint64_t acknowledged = world.Host(1).worker_.acknowledged_;
+  world.LoseLeader();
+  world.Host(0).worker_.Crash("w0-2");
+  world.storeUnavailable_ = false;
+  world.ChangeLeader();
+  world.Run(Millis(5000));
+  cr_assert_eq(world.Starts("job.0.0.0"), 1);
+  cr_assert_eq(world.Starts("job.0.0.1"), 1);
+  cr_assert_eq(acknowledged, 0);
+  cr_assert_eq(world.Host(1).worker_.acknowledged_, 1);
+}
