Fleet: An end of an occurrence that is not due yet is applied

What callers saw: a task of a timed job that had ended as done started again when its occurrence became due for the next leader.

Cause: an occurrence begins by the wall clock of the leader. A leader whose clock is behind that of the previous one does not have the occurrence yet, found no task for the end, acknowledged it as irrelevant and began the occurrence later. A run of such an occurrence was stopped as unknown.

Change: a run or an end that a worker reports begins its occurrence, as stored progress does when it is loaded.

RunEnd/EndOfAnOccurrenceThatIsNotDueIsStored failed before on: 'world.Starts("job.0.0.0") == 1 is false'.

--- a/Source/Process/FleetJob.cxx
+++ b/Source/Process/FleetJob.cxx
@@ -42,6 +42,15 @@
   }
 }
 
+void
+FleetJob::BeginThrough(std::uint32_t aOccurrence, Instant aNow)
+{
+  while (nextOccurrence_ <= aOccurrence &&
+         nextOccurrence_ < OccurrenceCount()) {
+    Begin(nextOccurrence_++, aNow);
+  }
+}
+
 void
 FleetJob::Begin(std::uint32_t aOccurrence, Instant aNow)
 {
@@ -236,10 +245,7 @@
 void
 FleetJob::RestoreStep(const StepProgress& aNote, Instant aNow)
 {
-  while (nextOccurrence_ <= aNote.occurrence_ &&
-         nextOccurrence_ < OccurrenceCount()) {
-    Begin(nextOccurrence_++, aNow);
-  }
+  BeginThrough(aNote.occurrence_, aNow);
   FleetStep* step = FindStep(aNote.occurrence_, aNote.step_);
   if (step == nullptr) {
     return;
--- a/Source/Process/FleetJob.h
+++ b/Source/Process/FleetJob.h
@@ -131,6 +131,8 @@
   /** Begins the occurrences that are due by the wall clock, in ms since
    * 1970. */
   void BeginDue(std::int64_t aWallMs, Instant aNow);
+  /** Begins all occurrences up to aOccurrence, whether they are due or not. */
+  void BeginThrough(std::uint32_t aOccurrence, Instant aNow);
   /** Number of occurrences that have begun. */
   std::uint32_t Begun() const { return nextOccurrence_; }
   /** Time at which the next occurrence is due, in ms since 1970; none if all
--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -91,6 +91,18 @@
   return TaskLocation{ &found->second, step, task };
 }
 
+std::optional<FleetScheduler::TaskLocation>
+FleetScheduler::FindReported(const TaskKey& aName, Instant aNow)
+{
+  const auto found = jobs_.find(aName.job_);
+  if (found != jobs_.end() && !found->second.job_->IsOver() &&
+      aName.occurrence_ >= found->second.job_->Begun()) {
+    found->second.job_->BeginThrough(aName.occurrence_, aNow);
+    MarkAllReady(found->second);
+  }
+  return Find(aName);
+}
+
 FleetScheduler::ReadyKey
 FleetScheduler::KeyOf(const FleetJob& aJob, const FleetStep& aStep)
 {
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -221,6 +221,11 @@
 
   // Jobs.
   std::optional<TaskLocation> Find(const TaskKey& aName);
+  /**
+   * Finds a task of which a worker reports a run or an end. Begins its
+   * occurrence if only an earlier leader, whose clock was ahead, had begun it.
+   */
+  std::optional<TaskLocation> FindReported(const TaskKey& aName, Instant aNow);
   static ReadyKey KeyOf(const FleetJob& aJob, const FleetStep& aStep);
   void MarkReady(const FleetJob& aJob, const FleetStep& aStep);
   void MarkAllReady(JobEntry& aEntry);
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -210,7 +210,7 @@
   aWorker.unknownRuns_.erase({ aEnd.task_, aEnd.run_ });
   const auto name = TaskKey::Parse(aEnd.task_);
   std::optional<TaskLocation> place =
-    name.has_value() ? Find(*name) : std::nullopt;
+    name.has_value() ? FindReported(*name, aNow) : std::nullopt;
   const bool changesJob =
     place.has_value() && ApplyEnd(aWorker, aEnd, *name, *place, aNow);
   if (changesJob) {
@@ -484,7 +484,7 @@
 {
   const auto name = TaskKey::Parse(aFact.task_);
   std::optional<TaskLocation> place =
-    name.has_value() ? Find(*name) : std::nullopt;
+    name.has_value() ? FindReported(*name, aNow) : std::nullopt;
   if (!place.has_value()) {
     if (aWorker.unknownRuns_.emplace(aFact.task_, aFact.run_).second) {
       LogEvent("stranger-stopped", aFact.task_, aWorker.node_);
--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -277,7 +277,7 @@
 std::int64_t
 FleetWorld::WallMs() const
 {
-  return kWallMs + MillisOf(now_);
+  return kWallMs + MillisOf(now_) + clockOffset_.count();
 }
 
 void
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -152,6 +152,8 @@
   std::optional<Instant> LastStart(const std::string& aTask) const;
 
   bool storeUnavailable_ = false;
+  /** Error of the leader's wall clock. */
+  Millis clockOffset_{ 0 };
   /** Delay after which the leader sees a cancellation in the table. */
   Millis leaderLag_{ 0 };
   /** Delivery time of orders to their side. */
--- a/Tests/Fleet/RunEndTest.cxx
+++ b/Tests/Fleet/RunEndTest.cxx
@@ -52,3 +52,24 @@
   cr_assert_eq(acknowledged, 0);
   cr_assert_eq(world.Host(1).worker_.acknowledged_, 1);
 }
+
+// Guards against a timed task that runs twice because a leader's clock is late.
+Test(RunEnd, EndOfAnOccurrenceThatIsNotDueIsStored)
+{
+  FleetWorld world(1);
+  world.Run(Millis(1500));
+  JobDescription job = MakeJob("job", 1, 1000);
+  job.occurrences_ = 2;
+  job.startAtMs_ = world.WallMs() + 500;
+  job.intervalMs_ = 60000;
+  world.Submit(job);
+  world.Run(Millis(1000));
+  world.LoseLeader();
+  world.Run(Millis(1000));
+  cr_assert_eq(world.Host(0).worker_.ends_.size(), 1);
+  world.clockOffset_ = Millis(-10000);
+  world.ChangeLeader();
+  world.Run(Millis(15000));
+  cr_assert_eq(world.Starts("job.0.0.0"), 1);
+  cr_assert_eq(world.Host(0).worker_.acknowledged_, 1);
+}
