Fleet: The done end of one member of a gang completes the gang

What callers saw: a job that is shown as running and never ends, with all workers free.

Cause: on the done end of a member, the other members were marked as done only if this leader knew their run by number. A leader that took over does not know the run of a member whose worker was lost, or whose end comes later in the same reports. That member stays open, and a gang is placed only if all its members wait. The order of the reports decided.

Change: members of a gang complete together, so the end of one completes all, whatever this leader has seen of the others. Runs of the gang with another number are stopped.

--- a/Source/Process/FleetJob.cxx
+++ b/Source/Process/FleetJob.cxx
@@ -251,7 +251,10 @@
     return;
   }
   everStarted_ = true;
-  for (std::uint32_t i = 0; aNote.allDone_ && i < step->tasks_.size(); ++i) {
+  // The completion of one member of a gang implies the others.
+  const bool allDone =
+    aNote.allDone_ || (step->spec_->gang_ && !aNote.done_.empty());
+  for (std::uint32_t i = 0; allDone && i < step->tasks_.size(); ++i) {
     OnDone(*step, step->tasks_[i], aNow);
   }
   for (const std::uint32_t index : aNote.done_) {
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -260,7 +260,10 @@
                    TaskLocation& aPlace,
                    const TaskKey& aName,
                    Instant aNow);
-  void OnGangDone(TaskLocation& aPlace, std::uint32_t aRun, Instant aNow);
+  void OnGangDone(TaskLocation& aPlace,
+                  const TaskKey& aName,
+                  std::uint32_t aRun,
+                  Instant aNow);
   /**
    * Drops a run whose start was refused or not accepted in time. The worker
    * gets no new tasks for a short time if it lacked capacity or gave no
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -289,22 +289,30 @@
     OrderStop(copy.node_, aName.Text(), copy, "another copy completed first");
   }
   if (aPlace.step_->spec_->gang_) {
-    OnGangDone(aPlace, aEnd.run_, aNow);
+    OnGangDone(aPlace, aName, aEnd.run_, aNow);
   }
   ResolveJob(*aPlace.entry_);
 }
 
 void
 FleetScheduler::OnGangDone(TaskLocation& aPlace,
+                           const TaskKey& aName,
                            std::uint32_t aRun,
                            Instant aNow)
 {
   // All members of a gang complete together, so the completion of one member
-  // implies the others. A member whose end is lost with its worker must not
-  // start the gang again.
-  for (FleetTask& member : aPlace.step_->tasks_) {
-    if (!member.done_ && member.lastRun_ == aRun) {
-      aPlace.entry_->job_->OnDone(*aPlace.step_, member, aNow);
+  // implies the others. This leader may not have seen their runs: they may have
+  // ended under an earlier leader or been lost with their workers.
+  FleetStep& step = *aPlace.step_;
+  for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
+    FleetTask& member = step.tasks_[i];
+    aPlace.entry_->job_->OnDone(step, member, aNow);
+    const TaskKey name{ aName.job_, aName.occurrence_, aName.step_, i };
+    for (TaskRun& run : member.runs_) {
+      if (run.run_ != aRun) {
+        OrderStop(
+          run.node_, name.Text(), run, "its gang completed in another run");
+      }
     }
   }
 }
--- a/Tests/Fleet/RunEndTest.cxx
+++ b/Tests/Fleet/RunEndTest.cxx
@@ -73,3 +73,36 @@
   cr_assert_eq(world.Starts("job.0.0.0"), 1);
   cr_assert_eq(world.Host(0).worker_.acknowledged_, 1);
 }
+
+// Guards against a gang that never ends after a member and a leader are lost.
+Test(RunEnd, GangIsDoneByTheEndOfOneMemberUnderTheNextLeader)
+{
+  FleetWorld world(2);
+  world.Run(Millis(1500));
+  world.Submit(MakeGang("job"));
+  world.Run(Millis(500));
+  world.LoseLeader();
+  RunUntilEnd(world, 0);
+  world.Host(1).worker_.Crash("w1-2");
+  world.ChangeLeader();
+  world.Run(Millis(20000));
+  cr_assert_eq(world.StateOf("job"), JobState::Completed);
+  cr_assert_eq(world.Starts("job.0.0.0"), 1);
+  cr_assert_eq(world.Starts("job.0.0.1"), 1);
+}
+
+// Guards against a gang that never ends because one member was stored as done.
+Test(RunEnd, GangWithOneStoredMemberIsDone)
+{
+  FleetWorld world(2);
+  world.Run(Millis(1500));
+  StepProgress step;
+  step.done_ = { 1 };
+  JobProgress progress;
+  progress.state_ = JobState::Running;
+  progress.steps_.push_back(step);
+  FleetJob job(MakeGang("job"), 1);
+  job.BeginDue(kWallMs, world.Now());
+  job.Restore(progress, world.Now());
+  cr_assert(job.AllDone());
+}
