--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -277,6 +277,7 @@
   wallMs_ = aWallMs;
   loaded_ = true;
   loadedAt_ = aNow;
+  takeover_.emplace();
   std::size_t open = 0;
   for (auto& [id, entry] : jobs_) {
     open += entry.job_->IsOver() ? 0 : 1;
@@ -327,9 +328,34 @@
              {},
              std::to_string(waited.count()) + " ms after loading");
   }
+  if (!defer) {
+    LogTakeover(aNow);
+  }
   return defer;
 }
 
+void
+FleetScheduler::LogTakeover(Instant aNow)
+{
+  if (!takeover_.has_value()) {
+    return;
+  }
+  const auto waited = std::chrono::duration_cast<Millis>(aNow - loadedAt_);
+  const auto stateOf = [this](const std::string& aJob) {
+    const auto found = jobs_.find(aJob);
+    return std::string(found == jobs_.end()
+                         ? "unknown"
+                         : JobStateText(found->second.job_->State()));
+  };
+  LogEvent("takeover",
+           {},
+           {},
+           std::to_string(waited.count()) +
+             " ms after loading; not acknowledged by earlier leaders: " +
+             takeover_->Text(stateOf));
+  takeover_.reset();
+}
+
 // Sides.
 
 bool
@@ -431,14 +457,23 @@
       found->second.job_->FreePayload();
     }
   }
+  std::size_t deferred = 0;
   for (auto& [node, worker] : workers_) {
     while (!worker.unstored_.empty() &&
            worker.unstored_.front().batch_ <= aBatch) {
+      deferred += worker.unstored_.front().deferred_ ? 1 : 0;
       worker.endsStored_ = worker.unstored_.front().number_;
       worker.acknowledgementDue_ = true;
       worker.unstored_.pop_front();
     }
   }
+  if (deferred > 0) {
+    LogEvent("end-wait-over",
+             {},
+             {},
+             "batch " + std::to_string(aBatch) + ": " +
+               std::to_string(deferred) + " ends");
+  }
 }
 
 // Queries.
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -8,6 +8,7 @@
 #include "Process/JobOrder.h"
 #include "Process/LongRunningLimit.h"
 #include "Process/PlacementMisses.h"
+#include "Process/TakeoverSummary.h"
 #include "Process/WorkerChoice.h"
 #include "Process/WorkerReservations.h"
 #include "Version/DurationModel.h"
@@ -297,6 +298,8 @@
    * wait.
    */
   bool DefersOldWork(Instant aNow);
+  /** Logs once which ends the sides listed in their first reports. */
+  void LogTakeover(Instant aNow);
 
   // Placement.
   /**
@@ -525,6 +528,9 @@
   Instant tableAsOf_;
   /** Starts are withheld because the view of the table is too old. */
   bool startsWithheld_ = false;
+  /** Ends that the sides listed to this leader; none once all sides have
+   * reported. */
+  std::optional<TakeoverSummary> takeover_;
   /** The log reports that old work waits for sides. */
   bool deferralLogged_ = false;
   std::int64_t wallMs_ = 0;
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -129,6 +129,9 @@
   worker.measuredAt_ =
     aNow - Micros(static_cast<std::int64_t>(aReport.measuredMicrosAgo_));
   worker.synced_ = true;
+  if (worker.mayRunOldWork_ && takeover_.has_value()) {
+    takeover_->Add(aReport.ends_);
+  }
   worker.mayRunOldWork_ = false;
   worker.left_ = aReport.worker_.id_.empty() && aReport.runs_.empty();
   for (const RunEndReport& end : aReport.ends_) {
@@ -219,14 +222,16 @@
   // An end that changes nothing is irrelevant because of earlier changes of its
   // job. Until these are stored, the next leader would start the task again.
   const std::uint64_t batch = name.has_value() ? UnstoredBatch(name->job_) : 0;
-  if (batch != 0 && !changesJob && aEnd.kind_ == EndKind::Done) {
+  const bool deferred =
+    batch != 0 && !changesJob && aEnd.kind_ == EndKind::Done;
+  if (deferred) {
     LogEvent("end-waits",
              aEnd.task_,
              aWorker.node_,
              "run " + std::to_string(aEnd.run_) + ": acknowledged once batch " +
                std::to_string(batch) + " is stored");
   }
-  aWorker.unstored_.push_back({ aEnd.number_, batch });
+  aWorker.unstored_.push_back({ aEnd.number_, batch, deferred });
   while (!aWorker.unstored_.empty() && aWorker.unstored_.front().batch_ == 0) {
     aWorker.endsStored_ = aWorker.unstored_.front().number_;
     aWorker.acknowledgementDue_ = true;
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -49,6 +49,8 @@
   /** Batch after which the end can be acknowledged; 0 if nothing had to be
    * stored. */
   std::uint64_t batch_ = 0;
+  /** The end changed nothing and waits for earlier changes of its job. */
+  bool deferred_ = false;
 };
 
 /** A worker and the side next to it, as known to the leading entry. */
