--- a/Source/Process/FleetJob.cxx
+++ b/Source/Process/FleetJob.cxx
@@ -42,6 +42,15 @@
   }
 }
 
+void
+FleetJob::BeginThrough(std::uint32_t aOccurrence, Instant aNow)
+{
+  while (nextOccurrence_ <= aOccurrence &&
+         nextOccurrence_ < OccurrenceCount()) {
+    Begin(nextOccurrence_++, aNow);
+  }
+}
+
 void
 FleetJob::Begin(std::uint32_t aOccurrence, Instant aNow)
 {
@@ -236,16 +245,16 @@
 void
 FleetJob::RestoreStep(const StepProgress& aNote, Instant aNow)
 {
-  while (nextOccurrence_ <= aNote.occurrence_ &&
-         nextOccurrence_ < OccurrenceCount()) {
-    Begin(nextOccurrence_++, aNow);
-  }
+  BeginThrough(aNote.occurrence_, aNow);
   FleetStep* step = FindStep(aNote.occurrence_, aNote.step_);
   if (step == nullptr) {
     return;
   }
   everStarted_ = true;
-  for (std::uint32_t i = 0; aNote.allDone_ && i < step->tasks_.size(); ++i) {
+  // The completion of one member of a gang implies the others.
+  const bool allDone =
+    aNote.allDone_ || (step->spec_->gang_ && !aNote.done_.empty());
+  for (std::uint32_t i = 0; allDone && i < step->tasks_.size(); ++i) {
     OnDone(*step, step->tasks_[i], aNow);
   }
   for (const std::uint32_t index : aNote.done_) {
--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -91,6 +91,18 @@
   return TaskLocation{ &found->second, step, task };
 }
 
+std::optional<FleetScheduler::TaskLocation>
+FleetScheduler::FindReported(const TaskKey& aName, Instant aNow)
+{
+  const auto found = jobs_.find(aName.job_);
+  if (found != jobs_.end() && !found->second.job_->IsOver() &&
+      aName.occurrence_ >= found->second.job_->Begun()) {
+    found->second.job_->BeginThrough(aName.occurrence_, aNow);
+    MarkAllReady(found->second);
+  }
+  return Find(aName);
+}
+
 FleetScheduler::ReadyKey
 FleetScheduler::KeyOf(const FleetJob& aJob, const FleetStep& aStep)
 {
@@ -126,6 +138,15 @@
   changed_.insert(aEntry.job_->Spec().id_);
 }
 
+std::uint64_t
+FleetScheduler::UnstoredBatch(const std::string& aJob) const
+{
+  if (changed_.contains(aJob)) {
+    return nextBatch_;
+  }
+  return storing_.contains(aJob) ? nextBatch_ - 1 : 0;
+}
+
 void
 FleetScheduler::OnJobStored(const JobDescription& aSpec, Instant aNow)
 {
@@ -256,6 +277,7 @@
   wallMs_ = aWallMs;
   loaded_ = true;
   loadedAt_ = aNow;
+  takeover_.emplace();
   std::size_t open = 0;
   for (auto& [id, entry] : jobs_) {
     open += entry.job_->IsOver() ? 0 : 1;
@@ -306,9 +328,34 @@
              {},
              std::to_string(waited.count()) + " ms after loading");
   }
+  if (!defer) {
+    LogTakeover(aNow);
+  }
   return defer;
 }
 
+void
+FleetScheduler::LogTakeover(Instant aNow)
+{
+  if (!takeover_.has_value()) {
+    return;
+  }
+  const auto waited = std::chrono::duration_cast<Millis>(aNow - loadedAt_);
+  const auto stateOf = [this](const std::string& aJob) {
+    const auto found = jobs_.find(aJob);
+    return std::string(found == jobs_.end()
+                         ? "unknown"
+                         : JobStateText(found->second.job_->State()));
+  };
+  LogEvent("takeover",
+           {},
+           {},
+           std::to_string(waited.count()) +
+             " ms after loading; not acknowledged by earlier leaders: " +
+             takeover_->Text(stateOf));
+  takeover_.reset();
+}
+
 // Sides.
 
 bool
@@ -390,7 +437,7 @@
     }
     found->second.stateInBatch_ = found->second.job_->State();
     batch.jobs_.emplace_back(id, found->second.job_->Progress());
-    storing_.push_back(id);
+    storing_.insert(id);
   }
   changed_.clear();
   return batch;
@@ -410,14 +457,23 @@
       found->second.job_->FreePayload();
     }
   }
+  std::size_t deferred = 0;
   for (auto& [node, worker] : workers_) {
     while (!worker.unstored_.empty() &&
            worker.unstored_.front().batch_ <= aBatch) {
+      deferred += worker.unstored_.front().deferred_ ? 1 : 0;
       worker.endsStored_ = worker.unstored_.front().number_;
       worker.acknowledgementDue_ = true;
       worker.unstored_.pop_front();
     }
   }
+  if (deferred > 0) {
+    LogEvent("end-wait-over",
+             {},
+             {},
+             "batch " + std::to_string(aBatch) + ": " +
+               std::to_string(deferred) + " ends");
+  }
 }
 
 // Queries.
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -8,6 +8,7 @@
 #include "Process/JobOrder.h"
 #include "Process/LongRunningLimit.h"
 #include "Process/PlacementMisses.h"
+#include "Process/TakeoverSummary.h"
 #include "Process/WorkerChoice.h"
 #include "Process/WorkerReservations.h"
 #include "Version/DurationModel.h"
@@ -83,8 +84,9 @@
  *   leadership wait until each known side has reported or kAuthority has
  *   passed.
  * - The end of a run is acknowledged to the worker, which then discards it,
- *   only after the resulting changes are stored. If the leader dies earlier,
- *   the worker reports the end to the next leader.
+ *   only after all changes of its job so far are stored, whether they result
+ *   from this end or make it irrelevant. If the leader dies earlier, the worker
+ *   reports the end to the next leader.
  * - The resources of a run are allocated from the order of its start until its
  *   end is known, so late starts and slow stops never exceed the capacity of a
  *   worker.
@@ -220,10 +222,18 @@
 
   // Jobs.
   std::optional<TaskLocation> Find(const TaskKey& aName);
+  /**
+   * Finds a task of which a worker reports a run or an end. Begins its
+   * occurrence if only an earlier leader, whose clock was ahead, had begun it.
+   */
+  std::optional<TaskLocation> FindReported(const TaskKey& aName, Instant aNow);
   static ReadyKey KeyOf(const FleetJob& aJob, const FleetStep& aStep);
   void MarkReady(const FleetJob& aJob, const FleetStep& aStep);
   void MarkAllReady(JobEntry& aEntry);
   void MarkChanged(JobEntry& aEntry);
+  /** Batch after which all changes of the job so far are stored; 0 if they are
+   * stored. */
+  std::uint64_t UnstoredBatch(const std::string& aJob) const;
   void BeginDueJobs(Instant aNow, std::int64_t aWallMs);
   void FinishJob(JobEntry& aEntry, JobState aState);
   void StopAllRuns(FleetJob& aJob);
@@ -235,6 +245,7 @@
                         const FleetReport& aReport,
                         Instant aNow);
   void HandleEnd(FleetWorker& aWorker, const RunEndReport& aEnd, Instant aNow);
+  /** Returns whether the end changes the progress of the job. */
   bool ApplyEnd(FleetWorker& aWorker,
                 const RunEndReport& aEnd,
                 const TaskKey& aName,
@@ -250,7 +261,10 @@
                    TaskLocation& aPlace,
                    const TaskKey& aName,
                    Instant aNow);
-  void OnGangDone(TaskLocation& aPlace, std::uint32_t aRun, Instant aNow);
+  void OnGangDone(TaskLocation& aPlace,
+                  const TaskKey& aName,
+                  std::uint32_t aRun,
+                  Instant aNow);
   /**
    * Drops a run whose start was refused or not accepted in time. The worker
    * gets no new tasks for a short time if it lacked capacity or gave no
@@ -284,6 +298,8 @@
    * wait.
    */
   bool DefersOldWork(Instant aNow);
+  /** Logs once which ends the sides listed in their first reports. */
+  void LogTakeover(Instant aNow);
 
   // Placement.
   /**
@@ -505,13 +521,16 @@
   std::set<std::string> changed_;
   std::uint64_t nextBatch_ = 1;
   /** Jobs of the batch that is being stored. */
-  std::vector<std::string> storing_;
+  std::set<std::string> storing_;
   bool loaded_ = false;
   Instant loadedAt_;
   /** All changes stored before this time are known. */
   Instant tableAsOf_;
   /** Starts are withheld because the view of the table is too old. */
   bool startsWithheld_ = false;
+  /** Ends that the sides listed to this leader; none once all sides have
+   * reported. */
+  std::optional<TakeoverSummary> takeover_;
   /** The log reports that old work waits for sides. */
   bool deferralLogged_ = false;
   std::int64_t wallMs_ = 0;
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -129,6 +129,9 @@
   worker.measuredAt_ =
     aNow - Micros(static_cast<std::int64_t>(aReport.measuredMicrosAgo_));
   worker.synced_ = true;
+  if (worker.mayRunOldWork_ && takeover_.has_value()) {
+    takeover_->Add(aReport.ends_);
+  }
   worker.mayRunOldWork_ = false;
   worker.left_ = aReport.worker_.id_.empty() && aReport.runs_.empty();
   for (const RunEndReport& end : aReport.ends_) {
@@ -210,15 +213,25 @@
   aWorker.unknownRuns_.erase({ aEnd.task_, aEnd.run_ });
   const auto name = TaskKey::Parse(aEnd.task_);
   std::optional<TaskLocation> place =
-    name.has_value() ? Find(*name) : std::nullopt;
-  bool storeRequired = false;
-  if (place.has_value()) {
-    storeRequired = ApplyEnd(aWorker, aEnd, *name, *place, aNow);
-    if (storeRequired) {
-      MarkChanged(*place->entry_);
-    }
+    name.has_value() ? FindReported(*name, aNow) : std::nullopt;
+  const bool changesJob =
+    place.has_value() && ApplyEnd(aWorker, aEnd, *name, *place, aNow);
+  if (changesJob) {
+    MarkChanged(*place->entry_);
+  }
+  // An end that changes nothing is irrelevant because of earlier changes of its
+  // job. Until these are stored, the next leader would start the task again.
+  const std::uint64_t batch = name.has_value() ? UnstoredBatch(name->job_) : 0;
+  const bool deferred =
+    batch != 0 && !changesJob && aEnd.kind_ == EndKind::Done;
+  if (deferred) {
+    LogEvent("end-waits",
+             aEnd.task_,
+             aWorker.node_,
+             "run " + std::to_string(aEnd.run_) + ": acknowledged once batch " +
+               std::to_string(batch) + " is stored");
   }
-  aWorker.unstored_.push_back({ aEnd.number_, storeRequired ? nextBatch_ : 0 });
+  aWorker.unstored_.push_back({ aEnd.number_, batch, deferred });
   while (!aWorker.unstored_.empty() && aWorker.unstored_.front().batch_ == 0) {
     aWorker.endsStored_ = aWorker.unstored_.front().number_;
     aWorker.acknowledgementDue_ = true;
@@ -238,17 +251,7 @@
   task.lastRun_ = std::max(task.lastRun_, aEnd.run_);
   if (aPlace.entry_->job_->IsOver() || task.done_) {
     RemoveRun(aPlace, aWorker.node_, aEnd.run_, aNow);
-    // This end changes nothing, because its job or task has already ended.
-    // Until that is stored in the table, the next leader would start the task
-    // again.
-    const bool awaitsStore = !IsFinal(aPlace.entry_->storedState_);
-    if (awaitsStore && aEnd.kind_ == EndKind::Done) {
-      LogEvent("end-waits",
-               aEnd.task_,
-               aWorker.node_,
-               "acknowledged once its job's state is stored");
-    }
-    return awaitsStore;
+    return false;
   }
   if (aEnd.kind_ == EndKind::Done && !spec.longRunning_) {
     OnRunDone(aWorker, aEnd, aPlace, aName, aNow);
@@ -291,22 +294,30 @@
     OrderStop(copy.node_, aName.Text(), copy, "another copy completed first");
   }
   if (aPlace.step_->spec_->gang_) {
-    OnGangDone(aPlace, aEnd.run_, aNow);
+    OnGangDone(aPlace, aName, aEnd.run_, aNow);
   }
   ResolveJob(*aPlace.entry_);
 }
 
 void
 FleetScheduler::OnGangDone(TaskLocation& aPlace,
+                           const TaskKey& aName,
                            std::uint32_t aRun,
                            Instant aNow)
 {
   // All members of a gang complete together, so the completion of one member
-  // implies the others. A member whose end is lost with its worker must not
-  // start the gang again.
-  for (FleetTask& member : aPlace.step_->tasks_) {
-    if (!member.done_ && member.lastRun_ == aRun) {
-      aPlace.entry_->job_->OnDone(*aPlace.step_, member, aNow);
+  // implies the others. This leader may not have seen their runs: they may have
+  // ended under an earlier leader or been lost with their workers.
+  FleetStep& step = *aPlace.step_;
+  for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
+    FleetTask& member = step.tasks_[i];
+    aPlace.entry_->job_->OnDone(step, member, aNow);
+    const TaskKey name{ aName.job_, aName.occurrence_, aName.step_, i };
+    for (TaskRun& run : member.runs_) {
+      if (run.run_ != aRun) {
+        OrderStop(
+          run.node_, name.Text(), run, "its gang completed in another run");
+      }
     }
   }
 }
@@ -486,7 +497,7 @@
 {
   const auto name = TaskKey::Parse(aFact.task_);
   std::optional<TaskLocation> place =
-    name.has_value() ? Find(*name) : std::nullopt;
+    name.has_value() ? FindReported(*name, aNow) : std::nullopt;
   if (!place.has_value()) {
     if (aWorker.unknownRuns_.emplace(aFact.task_, aFact.run_).second) {
       LogEvent("stranger-stopped", aFact.task_, aWorker.node_);
