Fleet: A test of the second start after a lost failure

Callers saw a task that had ended as done run again under the next leader. The test of the mend stops at the acknowledgement and never reaches that start. It takes a second loss: the worker that lists the failed end crashes, or stays cut off until the next leader abandons it, together with the leader. Otherwise the failed end reaches the next leader and the job fails again.

FleetWorld counts starts of a task after a done end of it was acknowledged, can take time to write, and can apply or lose the write in flight of a lost leader. Members of a gang can end together. All of it is off by default.

--- a/Tests/Fleet/FleetFailureTest.cxx
+++ b/Tests/Fleet/FleetFailureTest.cxx
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <cstdint>
+#include <utility>
+
 using namespace cactusrail;
 
 namespace {
@@ -503,3 +506,104 @@
   cr_assert_eq(world.Starts(done), 1);
   cr_assert_eq(ending.acknowledged_, 1);
 }
+
+namespace {
+
+/** What happens to the host of a run that has just failed. */
+enum class FailingHost : std::uint8_t
+{
+  Stays,
+  WorkerCrashes,
+  IsCut,
+  IsCutForLong,
+  SideRestarts,
+};
+
+/**
+ * Lets one task of a job fail for the last time in the moment in which the
+ * other one is done, while the store is away.
+ */
+void
+LoseFailureOfAJob(FleetWorld& aWorld, FailingHost aHost, bool aLeaderLost)
+{
+  aWorld.Run(Millis(1500));
+  JobDescription job = MakeJob("job", 2, 10000);
+  job.maxAttempts_ = 1;
+  aWorld.Submit(job);
+  aWorld.Run(Millis(500));
+  WorkerFake& failing = aWorld.Host(0).worker_;
+  WorkerFake& ending = aWorld.Host(1).worker_;
+  cr_assert_eq(failing.runs_.size(), 1);
+  cr_assert_eq(ending.runs_.size(), 1);
+  aWorld.storeUnavailable_ = true;
+  aWorld.Run(std::chrono::duration_cast<Millis>(ending.runs_.front().endsAt_ -
+                                                aWorld.Now()) -
+             Millis(10));
+  failing.FailRun(failing.runs_.front().task_);
+  aWorld.Run(Millis(1000));
+  cr_assert(ending.runs_.empty());
+  switch (aHost) {
+    case FailingHost::Stays:
+      break;
+    case FailingHost::WorkerCrashes:
+      failing.Crash("w0-2");
+      break;
+    case FailingHost::IsCut:
+    case FailingHost::IsCutForLong:
+      aWorld.Cut(0, true);
+      break;
+    case FailingHost::SideRestarts:
+      aWorld.RestartSide(0);
+      break;
+  }
+  if (aLeaderLost) {
+    aWorld.LoseLeader();
+    aWorld.Run(Millis(300));
+    aWorld.ChangeLeader();
+  }
+  aWorld.storeUnavailable_ = false;
+  aWorld.Run(Millis(3000));
+  if (aHost == FailingHost::IsCut) {
+    aWorld.Cut(0, false);
+  }
+  aWorld.Run(kAbandonTimeout);
+}
+
+}
+
+// Guards against a second start of a completed task: its end was acknowledged
+// because its job had failed, and the failure was lost with the leader and the
+// worker that had reported it.
+Test(FleetFailure, CompletedTaskStaysCompletedWhenItsJobsFailureIsLost)
+{
+  for (const FailingHost host :
+       { FailingHost::WorkerCrashes, FailingHost::IsCutForLong }) {
+    FleetWorld world(2);
+    LoseFailureOfAJob(world, host, true);
+    cr_expect_eq(world.StartsAfterAcknowledgedEnd(),
+                 0,
+                 "case %d started again: %s",
+                 static_cast<int>(host),
+                 world.StartedAfterAcknowledgedEnd().c_str());
+  }
+}
+
+// Guards against a second start of a completed task if the leader or the worker
+// still knows of the failure of its job.
+Test(FleetFailure, CompletedTaskStaysCompletedWhenItsJobsFailureIsKept)
+{
+  for (const auto& [host, leaderLost] :
+       { std::pair(FailingHost::WorkerCrashes, false),
+         std::pair(FailingHost::IsCutForLong, false),
+         std::pair(FailingHost::Stays, true),
+         std::pair(FailingHost::IsCut, true),
+         std::pair(FailingHost::SideRestarts, true) }) {
+    FleetWorld world(2);
+    LoseFailureOfAJob(world, host, leaderLost);
+    cr_expect_eq(world.StartsAfterAcknowledgedEnd(),
+                 0,
+                 "case %d started again: %s",
+                 static_cast<int>(host),
+                 world.StartedAfterAcknowledgedEnd().c_str());
+  }
+}
--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace cactusrail {
@@ -16,6 +17,15 @@
   return std::chrono::duration_cast<Millis>(aTime.time_since_epoch()).count();
 }
 
+bool
+StartsWithAny(const std::string& aTask, const std::set<std::string>& aStarts)
+{
+  return std::any_of(
+    aStarts.begin(), aStarts.end(), [&aTask](const std::string& aStart) {
+      return aTask.starts_with(aStart);
+    });
+}
+
 }
 
 Instant
@@ -126,6 +136,7 @@
       std::nullopt });
   started_.push_back(order.task_ + "/" + std::to_string(order.run_));
   startedAt_.push_back(aNow);
+  records_.push_back({ order.task_, false });
   return answer;
 }
 
@@ -157,6 +168,9 @@
   }
   acknowledged_ = std::max(acknowledged_, aCall.endsStored_);
   while (!ends_.empty() && ends_.front().number_ <= acknowledged_) {
+    if (ends_.front().kind_ == EndKind::Done) {
+      records_.push_back({ ends_.front().task_, true });
+    }
     ends_.pop_front();
   }
   for (const Run& run : runs_) {
@@ -201,8 +215,9 @@
       End(run, EndKind::Lapsed);
     } else if (run.stopsAt_.has_value() && aNow >= *run.stopsAt_) {
       End(run, EndKind::Stopped);
-    } else if (!run.stopsAt_.has_value() && aNow >= run.endsAt_) {
-      End(run, failsRuns_ ? EndKind::Failed : EndKind::Done);
+    } else if (!run.stopsAt_.has_value() && !run.waitsForGang_ &&
+               aNow >= run.endsAt_) {
+      End(run, Fails(run.task_) ? EndKind::Failed : EndKind::Done);
     } else {
       left.push_back(run);
     }
@@ -213,10 +228,19 @@
 bool
 WorkerFake::IsLongRunning(const std::string& aTask) const
 {
-  return std::any_of(
-    lasting_.begin(), lasting_.end(), [&aTask](const std::string& aStart) {
-      return aTask.starts_with(aStart);
-    });
+  return StartsWithAny(aTask, lasting_);
+}
+
+bool
+WorkerFake::Fails(const std::string& aTask) const
+{
+  return failsRuns_ || StartsWithAny(aTask, failing_);
+}
+
+bool
+WorkerFake::IsHealthy(const Run& aRun, Instant aNow) const
+{
+  return !aRun.stopsAt_.has_value() && !Fails(aRun.task_) && aNow < leaseUntil_;
 }
 
 void
@@ -284,7 +308,7 @@
 FleetWorld::StartLeader(std::uint64_t aEpoch)
 {
   epoch_ = aEpoch;
-  writing_.reset();
+  LoseWrite();
   scheduler_ =
     std::make_unique<FleetScheduler>(aEpoch, FleetBounds(), WallMs());
   for (const auto& [id, job] : jobs_) {
@@ -313,10 +337,33 @@
   StartLeader(epoch_ + 1);
 }
 
+void
+FleetWorld::Apply(const ProgressBatch& aBatch)
+{
+  for (const auto& [id, progress] : aBatch.jobs_) {
+    progress_[id] = progress;
+  }
+  std::erase_if(waitingEnds_, [this](const std::string& aTask) {
+    return IsFinal(progress_[TaskKey::Parse(aTask)->job_].state_);
+  });
+}
+
+void
+FleetWorld::LoseWrite()
+{
+  if (writing_.has_value() && lostWriteIsApplied_) {
+    Apply(*writing_);
+  }
+  writing_.reset();
+  leadersLostWithWaitingEnd_ += waitingEnds_.empty() ? 0 : 1;
+  waitingEnds_.clear();
+}
+
 void
 FleetWorld::LoseLeader()
 {
   leaderLost_ = true;
+  LoseWrite();
   for (HostFake& host : hosts_) {
     host.linked_ = false;
   }
@@ -413,6 +460,15 @@
   return said;
 }
 
+std::size_t
+FleetWorld::EventCount(std::string_view aEvent) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(events_.begin(), events_.end(), [aEvent](const auto& aOne) {
+      return aOne.event_ == aEvent;
+    }));
+}
+
 std::optional<Instant>
 FleetWorld::LastStart(const std::string& aTask) const
 {
@@ -466,6 +522,7 @@
       std::visit([](const auto& aOne) { return aOne.head_.id_; }, call);
     aHost.keeper_->OnAnswer(id, aHost.worker_.Take(call, now_), now_);
   }
+  CheckStarts(aHost.worker_);
   if (aHost.cut_ || leaderLost_) {
     return;
   }
@@ -537,6 +594,9 @@
   }
   DeliverOrders();
   for (FleetEvent& event : scheduler_->TakeEvents()) {
+    if (event.event_ == "end-waits") {
+      waitingEnds_.insert(event.task_);
+    }
     events_.push_back(std::move(event));
   }
   if (storeUnavailable_) {
@@ -544,11 +604,10 @@
   }
   if (!writing_.has_value()) {
     writing_ = scheduler_->TakeBatch();
+    writtenAt_ = now_ + storeLatency_;
   }
-  if (writing_.has_value()) {
-    for (const auto& [id, progress] : writing_->jobs_) {
-      progress_[id] = progress;
-    }
+  if (writing_.has_value() && writtenAt_ <= now_) {
+    Apply(*writing_);
     const std::uint64_t number = writing_->number_;
     writing_.reset();
     scheduler_->OnBatchStored(number, now_);
@@ -592,9 +651,65 @@
   }
 }
 
+void
+FleetWorld::CheckStarts(WorkerFake& aWorker)
+{
+  for (const WorkerFake::Record& record : std::exchange(aWorker.records_, {})) {
+    if (record.acknowledged_) {
+      acknowledgedDone_.insert(record.task_);
+      continue;
+    }
+    const auto name = TaskKey::Parse(record.task_);
+    const StepSpec& step = jobs_.at(name->job_).steps_.at(name->step_);
+    if (!step.allowsCopies_ && !step.longRunning_ &&
+        acknowledgedDone_.contains(record.task_)) {
+      ++startsAfterAcknowledgedEnd_;
+      startedAfterAcknowledgedEnd_ += record.task_ + "; ";
+    }
+  }
+}
+
+void
+FleetWorld::AlignGangs()
+{
+  using Members = std::vector<std::pair<HostFake*, WorkerFake::Run*>>;
+  std::map<std::tuple<std::string, std::uint32_t, std::uint32_t, std::uint32_t>,
+           Members>
+    gangs;
+  for (HostFake& host : hosts_) {
+    for (WorkerFake::Run& run : host.worker_.runs_) {
+      const auto name = TaskKey::Parse(run.task_);
+      if (jobs_.at(name->job_).steps_.at(name->step_).gang_) {
+        gangs[{ name->job_, name->occurrence_, name->step_, run.run_ }]
+          .emplace_back(&host, &run);
+      }
+    }
+  }
+  for (const auto& [key, members] : gangs) {
+    const StepSpec& step =
+      jobs_.at(std::get<0>(key)).steps_.at(std::get<2>(key));
+    const bool complete =
+      members.size() == step.count_ &&
+      std::all_of(members.begin(), members.end(), [this](const auto& aMember) {
+        return aMember.first->worker_.IsHealthy(*aMember.second, now_);
+      });
+    const bool due =
+      std::all_of(members.begin(), members.end(), [this](const auto& aMember) {
+        return aMember.second->endsAt_ <= now_;
+      });
+    for (const auto& [host, run] : members) {
+      run->waitsForGang_ = (complete ? !due : incompleteGangsWait_) &&
+                           !host->worker_.Fails(run->task_);
+    }
+  }
+}
+
 void
 FleetWorld::Step()
 {
+  if (gangsEndTogether_) {
+    AlignGangs();
+  }
   for (HostFake& host : hosts_) {
     StepHost(host);
   }
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -36,6 +36,15 @@
     std::string checkpoint_;
     Instant endsAt_;
     std::optional<Instant> stopsAt_;
+    /** A member of a gang that does not end before the others. */
+    bool waitsForGang_ = false;
+  };
+
+  /** An accepted start, or the acknowledgement of a done end. */
+  struct Record
+  {
+    std::string task_;
+    bool acknowledged_ = false;
   };
 
   explicit WorkerFake(std::string aId)
@@ -52,6 +61,10 @@
   void Crash(std::string aNewId);
   /** Number of current runs of a task, including those being stopped. */
   std::size_t RunsOf(const std::string& aTask) const;
+  /** Whether runs of the task end as failed. */
+  bool Fails(const std::string& aTask) const;
+  /** Whether the run neither stops nor fails, and its lease has not expired. */
+  bool IsHealthy(const Run& aRun, Instant aNow) const;
 
   std::string id_;
   Millis taskTime_{ 1000 };
@@ -60,6 +73,8 @@
    * stopped.
    */
   std::set<std::string> lasting_;
+  /** Prefixes of the names of tasks whose runs fail. */
+  std::set<std::string> failing_;
   Millis stopTime_{ 500 };
   bool failsRuns_ = false;
   /** The process has ended: its port refuses connections. */
@@ -74,6 +89,8 @@
   std::vector<std::string> started_;
   /** Time of each accepted start. */
   std::vector<Instant> startedAt_;
+  /** Starts and acknowledgements, in order, since FleetWorld last read them. */
+  std::vector<Record> records_;
   /** Number of received calls, answered or not. */
   std::size_t calls_ = 0;
 
@@ -112,7 +129,7 @@
 /**
  * A leader's scheduler and hosts on one virtual clock, with messages that take
  * no time by default. The store can be unavailable; changes are not stored
- * then.
+ * then. Its writes take no time by default.
  */
 class FleetWorld
 {
@@ -145,13 +162,41 @@
   std::size_t MaxConcurrentRuns() const { return maxConcurrentRuns_; }
   /** Whether a worker ever exceeded its capacity. */
   bool EverOverCapacity() const { return capacityExceeded_; }
+  /**
+   * Number of starts of a task after a done end of it was acknowledged.
+   * Long-running tasks and those that allow copies do not count.
+   */
+  std::size_t StartsAfterAcknowledgedEnd() const
+  {
+    return startsAfterAcknowledgedEnd_;
+  }
+  /** Tasks of StartsAfterAcknowledgedEnd(), for the messages of tests. */
+  const std::string& StartedAfterAcknowledgedEnd() const
+  {
+    return startedAfterAcknowledgedEnd_;
+  }
   std::size_t Starts(const std::string& aTask) const;
   /** Details of all log events of that name, empty if there are none. */
   std::string EventDetails(std::string_view aEvent) const;
+  /** Number of log events of that name. */
+  std::size_t EventCount(std::string_view aEvent) const;
+  /** Number of losses of a leader that held back the end of a run. */
+  std::size_t LeadersLostWithWaitingEnd() const
+  {
+    return leadersLostWithWaitingEnd_;
+  }
   /** Time of the last start of a task on any worker; none if there was none. */
   std::optional<Instant> LastStart(const std::string& aTask) const;
 
   bool storeUnavailable_ = false;
+  /** Time that a write to the store takes. */
+  Millis storeLatency_{ 0 };
+  /** Whether the write in flight is applied when its leader is lost. */
+  bool lostWriteIsApplied_ = false;
+  /** The members of a gang that are all running end at the same time. */
+  bool gangsEndTogether_ = false;
+  /** The members of an incomplete gang run until they are stopped. */
+  bool incompleteGangsWait_ = false;
   /** Delay after which the leader sees a cancellation in the table. */
   Millis leaderLag_{ 0 };
   /** Delivery time of orders to their side. */
@@ -188,6 +233,10 @@
   void LoseLink(HostFake& aHost);
   void Announce(HostFake& aHost);
   void Check();
+  void CheckStarts(WorkerFake& aWorker);
+  void AlignGangs();
+  void Apply(const ProgressBatch& aBatch);
+  void LoseWrite();
   void StartLeader(std::uint64_t aEpoch);
 
   Instant now_;
@@ -205,8 +254,18 @@
   std::vector<FleetEvent> events_;
   bool leaderLost_ = false;
   std::optional<ProgressBatch> writing_;
+  /** Time at which the store has applied writing_. */
+  Instant writtenAt_;
   std::size_t maxConcurrentRuns_ = 0;
   bool capacityExceeded_ = false;
+  /** Tasks of which a done end was acknowledged. */
+  std::set<std::string> acknowledgedDone_;
+  std::size_t startsAfterAcknowledgedEnd_ = 0;
+  std::string startedAfterAcknowledgedEnd_;
+  /** Tasks with an end that waits until the final state of its job is stored.
+   */
+  std::set<std::string> waitingEnds_;
+  std::size_t leadersLostWithWaitingEnd_ = 0;
 };
 
 /** Start of the wall clock, in ms since 1970. */
