Fleet: A test of completed occurrences under a new leader

Fails on this source: "(world.Starts("timed.0.0.0")) == (1) is false". Under each new leader a timed job starts its completed occurrences again.

Cause: a new leader reads jobs before progress. FleetScheduler::OnJobStored begins all occurrences that are due by now, and FleetJob::Restore leaves those before occurrencesDone_ in place as open. The stored progress has no steps of them, as completed occurrences are removed.

--- a/Tests/Fleet/FleetFailureTest.cxx
+++ b/Tests/Fleet/FleetFailureTest.cxx
@@ -607,3 +607,23 @@
                  world.StartedAfterAcknowledgedEnd().c_str());
   }
 }
+
+// Guards against completed occurrences that start again under a new leader.
+Test(FleetFailure, CompletedOccurrenceStaysCompletedAfterAChangeOfLeader)
+{
+  FleetWorld world(1);
+  world.Run(Millis(1500));
+  JobDescription job = MakeJob("timed", 1, 1000);
+  job.occurrences_ = 2;
+  job.startAtMs_ = world.WallMs() + 500;
+  job.intervalMs_ = 6000;
+  world.Submit(job);
+  world.Run(Millis(3000));
+  cr_assert_eq(world.Starts("timed.0.0.0"), 1);
+  cr_assert_eq(world.Host(0).worker_.acknowledged_, 1);
+  world.ChangeLeader();
+  world.Run(Millis(6000));
+  cr_expect_eq(world.Starts("timed.0.0.0"), 1);
+  cr_expect_eq(world.Starts("timed.1.0.0"), 1);
+  cr_expect_eq(world.StateOf("timed"), JobState::Completed);
+}
