FleetJob: Stored progress removes the occurrences that it completes

What callers saw: all tasks of the completed occurrences of a timed job started again under each new leader, after their ends had been acknowledged, for as long as the job had occurrences left. Failures of these runs counted anew.

Cause: a new leader reads jobs before their progress. Adding a job begins all occurrences that are due; progress that says "occurrence 0 is done" has no entry for its steps and left the fresh occurrence in place, with its tasks waiting.

Change: Restore() removes the occurrences before the first one that is not done.

FleetFailure/CompletedOccurrenceStaysCompletedAfterAChangeOfLeader failed before on: 'world.Starts("timed.0.0.0") == 1 is false'.

--- a/Source/Process/FleetJob.cxx
+++ b/Source/Process/FleetJob.cxx
@@ -278,6 +278,9 @@
   endedAtMs_ = aProgress.endedAtMs_;
   occurrencesDone_ = aProgress.occurrencesDone_;
   nextOccurrence_ = std::max(nextOccurrence_, occurrencesDone_);
+  // Occurrences that are due began when the job was added.
+  occurrences_.erase(occurrences_.begin(),
+                     occurrences_.lower_bound(occurrencesDone_));
   everStarted_ = everStarted_ || occurrencesDone_ > 0 ||
                  aProgress.state_ != JobState::Pending;
   for (const StepProgress& note : aProgress.steps_) {
