Fleet: Tasks of an occurrence that is not due yet wait until it is

What callers saw: tasks of a timed job that started before their time, because a worker reported a run or an end of another task of their occurrence, which an earlier leader with a clock ahead had begun.

Cause: a reported run or end begins its occurrence, as stored progress always did, and all of its tasks became ready at once.

Change: a step is placed once its occurrence is due by the leader's clock.

RunEnd/OnlyReportedTasksOfAnOccurrenceThatIsNotDueHaveBegun failed before.

--- a/Source/Process/FleetJob.cxx
+++ b/Source/Process/FleetJob.cxx
@@ -23,11 +23,17 @@
   if (IsOver() || nextOccurrence_ >= OccurrenceCount()) {
     return std::nullopt;
   }
+  return DueMs(nextOccurrence_);
+}
+
+std::int64_t
+FleetJob::DueMs(std::uint32_t aOccurrence) const
+{
   if (!spec_.IsTimed()) {
     return 0;
   }
   return spec_.startAtMs_ +
-         static_cast<std::int64_t>(nextOccurrence_) * spec_.intervalMs_;
+         static_cast<std::int64_t>(aOccurrence) * spec_.intervalMs_;
 }
 
 void
--- a/Source/Process/FleetJob.h
+++ b/Source/Process/FleetJob.h
@@ -139,6 +139,10 @@
    * have begun. */
   std::optional<std::int64_t> NextDue() const;
 
+  /** Time at which an occurrence is due, in ms since 1970; 0 if the job is not
+   * timed. */
+  std::int64_t DueMs(std::uint32_t aOccurrence) const;
+
   FleetStep* FindStep(std::uint32_t aOccurrence, std::uint32_t aStep);
   FleetTask* FindTask(const TaskKey& aName);
   std::map<std::uint32_t, FleetOccurrence>& Occurrences()
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -130,6 +130,10 @@
     if (found->second.fromEarlierLeader_ && deferOldWork) {
       continue;
     }
+    // An earlier leader, whose clock was ahead, may have begun the occurrence.
+    if (found->second.job_->DueMs(key.occurrence_) > wallMs_) {
+      continue;
+    }
     const FleetStep* step =
       found->second.job_->FindStep(key.occurrence_, key.step_);
     if (step == nullptr) {
--- a/Tests/Fleet/RunEndTest.cxx
+++ b/Tests/Fleet/RunEndTest.cxx
@@ -2,6 +2,11 @@
 
 #include <criterion/criterion.h>
 
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
 using namespace cactusrail;
 
 namespace {
@@ -53,7 +58,7 @@
   cr_assert_eq(world.Host(1).worker_.acknowledged_, 1);
 }
 
-// Guards against a timed task that runs twice because a leader's clock is late.
+// Guards against a timed task that runs twice as a leader's clock is behind.
 Test(RunEnd, EndOfAnOccurrenceThatIsNotDueIsStored)
 {
   FleetWorld world(1);
@@ -106,3 +111,23 @@
   job.Restore(progress, world.Now());
   cr_assert(job.AllDone());
 }
+
+// Guards against tasks that start before they are due because an earlier
+// leader, whose clock was ahead, had started another task of their occurrence.
+Test(RunEnd, OnlyReportedTasksOfAnOccurrenceThatIsNotDueHaveBegun)
+{
+  FleetWorld world(1, { 1000, 64000, 0 });
+  world.Run(Millis(1500));
+  JobDescription job = MakeJob("job", 2, 1000);
+  job.occurrences_ = 1;
+  job.startAtMs_ = world.WallMs() + 20000;
+  world.clockOffset_ = Millis(20000);
+  world.Submit(job);
+  world.Run(Millis(500));
+  world.LoseLeader();
+  cr_assert_eq(world.Starts("job.0.0.0") + world.Starts("job.0.0.1"), 1);
+  world.clockOffset_ = Millis(0);
+  world.ChangeLeader();
+  world.Run(Millis(5000));
+  cr_assert_eq(world.Starts("job.0.0.0") + world.Starts("job.0.0.1"), 1);
+}
