--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -92,7 +92,7 @@
 }
 
 std::optional<FleetScheduler::TaskLocation>
-FleetScheduler::FindReported(const TaskKey& aName, Instant aNow)
+FleetScheduler::FindOrBegin(const TaskKey& aName, Instant aNow)
 {
   const auto found = jobs_.find(aName.job_);
   if (found != jobs_.end() && !found->second.job_->IsOver() &&
@@ -457,22 +457,22 @@
       found->second.job_->FreePayload();
     }
   }
-  std::size_t deferred = 0;
+  std::size_t waited = 0;
   for (auto& [node, worker] : workers_) {
     while (!worker.unstored_.empty() &&
            worker.unstored_.front().batch_ <= aBatch) {
-      deferred += worker.unstored_.front().deferred_ ? 1 : 0;
+      waited += worker.unstored_.front().waitsForJob_ ? 1 : 0;
       worker.endsStored_ = worker.unstored_.front().number_;
       worker.acknowledgementDue_ = true;
       worker.unstored_.pop_front();
     }
   }
-  if (deferred > 0) {
+  if (waited > 0) {
     LogEvent("end-wait-over",
              {},
              {},
-             "batch " + std::to_string(aBatch) + ": " +
-               std::to_string(deferred) + " ends");
+             "batch " + std::to_string(aBatch) + ": " + std::to_string(waited) +
+               " ends");
   }
 }
 
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -224,9 +224,9 @@
   std::optional<TaskLocation> Find(const TaskKey& aName);
   /**
    * Finds a task of which a worker reports a run or an end. Begins its
-   * occurrence if only an earlier leader, whose clock was ahead, had begun it.
+   * occurrence if that is not due by the clock of this leader.
    */
-  std::optional<TaskLocation> FindReported(const TaskKey& aName, Instant aNow);
+  std::optional<TaskLocation> FindOrBegin(const TaskKey& aName, Instant aNow);
   static ReadyKey KeyOf(const FleetJob& aJob, const FleetStep& aStep);
   void MarkReady(const FleetJob& aJob, const FleetStep& aStep);
   void MarkAllReady(JobEntry& aEntry);
@@ -245,7 +245,8 @@
                         const FleetReport& aReport,
                         Instant aNow);
   void HandleEnd(FleetWorker& aWorker, const RunEndReport& aEnd, Instant aNow);
-  /** Returns whether the end changes the progress of the job. */
+  /** Returns whether the record of the job must be stored because of the end.
+   */
   bool ApplyEnd(FleetWorker& aWorker,
                 const RunEndReport& aEnd,
                 const TaskKey& aName,
@@ -519,6 +520,7 @@
   std::map<std::string, FleetWorker> workers_;
   std::map<std::string, FleetOrders> orders_;
   std::set<std::string> changed_;
+  /** Number of the batch that the next TakeBatch() returns. */
   std::uint64_t nextBatch_ = 1;
   /** Jobs of the batch that is being stored. */
   std::set<std::string> storing_;
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -213,7 +213,7 @@
   aWorker.unknownRuns_.erase({ aEnd.task_, aEnd.run_ });
   const auto name = TaskKey::Parse(aEnd.task_);
   std::optional<TaskLocation> place =
-    name.has_value() ? FindReported(*name, aNow) : std::nullopt;
+    name.has_value() ? FindOrBegin(*name, aNow) : std::nullopt;
   const bool changesJob =
     place.has_value() && ApplyEnd(aWorker, aEnd, *name, *place, aNow);
   if (changesJob) {
@@ -222,16 +222,16 @@
   // An end that changes nothing is irrelevant because of earlier changes of its
   // job. Until these are stored, the next leader would start the task again.
   const std::uint64_t batch = name.has_value() ? UnstoredBatch(name->job_) : 0;
-  const bool deferred =
+  const bool waitsForJob =
     batch != 0 && !changesJob && aEnd.kind_ == EndKind::Done;
-  if (deferred) {
+  if (waitsForJob) {
     LogEvent("end-waits",
              aEnd.task_,
              aWorker.node_,
              "run " + std::to_string(aEnd.run_) + ": acknowledged once batch " +
                std::to_string(batch) + " is stored");
   }
-  aWorker.unstored_.push_back({ aEnd.number_, batch, deferred });
+  aWorker.unstored_.push_back({ aEnd.number_, batch, waitsForJob });
   while (!aWorker.unstored_.empty() && aWorker.unstored_.front().batch_ == 0) {
     aWorker.endsStored_ = aWorker.unstored_.front().number_;
     aWorker.acknowledgementDue_ = true;
@@ -497,7 +497,7 @@
 {
   const auto name = TaskKey::Parse(aFact.task_);
   std::optional<TaskLocation> place =
-    name.has_value() ? FindReported(*name, aNow) : std::nullopt;
+    name.has_value() ? FindOrBegin(*name, aNow) : std::nullopt;
   if (!place.has_value()) {
     if (aWorker.unknownRuns_.emplace(aFact.task_, aFact.run_).second) {
       LogEvent("stranger-stopped", aFact.task_, aWorker.node_);
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -50,7 +50,7 @@
    * stored. */
   std::uint64_t batch_ = 0;
   /** The end changed nothing and waits for earlier changes of its job. */
-  bool deferred_ = false;
+  bool waitsForJob_ = false;
 };
 
 /** A worker and the side next to it, as known to the leading entry. */
--- a/Source/Process/TakeoverSummary.h
+++ b/Source/Process/TakeoverSummary.h
@@ -7,7 +7,6 @@
 #include <set>
 #include <span>
 #include <string>
-#include <string_view>
 
 namespace cactusrail {
 
--- a/Tests/Fleet/RunEndTest.cxx
+++ b/Tests/Fleet/RunEndTest.cxx
@@ -112,8 +112,7 @@
   cr_assert(job.AllDone());
 }
 
-// Guards against tasks that start before they are due because an earlier
-// leader, whose clock was ahead, had started another task of their occurrence.
+// Guards against tasks that start early because another one had been reported.
 Test(RunEnd, OnlyReportedTasksOfAnOccurrenceThatIsNotDueHaveBegun)
 {
   FleetWorld world(1, { 1000, 64000, 0 });
@@ -131,3 +130,44 @@
   world.Run(Millis(5000));
   cr_assert_eq(world.Starts("job.0.0.0") + world.Starts("job.0.0.1"), 1);
 }
+
+// Guards against an end that is acknowledged while a write is in flight.
+Test(RunEnd, EndWaitsForTheBatchInFlight)
+{
+  const Instant now = At(1000000);
+  FleetScheduler scheduler(1, FleetBounds(), kWallMs);
+  scheduler.OnTableCurrent(now);
+  const std::vector<std::string> sides{ "side0", "side1" };
+  std::vector<FleetReport> reports;
+  for (const std::string& side : sides) {
+    scheduler.OnSideRegistered(side, now);
+  }
+  scheduler.OnLoaded(now, kWallMs);
+  for (const std::string& side : sides) {
+    reports.push_back(IdleReport(now));
+    reports.back().worker_.id_ = "worker of " + side;
+    scheduler.OnLinkUp(side, now);
+    scheduler.OnReport(side, reports.back(), now);
+  }
+  JobDescription job = MakeJob("job", 2, 10000);
+  job.maxAttempts_ = 1;
+  scheduler.OnJobStored(job, now);
+  std::map<std::string, StartOrder> starts;
+  for (const SideOrders& orders : scheduler.TakeOrders(now, kWallMs)) {
+    cr_assert_eq(orders.orders_.starts_.size(), 1);
+    starts[orders.node_] = orders.orders_.starts_.front();
+  }
+  cr_assert_eq(starts.size(), 2);
+  const auto end = [&](std::size_t aSide, EndKind aKind) {
+    const StartOrder& start = starts.at(sides[aSide]);
+    reports[aSide].ends_ = { { 1, start.task_, start.run_, aKind, {} } };
+    scheduler.OnReport(sides[aSide], reports[aSide], now);
+  };
+  end(0, EndKind::Failed);
+  const std::optional<ProgressBatch> batch = scheduler.TakeBatch();
+  cr_assert(batch.has_value());
+  end(1, EndKind::Done);
+  cr_assert_eq(scheduler.Workers().at("side1").endsStored_, 0);
+  scheduler.OnBatchStored(batch->number_, now);
+  cr_assert_eq(scheduler.Workers().at("side1").endsStored_, 1);
+}
