--- a/Tests/Fleet/LeaderLossRandomTest.cxx
+++ b/Tests/Fleet/LeaderLossRandomTest.cxx
@@ -171,7 +171,7 @@
   {
     const std::uint32_t tasks = 1 + Draw(5);
     JobDescription job = MakeJob(
-      NameOf(round_), tasks, static_cast<std::int64_t>(500 + Draw(2000)));
+      NameOf(round_), tasks, 500 + static_cast<std::int64_t>(Draw(2000)));
     job.priority_ = Draw(3);
     job.maxAttempts_ = 1 + Draw(2);
     const bool gang = Draw(3) == 0;
