TableWatch: Report rows that were removed while the history had expired

What callers saw: nothing yet; by reading. After the store has dropped its history a watch reads its table anew and reported only the rows that are there. A row that was removed in between was never reported as removed, so a side that is gone stayed known, and an order of the operator that was taken back would have lasted for ever.

Change: a watch remembers the keys that it has reported. Each page of a read reports those in its range that it does not contain as removed, with the version of the page, so that a row that is stored again later follows as a change.

TableWatch/RowRemovedDuringExpiredHistoryIsReportedAsRemoved holds it.

--- a/Source/Process/TableWatch.h
+++ b/Source/Process/TableWatch.h
@@ -11,6 +11,8 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
+#include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,8 +28,9 @@
 
 /**
  * Reads a whole table and then follows its changes. Reads the whole table again
- * when the store has dropped its change history. A row may be reported twice.
- * Owned by its user.
+ * when the store has dropped its change history, and then also reports the rows
+ * that were removed in the meantime. A row may be reported twice. Owned by its
+ * user.
  */
 template<RowStore Store>
 class TableWatch : public QObject
@@ -112,8 +115,9 @@
     // other pages are read is reported twice instead of being missed.
     version_ = std::min(version_, page->version_);
     readAsOf_ = std::min(readAsOf_, aSentAt);
+    ReportRemovedRows(*page, aPosition);
     for (const Row& row : page->rows_) {
-      onRow_(row);
+      Report(row);
     }
     if (page->more_ && !page->rows_.empty()) {
       // Keys contain no character below the space, so the key with a space
@@ -132,6 +136,44 @@
     onRead_();
   }
 
+  void Report(const Row& aRow)
+  {
+    if (use_ == TableUse::Follow) {
+      auto& keys = reported_[aRow.id_.part_];
+      if (aRow.removed_) {
+        keys.erase(aRow.id_.key_);
+      } else {
+        keys.insert(aRow.id_.key_);
+      }
+    }
+    onRow_(aRow);
+  }
+
+  /** Reports the rows in the range of a page that were reported before and are
+   * not in the page. */
+  void ReportRemovedRows(const RowPage& aPage, const Position& aPosition)
+  {
+    const std::string& part = parts_.at(aPosition.part_);
+    std::set<std::string>& keys = reported_[part];
+    const auto end = aPage.more_ && !aPage.rows_.empty()
+                       ? keys.upper_bound(aPage.rows_.back().id_.key_)
+                       : keys.end();
+    std::vector<std::string> gone(keys.lower_bound(aPosition.key_), end);
+    std::erase_if(gone, [&aPage](const std::string& aKey) {
+      const auto row =
+        std::lower_bound(aPage.rows_.begin(),
+                         aPage.rows_.end(),
+                         aKey,
+                         [](const Row& aRow, const std::string& aWanted) {
+                           return aRow.id_.key_ < aWanted;
+                         });
+      return row != aPage.rows_.end() && row->id_.key_ == aKey;
+    });
+    for (const std::string& key : gone) {
+      Report({ { table_, part, key }, {}, aPage.version_, true });
+    }
+  }
+
   void Follow()
   {
     sentAt_ = ReadMonotonicClock();
@@ -157,7 +199,7 @@
     }
     version_ = changes->version_;
     for (const Row& row : changes->rows_) {
-      onRow_(row);
+      Report(row);
     }
     currentAsOf_ = sentAt_;
     Follow();
@@ -178,6 +220,9 @@
   /** Time at which the first page of the current read was requested. */
   Instant readAsOf_;
   Instant currentAsOf_;
+  /** Keys of the rows that exist as last reported, by part; empty unless the
+   * table is followed. */
+  std::map<std::string, std::set<std::string>> reported_;
 };
 
 }
--- a/Tests/Fleet/MemoryStore.cxx
+++ b/Tests/Fleet/MemoryStore.cxx
@@ -29,7 +29,8 @@
     return;
   }
   RowChanges changes = tables.Changes(aTable, aAfter);
-  if (!changes.rows_.empty() || ReadMonotonicClock() >= aUntil) {
+  if (changes.historyExpired_ || !changes.rows_.empty() ||
+      ReadMonotonicClock() >= aUntil) {
     aCallback(std::move(changes));
     return;
   }
@@ -49,6 +50,14 @@
   return tables;
 }
 
+void
+MemoryTables::ExpireHistory()
+{
+  history_.clear();
+  // Even a watch that has seen all changes has to read its table again.
+  expiredVersion_ = ++version_;
+}
+
 Commit
 MemoryTables::Apply(const RowTransaction& aTransaction)
 {
@@ -76,8 +85,8 @@
 MemoryTables::Page(const RowRange& aRange) const
 {
   RowPage page;
-  page.version_ = version_;
-  for (const auto& [id, row] : rows_) {
+  page.version_ = stale_.has_value() ? stale_->version_ : version_;
+  for (const auto& [id, row] : stale_.has_value() ? stale_->rows_ : rows_) {
     if (id.table_ == aRange.table_ && id.part_ == aRange.part_ &&
         id.key_ >= aRange.first_ &&
         (aRange.until_.empty() || id.key_ < aRange.until_)) {
@@ -92,6 +101,10 @@
 {
   RowChanges changes;
   changes.version_ = version_;
+  if (aAfter < expiredVersion_) {
+    changes.historyExpired_ = true;
+    return changes;
+  }
   for (const Row& row : history_) {
     if (row.id_.table_ == aTable && row.version_ > aAfter) {
       changes.rows_.push_back(row);
@@ -128,7 +141,8 @@
                   PageCallback aCallback)
 {
   (void)aDeadline;
-  const MemoryTables& tables = MemoryTables::OfTest();
+  MemoryTables& tables = MemoryTables::OfTest();
+  ++tables.reads_;
   Result<RowPage> page = Unavailable();
   if (!tables.unavailable_) {
     page = tables.Page(aRange);
--- a/Tests/Fleet/MemoryStore.h
+++ b/Tests/Fleet/MemoryStore.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,11 +19,26 @@
   std::map<RowId, Row> rows_;
   std::vector<Row> history_;
   std::uint64_t version_ = 0;
+  /** Changes up to this version have been dropped from the history. */
+  std::uint64_t expiredVersion_ = 0;
+  /** State with which reads answer instead of the current one. */
+  struct Snapshot
+  {
+    std::map<RowId, Row> rows_;
+    std::uint64_t version_ = 0;
+  };
+  std::optional<Snapshot> stale_;
+  /** Number of reads so far. */
+  std::size_t reads_ = 0;
   /** The table is unavailable: calls are refused and have no effect. */
   bool unavailable_ = false;
   /** Writes take effect, but their answers are lost. */
   bool losesAnswers_ = false;
 
+  /** Makes reads answer with the present state until stale_ is reset. */
+  void FreezeReads() { stale_ = Snapshot{ rows_, version_ }; }
+  /** Drops the history, so that all watches must read their table again. */
+  void ExpireHistory();
   Commit Apply(const RowTransaction& aTransaction);
   RowPage Page(const RowRange& aRange) const;
   RowChanges Changes(const std::string& aTable, std::uint64_t aAfter) const;
--- /dev/null
+++ b/Tests/Fleet/TableWatchTest.cxx
@@ -0,0 +1,92 @@
+#include "Process/TableWatch.h"
+#include "MemoryStore.h"
+#include "Tests/EventLoop.h"
+
+#include <criterion/criterion.h>
+
+#include <QCoreApplication>
+
+#include <set>
+#include <string>
+
+using namespace cactusrail;
+
+namespace {
+
+struct Application
+{
+  int argc_ = 1;
+  char name_[5] = "test";
+  char* argv_[2] = { name_, nullptr };
+  QCoreApplication application_{ argc_, argv_ };
+};
+
+constexpr Millis kPatience{ 20000 };
+
+void
+Put(const std::string& aKey, const std::string& aValue = "value")
+{
+  RowTransaction transaction;
+  transaction.puts_.push_back({ { "table", {}, aKey }, aValue });
+  MemoryTables::OfTest().Apply(transaction);
+}
+
+void
+Remove(const std::string& aKey)
+{
+  RowTransaction transaction;
+  transaction.removals_.push_back({ "table", {}, aKey });
+  MemoryTables::OfTest().Apply(transaction);
+}
+
+/** A view of the table that is kept up to date by a watch. */
+template<RowStore Store>
+struct View
+{
+  View()
+    : store_(SocketAddress())
+    , watch_(
+        store_,
+        "table",
+        { "" },
+        TableUse::Follow,
+        [this](const Row& aRow) { Apply(aRow); },
+        [this] { ++reads_; })
+  {
+    watch_.Start();
+  }
+
+  void Apply(const Row& aRow)
+  {
+    if (aRow.removed_) {
+      keys_.erase(aRow.id_.key_);
+    } else {
+      keys_.insert(aRow.id_.key_);
+    }
+  }
+
+  Store store_;
+  std::set<std::string> keys_;
+  std::size_t reads_ = 0;
+  TableWatch<Store> watch_;
+};
+
+}
+
+// Guards against a row that stays known forever, because it was removed while
+// the watch had no history to follow.
+Test(TableWatch, RowRemovedDuringExpiredHistoryIsReportedAsRemoved)
+{
+  const Application application;
+  Put("a");
+  Put("b");
+  Put("c");
+  View<MemoryStore> view;
+  cr_assert(WaitInLoop([&view] { return view.keys_.size() == 3; }, kPatience));
+  Remove("b");
+  MemoryTables::OfTest().ExpireHistory();
+  cr_assert(WaitInLoop([&view] { return view.keys_.size() == 2; }, kPatience));
+  cr_assert(view.keys_.contains("a") && view.keys_.contains("c"));
+  Put("b");
+  cr_assert(WaitInLoop([&view] { return view.keys_.size() == 3; }, kPatience));
+}
