ConsistentStore: Refuse answers older than what this process has seen

Such a page brought removed rows back, and the view of a table counted as current as of the moment at which the read was sent, although cancellations of these seconds were missing; the bound on starts of cancelled jobs rests on that moment. An entry could answer 410 for a job that it had stored itself.

Change: the entry's store remembers the highest version in any answer. A read or watch whose answer is older than what had been seen when it was sent fails, and its user asks again. A new leader has written the lease and the head row before it reads, so its view is never older than its leadership.

TableWatch/StaleReadBringsBackNoRemovedRow and AnswerOlderThanALaterWriteIsAccepted hold it.

--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Connection/ConsistentStore.h"
 #include "Connection/HttpFront.h"
 #include "Connection/RowStore.h"
 #include "Process/CallerCall.h"
@@ -68,7 +69,7 @@
 class FleetEntry : public QObject
 {
 public:
-  using Store = typename Platform::Store;
+  using Store = ConsistentStore<typename Platform::Store>;
 
   static Result<std::unique_ptr<FleetEntry>> Start(
     const FleetEntrySettings& aSettings)
--- a/Tests/Fleet/TableWatchTest.cxx
+++ b/Tests/Fleet/TableWatchTest.cxx
@@ -1,4 +1,5 @@
 #include "Process/TableWatch.h"
+#include "Connection/ConsistentStore.h"
 #include "MemoryStore.h"
 #include "Tests/EventLoop.h"
 
@@ -6,6 +7,7 @@
 
 #include <QCoreApplication>
 
+#include <memory>
 #include <set>
 #include <string>
 
@@ -90,3 +92,51 @@
   Put("b");
   cr_assert(WaitInLoop([&view] { return view.keys_.size() == 3; }, kPatience));
 }
+
+// Guards against a removed row that a stale read brings back.
+Test(TableWatch, StaleReadBringsBackNoRemovedRow)
+{
+  const Application application;
+  Put("a");
+  Put("b");
+  View<ConsistentStore<MemoryStore>> view;
+  cr_assert(WaitInLoop([&view] { return view.keys_.size() == 2; }, kPatience));
+  MemoryTables& tables = MemoryTables::OfTest();
+  tables.FreezeReads();
+  Remove("b");
+  cr_assert(WaitInLoop([&view] { return view.keys_.size() == 1; }, kPatience));
+  const Instant known = view.watch_.CurrentAsOf();
+  tables.ExpireHistory();
+  const std::size_t answered = tables.reads_;
+  cr_assert(WaitInLoop(
+    [&] { return view.keys_.size() == 2 || tables.reads_ >= answered + 3; },
+    kPatience));
+  cr_assert_not(view.keys_.contains("b"));
+  cr_assert_eq(view.reads_, 1, "A stale page counts as a read of the table.");
+  cr_assert(view.watch_.CurrentAsOf() == known,
+            "The view counts as current on the word of a stale page.");
+  tables.stale_.reset();
+  cr_assert(WaitInLoop([&view] { return view.reads_ == 2; }, kPatience));
+  cr_assert_eq(view.keys_.size(), 1);
+}
+
+// Guards against an answer that counts as outdated although nothing newer had
+// been observed when the call was made.
+Test(TableWatch, AnswerOlderThanALaterWriteIsAccepted)
+{
+  const Application application;
+  Put("a");
+  ConsistentStore<MemoryStore> store{ SocketAddress() };
+  std::optional<bool> accepted;
+  store.Read(
+    { "table", {}, {}, {} },
+    ReadMonotonicClock() + kPatience,
+    [&accepted](const Result<RowPage>& aPage) { accepted = Succeeded(aPage); });
+  RowTransaction transaction;
+  transaction.puts_.push_back({ { "table", {}, "b" }, "value" });
+  store.Write(
+    transaction, ReadMonotonicClock() + kPatience, [](const Commit&) {});
+  cr_assert(
+    WaitInLoop([&accepted] { return accepted.has_value(); }, kPatience));
+  cr_assert(*accepted);
+}
