FleetLeader: Ignore late rows of jobs that it has removed

A page of the work table that was read before a finished job was removed and arrives after it brought the job back, and its tasks would have run again.

Rows with a lower version are ignored; a job that is submitted again has a higher one.

--- a/Source/Process/FleetLeader.h
+++ b/Source/Process/FleetLeader.h
@@ -9,6 +9,7 @@
 #include "Process/LeaderLease.h"
 #include "Process/Log.h"
 #include "Process/ProgressWriter.h"
+#include "Process/RemovedJobs.h"
 #include "Process/SocketAddress.h"
 #include "Process/TableWatch.h"
 #include "Version/RecordCodec.h"
@@ -17,11 +18,13 @@
 #include <QPointer>
 #include <QTimer>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -148,8 +151,14 @@
       return;
     }
     const std::string& key = aRow.id_.key_;
-    if (key.starts_with(kCancelPrefix)) {
-      OnCancelStored(key.substr(kCancelPrefix.size()));
+    const bool cancels = key.starts_with(kCancelPrefix);
+    const std::string_view prefix = cancels ? kCancelPrefix : kJobPrefix;
+    const std::string job = key.substr(std::min(prefix.size(), key.size()));
+    if (removedJobs_.Contains(job, aRow.version_)) {
+      return;
+    }
+    if (cancels) {
+      OnCancelStored(job);
       return;
     }
     Result<JobDescription> spec = DecodeRecord<JobDescription>(aRow.value_);
@@ -450,6 +459,7 @@
   void Sweep(Instant aNow)
   {
     WriteInterferenceModel(aNow);
+    removedJobs_.DropOld(aNow);
     std::map<std::string, std::vector<std::string>> byPart;
     for (const std::string& id : scheduler_.Expired(ReadWallClock() / 1000)) {
       byPart[WorkPartOf(id)].push_back(id);
@@ -500,7 +510,9 @@
     if (aCommit.outcome_ != CommitOutcome::Done) {
       return; // The next sweep retries the removal.
     }
+    const Instant now = ReadMonotonicClock();
     for (const std::string& id : aIds) {
+      removedJobs_.Add(id, aCommit.version_, now);
       scheduler_.Forget(id);
       removals_.push_back(id);
     }
@@ -535,6 +547,7 @@
   TableWatch<Store> progress_;
   TableWatch<Store> members_;
   std::map<std::string, Side> sides_;
+  RemovedJobs removedJobs_;
   /** Removed jobs whose progress rows are removed by the next write. */
   std::vector<std::string> removals_;
   Instant nextFlush_;
