Fleet: Start nothing in a data centre that the operator has evacuated

The operator stores a row for each data centre that is to get no new runs, and removes it to end that.

Each entry already watches the operator's table. Its rows now also give the set of evacuated data centres, which the leader reads before each pass, with the time up to which it is known. The leader places, reserves, preempts and restarts nothing on their workers, and their capacity does not count. What runs there goes on; a start that its worker has not accepted within half a second is withdrawn, and the task goes elsewhere.

Two ways were weighed. Sides that know the order themselves would each have to watch the table: 55 more watches at 1.25 calls a second, and a side that reads late would still start. An order that carries its expiry costs nothing: starts already expire with the age of the leader's view of cancellations. They now expire with that of evacuations too (bounds.evacuate-ms after it, less half a second for the call), which holds for a leader that lags, orders that arrive late, a worker that does not answer, and a leader that is lost meanwhile.

--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -41,6 +41,7 @@
   requires(const HttpExchange& aExchange,
            const FleetConfiguration* aConfiguration,
            const CallerReply& aReply,
+           const RowId& aRow,
            const std::string& aText)
 {
   {
@@ -49,6 +50,11 @@
   {
     Platform::DecodeConfiguration(aText)
     } -> std::same_as<Result<FleetConfiguration>>;
+  // The data centre whose evacuation the row orders while it exists; none for
+  // other rows of the configuration's table.
+  {
+    Platform::EvacuatedDataCentre(aRow)
+    } -> std::same_as<std::optional<std::string>>;
   {
     Platform::DecodeCaller(aExchange, aConfiguration)
     } -> std::same_as<CallerCall>;
@@ -154,12 +160,12 @@
                aSettings.processors_ },
              [this] { OnLeaseChanged(); })
     , key_(store_, [this] { OnKey(); })
-    , configurationWatch_(
+    , operatorWatch_(
         store_,
         Platform::ConfigurationRow().table_,
         { Platform::ConfigurationRow().part_ },
         TableUse::Follow,
-        [this](const Row& aRow) { OnConfigurationRow(aRow); },
+        [this](const Row& aRow) { OnOperatorRow(aRow); },
         [] {})
   {
   }
@@ -195,7 +201,7 @@
     }
     metrics_ = std::move(std::get<std::unique_ptr<HttpFront>>(metrics));
     Metrics::OfProcess().Describe("fleet-entry", settings_.fleet_.name_);
-    configurationWatch_.Start();
+    operatorWatch_.Start();
     key_.Start();
     return true;
   }
@@ -212,13 +218,32 @@
     lease_.Start();
   }
 
-  // The configuration.
+  // The operator's table: the configuration and evacuations.
 
-  void OnConfigurationRow(const Row& aRow)
+  void OnOperatorRow(const Row& aRow)
   {
-    if (aRow.removed_ || aRow.id_.key_ != Platform::ConfigurationRow().key_) {
-      return;
+    if (const std::optional<std::string> dataCentre =
+          Platform::EvacuatedDataCentre(aRow.id_)) {
+      OnEvacuationRow(*dataCentre, !aRow.removed_);
+    } else if (!aRow.removed_ &&
+               aRow.id_.key_ == Platform::ConfigurationRow().key_) {
+      OnConfigurationRow(aRow);
+    }
+  }
+
+  void OnEvacuationRow(const std::string& aDataCentre, bool aEvacuated)
+  {
+    const bool changed = aEvacuated ? evacuated_.insert(aDataCentre).second
+                                    : evacuated_.erase(aDataCentre) > 0;
+    if (changed) {
+      LogChange(aEvacuated ? "evacuation-read" : "evacuation-removal-read",
+                { { "dataCentre", aDataCentre } });
+      Metrics::OfProcess().Set(Gauge::EvacuatedDataCentres, evacuated_.size());
     }
+  }
+
+  void OnConfigurationRow(const Row& aRow)
+  {
     Result<FleetConfiguration> decoded =
       Platform::DecodeConfiguration(aRow.value_);
     if (const auto* failure = std::get_if<Failure>(&decoded)) {
@@ -258,9 +283,14 @@
         lease.IsLeader(ReadMonotonicClock())) {
       leadershipEpoch_ = lease.Epoch();
       leadership_ = std::make_unique<FleetLeader<Store>>(
-        store_, lease, settings_.bounds_, settings_.fleet_.name_, [this] {
-          EndLeadership();
-        });
+        store_,
+        lease,
+        settings_.bounds_,
+        settings_.fleet_.name_,
+        [this] {
+          return EvacuationView{ evacuated_, operatorWatch_.CurrentAsOf() };
+        },
+        [this] { EndLeadership(); });
       leadership_->Start();
     }
     const LeaderRecord& leader = lease.Leader();
@@ -838,7 +868,8 @@
   LeaderLink leaderLink_;
   LeaseRunner<Store> lease_;
   KeyKeeper<Store> key_;
-  TableWatch<Store> configurationWatch_;
+  TableWatch<Store> operatorWatch_;
+  std::set<std::string, std::less<>> evacuated_;
   std::shared_ptr<const FleetConfiguration> configuration_;
   std::unique_ptr<HttpFront> callers_;
   std::unique_ptr<HttpFront> readiness_;
--- a/Source/Process/FleetLeader.h
+++ b/Source/Process/FleetLeader.h
@@ -45,11 +45,13 @@
               const LeaderLease& aLease,
               const FleetBounds& aBounds,
               std::string aNode,
+              std::function<EvacuationView()> aReadEvacuations,
               std::function<void()> aLeadershipLost)
     : store_(aStore)
     , lease_(aLease)
     , epoch_(aLease.Epoch())
     , node_(std::move(aNode))
+    , readEvacuations_(std::move(aReadEvacuations))
     , leadershipLost_(std::move(aLeadershipLost))
     , scheduler_(epoch_, aBounds, ReadWallClock() / 1000)
     , writer_(aStore, epoch_)
@@ -414,6 +416,7 @@
       return;
     }
     scheduler_.OnTableCurrent(work_.CurrentAsOf());
+    scheduler_.OnEvacuations(readEvacuations_());
     for (SideOrders& orders :
          scheduler_.TakeOrders(now, ReadWallClock() / 1000)) {
       const auto found = sides_.find(orders.node_);
@@ -540,6 +543,7 @@
   const LeaderLease& lease_;
   std::uint64_t epoch_;
   std::string node_;
+  std::function<EvacuationView()> readEvacuations_;
   std::function<void()> leadershipLost_;
   FleetScheduler scheduler_;
   ProgressWriter<Store> writer_;
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -15,6 +15,7 @@
 #include "Version/WorkerHealth.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -41,6 +42,19 @@
    * last start of one of its tasks.
    */
   Millis cancelBound_{ 3000 };
+  /**
+   * Longest delay between the acknowledgement of the evacuation of a data
+   * centre and the last start of a task there.
+   */
+  Millis evacuationBound_{ 5000 };
+};
+
+/** Data centres that the operator has evacuated, as known to an entry. */
+struct EvacuationView
+{
+  std::set<std::string, std::less<>> dataCentres_;
+  /** All evacuations stored before this time are known. */
+  Instant currentAsOf_;
 };
 
 /**
@@ -93,7 +107,8 @@
  * - A start is based on the cancellations that were known when it was decided.
  *   Its order expires FleetBounds::cancelBound_ after the time up to which all
  *   cancellations were known, whatever delays the order: a leader that lags
- *   behind, the network, or a worker that does not answer its side.
+ *   behind, the network, or a worker that does not answer its side. The same
+ *   holds for evacuations of data centres and FleetBounds::evacuationBound_.
  */
 class FleetScheduler
 {
@@ -110,6 +125,9 @@
   void OnCancelStored(const std::string& aJob, Instant aNow);
   /** All jobs and cancellations stored before aAsOf are known here. */
   void OnTableCurrent(Instant aAsOf) { tableAsOf_ = aAsOf; }
+  /** Replaces the known evacuations. Runs in an evacuated data centre continue,
+   * but nothing starts there. */
+  void OnEvacuations(const EvacuationView& aView);
   /**
    * Restores the progress of a job that the previous leader stored; called
    * while loading.
@@ -302,6 +320,16 @@
   /** Logs once which ends the sides listed in their first reports. */
   void LogTakeover(Instant aNow);
 
+  // Evacuations.
+  bool IsEvacuated(const FleetWorker& aWorker) const;
+  void BeginEvacuation(const std::string& aDataCentre);
+  /** Withdraws the start of a run in an evacuated data centre that its worker
+   * has not accepted. */
+  void WithdrawFromEvacuated(const FleetWorker& aWorker,
+                             const std::string& aTask,
+                             TaskRun& aRun,
+                             Instant aNow);
+
   // Placement.
   /**
    * Time at which starts that are decided on the current view of the table
@@ -409,7 +437,7 @@
    * service, in thousandths of a processor.
    */
   std::int64_t LongRunningCpuMilli(std::string_view aService) const;
-  /** Total and used CPU of a service's workers. */
+  /** Total and used CPU of a service's workers on which tasks may start. */
   struct ServiceCapacity
   {
     std::int64_t cpuMilli_ = 0;
@@ -528,6 +556,7 @@
   Instant loadedAt_;
   /** All changes stored before this time are known. */
   Instant tableAsOf_;
+  EvacuationView evacuations_;
   /** Starts are withheld because the view of the table is too old. */
   bool startsWithheld_ = false;
   /** Ends that the sides listed to this leader; none once all sides have
--- a/Source/Process/FleetSchedulerLongRunning.cxx
+++ b/Source/Process/FleetSchedulerLongRunning.cxx
@@ -92,7 +92,7 @@
 {
   ServiceCapacity room;
   for (const auto& [node, worker] : workers_) {
-    if (worker.synced_ && !worker.facts_.draining_ &&
+    if (worker.synced_ && !worker.facts_.draining_ && !IsEvacuated(worker) &&
         worker.facts_.service_ == aService) {
       room.cpuMilli_ += worker.facts_.room_.cpuMilli_;
       room.usedCpuMilli_ += worker.used_.cpuMilli_;
@@ -106,7 +106,7 @@
 {
   std::int64_t sum = 0;
   for (const auto& [node, worker] : workers_) {
-    if (worker.facts_.service_ == aService) {
+    if (worker.facts_.service_ == aService && !IsEvacuated(worker)) {
       sum += worker.longRunningUsed_.cpuMilli_;
     }
   }
@@ -198,7 +198,7 @@
                                   TaskLocation& aPlace,
                                   Instant aNow)
 {
-  if (aPlace.step_->spec_->gang_) {
+  if (aPlace.step_->spec_->gang_ || IsEvacuated(aWorker)) {
     return;
   }
   ReleaseReservation(aName, *aPlace.task_);
--- a/Source/Process/FleetSchedulerMaintenance.cxx
+++ b/Source/Process/FleetSchedulerMaintenance.cxx
@@ -125,6 +125,7 @@
       if (run.run_ != number || run.node_ != aWorker.node_) {
         continue;
       }
+      WithdrawFromEvacuated(aWorker, task, run, aNow);
       if (run.phase_ == RunPhase::Ordered &&
           aNow - run.startedAt_ > kStartTimeout) {
         aWorker.cordonedUntil_ = aNow + kStallPause;
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -33,14 +33,17 @@
 Instant
 FleetScheduler::StartExpiry() const
 {
-  return tableAsOf_ + (bounds_.cancelBound_ - kStartMargin);
+  return std::min(tableAsOf_ + (bounds_.cancelBound_ - kStartMargin),
+                  evacuations_.currentAsOf_ +
+                    (bounds_.evacuationBound_ - kStartMargin));
 }
 
 /**
  * Whether an order given now could still be carried out.
  *
  * A leader that is seconds behind the table would start tasks whose
- * cancellation has been acknowledged. The table answers at least every 0.8 s,
+ * cancellation has been acknowledged, or whose data centre has been evacuated.
+ * The table answers at least every 0.8 s,
  * so starts in a healthy fleet are never withheld.
  */
 bool
@@ -49,7 +52,8 @@
   const bool canStart = loaded_ && aNow + kMinStartValidity < StartExpiry();
   if (loaded_ && canStart == startsWithheld_) {
     startsWithheld_ = !canStart;
-    const auto age = std::chrono::duration_cast<Millis>(aNow - tableAsOf_);
+    const Instant asOf = std::min(tableAsOf_, evacuations_.currentAsOf_);
+    const auto age = std::chrono::duration_cast<Millis>(aNow - asOf);
     LogEvent(canStart ? "starts-go-on" : "starts-withheld",
              {},
              {},
@@ -326,6 +330,7 @@
     option.worker_ = &worker;
     option.sameStep_ = same == sameStep.end() ? 0 : same->second;
     option.cordoned_ = health_.IsCordoned(node, aNow);
+    option.evacuated_ = IsEvacuated(worker);
     option.reserved_ =
       reservations_.IsReservedFrom(aJob.Spec().id_, worker.node_, aNow);
     option.fit_ = FitOn(worker, aJob, *aStep.spec_);
--- a/Source/Process/FleetSettings.cxx
+++ b/Source/Process/FleetSettings.cxx
@@ -41,7 +41,7 @@
     "info,warning" },
 } };
 
-constexpr std::array<SettingSpec, 6> kEntry{ {
+constexpr std::array<SettingSpec, 7> kEntry{ {
   RequiredSetting("fleet.callers",
                   SettingKind::Address,
                   "IP:PORT that callers' requests arrive at"),
@@ -67,6 +67,14 @@
                 "ms",
                 "from a cancellation's answer on, no task of its job starts "
                 "later than this"),
+  NumberSetting(
+    "bounds.evacuate-ms",
+    "5000",
+    1000,
+    kHourMs,
+    "ms",
+    "from the answer to the evacuation of a data centre on, no task "
+    "starts there later than this"),
   { "bounds.far-factor",
     SettingKind::Text,
     "1.5",
@@ -156,6 +164,7 @@
   FleetBounds& bounds = settings.bounds_;
   bounds.keepFinished_ = Millis(1000 * file.Number("bounds.keep-finished-s"));
   bounds.cancelBound_ = Millis(file.Number("bounds.cancel-ms"));
+  bounds.evacuationBound_ = Millis(file.Number("bounds.evacuate-ms"));
   const std::string& factor = file.Text("bounds.far-factor");
   bounds.farFactor_ = ParseFraction(factor).value_or(0);
   if (bounds.farFactor_ < 1) {
--- a/Source/Process/Metrics.cxx
+++ b/Source/Process/Metrics.cxx
@@ -38,6 +38,7 @@
   { "configuration_version", "version of the configuration in force" },
   { "journal_requests", "requests whose steps are remembered" },
   { "requests_in_progress", "requests without their final answer" },
+  { "evacuated_data_centres", "data centres in which no task starts" },
 } };
 
 struct Series
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -49,10 +49,11 @@
   ConfigurationVersion,
   JournalRequests,
   RequestsInProgress,
+  EvacuatedDataCentres,
 };
 
 constexpr std::size_t kGaugeCount =
-  static_cast<std::size_t>(Gauge::RequestsInProgress) + 1;
+  static_cast<std::size_t>(Gauge::EvacuatedDataCentres) + 1;
 
 /** Name of a counter or gauge, such as "table_calls", and its help text. */
 struct MetricName
--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -232,7 +232,8 @@
   const StepSpec& step = *aFacts.step_;
   if (!worker.synced_ || !worker.registered_ || !worker.facts_.answers_ ||
       worker.facts_.id_.empty() || worker.facts_.service_ != aFacts.service_ ||
-      worker.facts_.draining_ || !worker.unknownRuns_.empty()) {
+      worker.facts_.draining_ || aOption.evacuated_ ||
+      !worker.unknownRuns_.empty()) {
     return false;
   }
   // Backfill uses only processors that others leave, so a reservation of the
--- a/Source/Process/WorkerChoice.h
+++ b/Source/Process/WorkerChoice.h
@@ -36,6 +36,8 @@
   std::uint32_t sameStep_ = 0;
   /** The worker is cordoned because the tasks that it starts fail. */
   bool cordoned_ = false;
+  /** The operator has evacuated the worker's data centre. */
+  bool evacuated_ = false;
   /** The worker is reserved for another job; see WorkerReservations. */
   bool reserved_ = false;
   /** For a backfill task: its fit beside the serving tasks on the worker. */
--- a/Tests/Fleet/FleetFailureTest.cxx
+++ b/Tests/Fleet/FleetFailureTest.cxx
@@ -428,6 +428,7 @@
 {
   FleetScheduler scheduler(aEpoch, FleetBounds(), kWallMs);
   scheduler.OnTableCurrent(aNow);
+  scheduler.OnEvacuations({ {}, aNow });
   scheduler.OnSideRegistered("side", aNow);
   scheduler.OnLoaded(aNow, kWallMs);
   scheduler.OnLinkUp("side", aNow);
--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -328,6 +328,8 @@
     host.linked_ = false;
   }
   scheduler_->OnTableCurrent(now_);
+  scheduler_->OnEvacuations({ evacuated_, now_ });
+  deliveredEvacuations_ = evacuations_.size();
   scheduler_->OnLoaded(now_, WallMs());
 }
 
@@ -430,6 +432,32 @@
   }
 }
 
+void
+FleetWorld::Evacuate(const std::string& aDataCentre, bool aEvacuated)
+{
+  if (aEvacuated) {
+    evacuated_.insert(aDataCentre);
+  } else {
+    evacuated_.erase(aDataCentre);
+  }
+  evacuations_.emplace_back(now_, evacuated_);
+}
+
+void
+FleetWorld::DeliverEvacuations()
+{
+  while (deliveredEvacuations_ < evacuations_.size() &&
+         evacuations_[deliveredEvacuations_].first + leaderLag_ <= now_) {
+    ++deliveredEvacuations_;
+  }
+  EvacuationView view;
+  if (deliveredEvacuations_ > 0) {
+    view.dataCentres_ = evacuations_[deliveredEvacuations_ - 1].second;
+  }
+  view.currentAsOf_ = now_ - leaderLag_;
+  scheduler_->OnEvacuations(view);
+}
+
 JobState
 FleetWorld::StateOf(const std::string& aJob)
 {
@@ -501,6 +529,7 @@
   WorkerAnnouncement announcement;
   announcement.facts_.id_ = aHost.worker_.id_;
   announcement.facts_.service_ = "service";
+  announcement.facts_.dataCentre_ = aHost.dataCentre_;
   announcement.facts_.rack_ = aHost.rack_;
   announcement.facts_.labels_ = aHost.labels_;
   announcement.facts_.room_ = aHost.room_;
@@ -583,6 +612,7 @@
   DeliverCancellations();
   if (!storeUnavailable_) {
     scheduler_->OnTableCurrent(now_ - leaderLag_);
+    DeliverEvacuations();
   }
   for (SideOrders& orders : scheduler_->TakeOrders(now_, wall)) {
     const auto host = std::find_if(
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -114,6 +114,7 @@
   WorkerFake worker_;
   FleetResources room_;
   std::string rack_;
+  std::string dataCentre_ = {};
   std::vector<std::string> labels_ = {};
   bool linked_ = false;
   bool cut_ = false;
@@ -141,6 +142,8 @@
   void Run(Millis aFor);
   void Submit(const JobDescription& aJob);
   void Cancel(const std::string& aJob);
+  /** Stores or removes the operator's order to evacuate a data centre. */
+  void Evacuate(const std::string& aDataCentre, bool aEvacuated);
   /** Replaces the leader by a new one at once. */
   void ChangeLeader();
   /** Removes the leader until ChangeLeader() starts a new one. */
@@ -199,7 +202,8 @@
   bool gangsEndTogether_ = false;
   /** The members of an incomplete gang run until they are stopped. */
   bool incompleteGangsWait_ = false;
-  /** Delay after which the leader sees a cancellation in the table. */
+  /** Delay after which the leader sees a cancellation or an evacuation in the
+   * table. */
   Millis leaderLag_{ 0 };
   /** Delivery time of orders to their side. */
   Millis orderDelay_{ 0 };
@@ -230,6 +234,7 @@
   void StepHost(HostFake& aHost);
   void StepLeader();
   void DeliverCancellations();
+  void DeliverEvacuations();
   void DeliverOrders();
   void DeliverReports();
   void LoseLink(HostFake& aHost);
@@ -251,6 +256,12 @@
   std::vector<std::pair<Instant, std::string>> cancelled_;
   /** Number of cancellations that the leader has received. */
   std::size_t deliveredCancels_ = 0;
+  std::set<std::string, std::less<>> evacuated_;
+  /** Evacuated data centres after each change, with the time of the change. */
+  std::vector<std::pair<Instant, std::set<std::string, std::less<>>>>
+    evacuations_;
+  /** Number of changes of evacuations_ that the leader has received. */
+  std::size_t deliveredEvacuations_ = 0;
   std::deque<SentOrders> sentOrders_;
   std::deque<SentReport> sentReports_;
   std::vector<FleetEvent> events_;
--- a/Tests/Fleet/HarmBench.h
+++ b/Tests/Fleet/HarmBench.h
@@ -71,6 +71,7 @@
     while (now_ < until) {
       now_ += Millis(100);
       scheduler_.OnTableCurrent(now_);
+      scheduler_.OnEvacuations({ {}, now_ });
       for (const SideOrders& orders : scheduler_.TakeOrders(
              now_, kWallMs + now_.time_since_epoch().count() / 1000)) {
         sequence_ = orders.orders_.sequence_;
--- a/Tests/Fleet/ProcessFleet.cxx
+++ b/Tests/Fleet/ProcessFleet.cxx
@@ -15,6 +15,14 @@
 
 constexpr std::string_view kQueue = "/queue/";
 constexpr std::string_view kWorker = "/worker/";
+constexpr std::string_view kEvacuation = "evacuate/";
+
+/** Returns the data centre of a worker; each worker has its own. */
+std::string
+DataCentreOf(const std::string& aWorkerId)
+{
+  return "data centre of " + aWorkerId;
+}
 
 /** Returns a loopback address of this process only, so that ports are fixed. */
 std::string
@@ -76,6 +84,15 @@
   return configuration;
 }
 
+std::optional<std::string>
+TestPlatform::EvacuatedDataCentre(const RowId& aRow)
+{
+  if (!aRow.key_.starts_with(kEvacuation)) {
+    return std::nullopt;
+  }
+  return aRow.key_.substr(kEvacuation.size());
+}
+
 CallerCall
 TestPlatform::DecodeCaller(const HttpExchange& aExchange,
                            const FleetConfiguration* aConfiguration)
@@ -140,6 +157,7 @@
   WorkerAnnouncement announcement;
   announcement.facts_.id_ = aExchange.Path().substr(kWorker.size());
   announcement.facts_.service_ = "service";
+  announcement.facts_.dataCentre_ = DataCentreOf(announcement.facts_.id_);
   announcement.facts_.room_ = { 4000, 64000, 0 };
   announcement.clockMs_ =
     std::chrono::duration_cast<Millis>(ReadMonotonicClock().time_since_epoch())
@@ -250,6 +268,20 @@
   return reply == nullptr ? HttpReply() : *reply;
 }
 
+void
+ProcessFleet::Evacuate(std::size_t aSide, bool aEvacuated)
+{
+  RowId row = TestPlatform::ConfigurationRow();
+  row.key_ = std::string(kEvacuation) + DataCentreOf(Worker(aSide).id_);
+  RowTransaction transaction;
+  if (aEvacuated) {
+    transaction.puts_.push_back({ row, "{}" });
+  } else {
+    transaction.removals_.push_back(row);
+  }
+  MemoryTables::OfTest().Apply(transaction);
+}
+
 bool
 ProcessFleet::Completes(std::size_t aEntry, const std::string& aJob)
 {
--- a/Tests/Fleet/ProcessFleet.h
+++ b/Tests/Fleet/ProcessFleet.h
@@ -42,6 +42,8 @@
   static RowId ConfigurationRow() { return { "configuration", {}, "now" }; }
   static Result<FleetConfiguration> DecodeConfiguration(
     const std::string& aDocument);
+  /** Rows "evacuate/NAME" evacuate the data centre NAME. */
+  static std::optional<std::string> EvacuatedDataCentre(const RowId& aRow);
   static CallerCall DecodeCaller(const HttpExchange& aExchange,
                                  const FleetConfiguration* aConfiguration);
   static HttpAnswer EncodeReply(const CallerReply& aReply);
@@ -86,6 +88,9 @@
   WorkerFake& Worker(std::size_t aSide);
   std::string SideName(std::size_t aSide) const;
   std::string SideLinks(std::size_t aSide) const;
+  /** Stores or removes the operator's order to evacuate the data centre of a
+   * side. */
+  void Evacuate(std::size_t aSide, bool aEvacuated);
   bool Completes(std::size_t aEntry, const std::string& aJob);
 
 private:
--- a/Tests/Fleet/ProcessFleetTest.cxx
+++ b/Tests/Fleet/ProcessFleetTest.cxx
@@ -4,6 +4,8 @@
 
 #include <QCoreApplication>
 
+#include <algorithm>
+
 using namespace cactusrail;
 
 namespace {
@@ -196,3 +198,32 @@
     [&fleet, asked] { return fleet.Worker(0).calls_ >= asked + kPortChecks; }));
   cr_assert_not(rows.contains(row));
 }
+
+// Guards against an evacuation that never reaches the leader, or that lasts
+// because its removal fell into a gap of the table's history.
+Test(ProcessFleet, EvacuationHoldsUntilItsRemovalIsReadAnew)
+{
+  const Application application;
+  ProcessFleet fleet(1, 2);
+  WarmUp(fleet);
+  fleet.Evacuate(0, true);
+  const std::size_t before = fleet.Worker(0).started_.size();
+  cr_assert(fleet.Wait([] {
+    const MetricsSnapshot metrics = Metrics::OfProcess().Snapshot();
+    return std::any_of(
+      metrics.gauges_.begin(), metrics.gauges_.end(), [](const auto& aGauge) {
+        return aGauge.name_ == "evacuated_data_centres" && aGauge.value_ == 1;
+      });
+  }));
+  cr_assert_eq(fleet.Ask(0, "POST", "meanwhile", "6").status_, 200);
+  cr_assert(fleet.Completes(0, "meanwhile"));
+  cr_assert_eq(fleet.Worker(0).started_.size(), before);
+  fleet.Evacuate(0, false);
+  MemoryTables::OfTest().ExpireHistory();
+  for (int job = 0; fleet.Worker(0).started_.size() == before; ++job) {
+    cr_assert_lt(job, 100, "The data centre stays evacuated.");
+    const std::string name = "after" + std::to_string(job);
+    cr_assert_eq(fleet.Ask(0, "POST", name, "6").status_, 200);
+    cr_assert(fleet.Completes(0, name));
+  }
+}
--- a/Tests/Fleet/RunEndTest.cxx
+++ b/Tests/Fleet/RunEndTest.cxx
@@ -137,6 +137,7 @@
   const Instant now = At(1000000);
   FleetScheduler scheduler(1, FleetBounds(), kWallMs);
   scheduler.OnTableCurrent(now);
+  scheduler.OnEvacuations({ {}, now });
   const std::vector<std::string> sides{ "side0", "side1" };
   std::vector<FleetReport> reports;
   for (const std::string& side : sides) {
