--- a/Tests/Fleet/EvacuationTest.cxx
+++ b/Tests/Fleet/EvacuationTest.cxx
@@ -68,6 +68,7 @@
     world.Submit(MakeJob("job" + std::to_string(i), 2, 1000));
     world.Run(Millis(300));
   }
+  world.Run(Millis(5000));
   cr_assert_eq(StartsOn(world, 0), 0);
   cr_assert_eq(StartsOn(world, 1), 20);
   world.Evacuate(kNorth, false);
