FleetScheduler: Move a slow run only where the move pays

Cause: a run that would take twice as long as its siblings, and a second more, was stopped and started elsewhere, whatever that costs.

Change: a run moves if its rest takes twice as long as the task would elsewhere, with the stop, the restore and half a checkpoint interval. The deployment states these times; entries read them from their settings. The fixed gain of one second is gone.

--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -47,6 +47,12 @@
    * centre and the last start of a task there.
    */
   Millis evacuationBound_{ 5000 };
+  /** Time that a worker takes to stop a run. */
+  Millis stopTime_{ 1000 };
+  /** Time that a run takes to resume from a checkpoint. */
+  Millis restoreTime_{ 250 };
+  /** Work after which a run has a new checkpoint. */
+  Millis checkpointInterval_{ 1000 };
 };
 
 /** Data centres that the operator has evacuated, as known to an entry. */
@@ -519,6 +525,13 @@
                    std::uint32_t aIndex,
                    double aSpeed);
   void MoveIfSlow(FleetWorker& aWorker, const SharingRun& aRun, Instant aNow);
+  /**
+   * Expected time from a stop of the run until a run elsewhere has completed the
+   * task, in ms: the stop, and the work that its checkpoint does not cover.
+   */
+  double ExpectedMillisElsewhere(const FleetJob& aJob,
+                                 const FleetStep& aStep,
+                                 const TaskRun& aRun) const;
   /**
    * Expected duration of a task of the step: the average of its tasks that have
    * completed, or the duration of tasks of its queue with the same estimate.
--- a/Source/Process/FleetSchedulerMaintenance.cxx
+++ b/Source/Process/FleetSchedulerMaintenance.cxx
@@ -31,12 +31,10 @@
 constexpr Millis kMinRateSample{ 700 };
 
 /**
- * Ratio of the remaining time here to the expected time elsewhere above which a
- * run moves.
+ * Ratio of the remaining time here to the expected time elsewhere, with the cost
+ * of the move, above which a run moves.
  */
 constexpr double kMoveFactor = 2;
-/** Minimum gain of a move, because a move discards work. */
-constexpr double kMoveGainMicros = 1.0e6;
 /**
  * Maximum number of moves of one task because it stalls or is slow; a worker is
  * not at fault for a task that is slow everywhere. Moves for other reasons,
@@ -81,6 +79,23 @@
                                    aStep.spec_->estimateMs_);
 }
 
+double
+FleetScheduler::ExpectedMillisElsewhere(const FleetJob& aJob,
+                                        const FleetStep& aStep,
+                                        const TaskRun& aRun) const
+{
+  const double whole = ExpectedMillis(aJob, aStep);
+  const auto stop = static_cast<double>(bounds_.stopTime_.count());
+  if (!aStep.spec_->checkpoints_) {
+    return stop + whole;
+  }
+  const auto restore = static_cast<double>(bounds_.restoreTime_.count());
+  const double lost =
+    static_cast<double>(bounds_.checkpointInterval_.count()) / 2;
+  const double left = whole * (100.0 - aRun.percent_) / 100;
+  return stop + std::min(whole, restore + lost + left);
+}
+
 void
 FleetScheduler::LearnDuration(FleetWorker& aWorker,
                               const FleetJob& aJob,
@@ -173,13 +188,14 @@
   }
   const FleetStep& step = *aPlace.step_;
   const bool siblings = step.timed_ > 0;
-  const double expectedMicros =
-    1000 * ExpectedMillis(*aPlace.entry_->job_, step);
+  const FleetJob& job = *aPlace.entry_->job_;
+  const double expectedMicros = 1000 * ExpectedMillis(job, step);
+  const double elsewhereMicros =
+    1000 * ExpectedMillisElsewhere(job, step, aRun);
   const double remainingMicros =
     elapsed / gainedPercent * (100.0 - aRun.percent_);
   const bool comparable = siblings || aWorker.slowness_ > kMoveFactor;
-  if (comparable && remainingMicros > kMoveFactor * expectedMicros &&
-      remainingMicros - expectedMicros > kMoveGainMicros) {
+  if (comparable && remainingMicros > kMoveFactor * elsewhereMicros) {
     ++task.moves_;
     task.avoid_.push_back(aWorker.node_);
     aWorker.slowness_ +=
--- a/Source/Process/FleetSettings.cxx
+++ b/Source/Process/FleetSettings.cxx
@@ -41,7 +41,7 @@
     "info,warning" },
 } };
 
-constexpr std::array<SettingSpec, 7> kEntry{ {
+constexpr std::array<SettingSpec, 10> kEntry{ {
   RequiredSetting("fleet.callers",
                   SettingKind::Address,
                   "IP:PORT that callers' requests arrive at"),
@@ -75,6 +75,24 @@
     "ms",
     "from the answer to the evacuation of a data centre on, no task "
     "starts there later than this"),
+  NumberSetting("bounds.stop-timeout-ms",
+                "1000",
+                0,
+                kHourMs,
+                "ms",
+                "time that a worker takes to stop a run"),
+  NumberSetting("bounds.restore-ms",
+                "250",
+                0,
+                kHourMs,
+                "ms",
+                "time that a run takes to resume from a checkpoint"),
+  { "bounds.checkpoint-s",
+    SettingKind::Text,
+    "1",
+    0,
+    0,
+    "seconds of work after which a run has a new checkpoint" },
   { "bounds.far-factor",
     SettingKind::Text,
     "1.5",
@@ -165,6 +183,17 @@
   bounds.keepFinished_ = Millis(1000 * file.Number("bounds.keep-finished-s"));
   bounds.cancelBound_ = Millis(file.Number("bounds.cancel-ms"));
   bounds.evacuationBound_ = Millis(file.Number("bounds.evacuate-ms"));
+  bounds.stopTime_ = Millis(file.Number("bounds.stop-timeout-ms"));
+  bounds.restoreTime_ = Millis(file.Number("bounds.restore-ms"));
+  const std::string& interval = file.Text("bounds.checkpoint-s");
+  const double checkpointSeconds = ParseFraction(interval).value_or(0);
+  if (checkpointSeconds <= 0) {
+    return NotRun(FailureKind::BadInput,
+                  aPath + ": [bounds] checkpoint-s: is \"" + interval +
+                    "\"; expected a number above 0.");
+  }
+  bounds.checkpointInterval_ =
+    Millis(static_cast<std::int64_t>(1000 * checkpointSeconds));
   const std::string& factor = file.Text("bounds.far-factor");
   bounds.farFactor_ = ParseFraction(factor).value_or(0);
   if (bounds.farFactor_ < 1) {
