WorkerChoice: The last attempt of a task waits for a trusted worker

Cause: a worker that failed the task costs more, but for backfill most other workers are not eligible at the moment, so it was the cheapest one left.

Change: the last attempt is made only on a worker that has not failed the task, is not cordoned and whose last ended task did not fail, as long as one may run the task at all; it waits if these are full.

WorkerChoice/LastAttemptWaitsForATrustedWorker and LastAttemptTakesASuspectWhereNoWorkerIsTrusted.

--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -383,6 +383,10 @@
   void UpdateOption(std::size_t aOption,
                     const FleetJob& aJob,
                     const FleetStep& aStep);
+  /** Whether the task has failed before and its next failure fails the job. */
+  static bool IsLastAttempt(const FleetJob& aJob,
+                            const FleetStep& aStep,
+                            const FleetTask& aTask);
   /** Returns the best of options_ for a task, or none if waiting is better. */
   std::optional<std::size_t> ChooseAmongOptions(const FleetJob& aJob,
                                                 const FleetStep& aStep,
@@ -526,8 +530,8 @@
                    double aSpeed);
   void MoveIfSlow(FleetWorker& aWorker, const SharingRun& aRun, Instant aNow);
   /**
-   * Expected time from a stop of the run until a run elsewhere has completed the
-   * task, in ms: the stop, and the work that its checkpoint does not cover.
+   * Expected time from a stop of the run until a run elsewhere has completed
+   * the task, in ms: the stop, and the work that its checkpoint does not cover.
    */
   double ExpectedMillisElsewhere(const FleetJob& aJob,
                                  const FleetStep& aStep,
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -330,6 +330,7 @@
     option.worker_ = &worker;
     option.sameStep_ = same == sameStep.end() ? 0 : same->second;
     option.cordoned_ = health_.IsCordoned(node, aNow);
+    option.suspect_ = health_.IsSuspect(node);
     option.evacuated_ = IsEvacuated(worker);
     option.reserved_ =
       reservations_.IsReservedFrom(aJob.Spec().id_, worker.node_, aNow);
@@ -393,6 +394,16 @@
   return {};
 }
 
+bool
+FleetScheduler::IsLastAttempt(const FleetJob& aJob,
+                              const FleetStep& aStep,
+                              const FleetTask& aTask)
+{
+  const auto failures = static_cast<std::int64_t>(aTask.failedRuns_.size());
+  return !aStep.spec_->longRunning_ && failures > 0 &&
+         failures + 1 >= aJob.Spec().maxAttempts_;
+}
+
 std::optional<std::size_t>
 FleetScheduler::ChooseAmongOptions(const FleetJob& aJob,
                                    const FleetStep& aStep,
@@ -408,6 +419,7 @@
   facts.farFactor_ = bounds_.farFactor_;
   facts.rackInUse_ = rack;
   facts.now_ = aNow;
+  facts.lastAttempt_ = IsLastAttempt(aJob, aStep, aTask);
   facts.starving_ = aStarving;
   return ChooseWorker(options_, facts);
 }
--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -200,6 +200,27 @@
     });
 }
 
+/** Whether the last attempt of a task may be made on the worker. */
+bool
+IsTrusted(const WorkerOption& aOption, const ChoiceFacts& aFacts)
+{
+  return !aOption.suspect_ && !IsCordoned(aOption, aFacts.now_) &&
+         !Contains(aFacts.avoid_, aOption.worker_->node_);
+}
+
+/** Whether the task must go to a worker that is trusted. */
+bool
+NeedsTrust(std::span<const WorkerOption> aOptions, const ChoiceFacts& aFacts)
+{
+  return aFacts.lastAttempt_ &&
+         std::any_of(aOptions.begin(),
+                     aOptions.end(),
+                     [&aFacts](const WorkerOption& aOption) {
+                       return MayRunOn(aOption, aFacts) &&
+                              IsTrusted(aOption, aFacts);
+                     });
+}
+
 }
 
 FleetResources
@@ -265,13 +286,15 @@
        bool aUncordonedOnly)
 {
   const FleetResources room = FixedResourcesOf(*aFacts.step_);
+  const bool needsTrust = NeedsTrust(aOptions, aFacts);
   std::optional<std::size_t> best;
   double bestCost = kIneligibleCost;
   for (std::size_t i = 0; i < aOptions.size(); ++i) {
     const FleetWorker& worker = *aOptions[i].worker_;
     if (!MayRunOn(aOptions[i], aFacts) || !HasCapacityFor(worker, room) ||
         aFacts.now_ < worker.refusalBackoffUntil_ ||
-        (aUncordonedOnly && IsCordoned(aOptions[i], aFacts.now_))) {
+        (aUncordonedOnly && IsCordoned(aOptions[i], aFacts.now_)) ||
+        (needsTrust && !IsTrusted(aOptions[i], aFacts))) {
       continue;
     }
     const double cost = CostOn(aOptions[i], aFacts);
--- a/Source/Process/WorkerChoice.h
+++ b/Source/Process/WorkerChoice.h
@@ -23,6 +23,8 @@
    * rack. */
   std::string_view rackInUse_;
   Instant now_;
+  /** One more failure of the task fails its job. */
+  bool lastAttempt_ = false;
   /** Backfill that found no suitable worker for a long time; any worker is
    * accepted. */
   bool starving_ = false;
@@ -36,6 +38,8 @@
   std::uint32_t sameStep_ = 0;
   /** The worker is cordoned because the tasks that it starts fail. */
   bool cordoned_ = false;
+  /** The last task that ended on the worker failed. */
+  bool suspect_ = false;
   /** The operator has evacuated the worker's data centre. */
   bool evacuated_ = false;
   /** The worker is reserved for another job; see WorkerReservations. */
@@ -73,6 +77,8 @@
  *   starts only where it is known not to disturb them, or one task at a time to
  *   measure whether it does.
  * - All other tasks are spread by free capacity.
+ * - The last attempt of a task waits for a worker on which it has not failed
+ * and that is no suspect, as long as there is one.
  */
 std::optional<std::size_t>
 ChooseWorker(std::span<const WorkerOption> aOptions, const ChoiceFacts& aFacts);
--- a/Source/Version/WorkerHealth.cxx
+++ b/Source/Version/WorkerHealth.cxx
@@ -89,6 +89,14 @@
          aNow < found->second.probeAt_;
 }
 
+bool
+WorkerHealth::IsSuspect(std::string_view aWorker) const
+{
+  const auto found = workers_.find(std::string(aWorker));
+  return found != workers_.end() &&
+         (found->second.cordoned_ || !found->second.failedJobs_.empty());
+}
+
 bool
 WorkerHealth::IsParked(std::string_view aJob) const
 {
--- a/Source/Version/WorkerHealth.h
+++ b/Source/Version/WorkerHealth.h
@@ -44,6 +44,9 @@
 
   /** Returns whether the worker is cordoned and not yet due for a probe. */
   bool IsCordoned(std::string_view aWorker, Instant aNow) const;
+  /** Returns whether the worker is cordoned or has failed a task since the last
+   * one that succeeded there. */
+  bool IsSuspect(std::string_view aWorker) const;
   bool IsParked(std::string_view aJob) const;
   /** Returns the reason as sentences for operators; empty if the job is not
    * parked. */
--- a/Tests/Fleet/WorkerChoiceTest.cxx
+++ b/Tests/Fleet/WorkerChoiceTest.cxx
@@ -3,6 +3,10 @@
 
 #include <criterion/criterion.h>
 
+#include <span>
+#include <string>
+#include <vector>
+
 using namespace cactusrail;
 
 namespace {
@@ -73,3 +77,42 @@
   option.sameStep_ = 2;
   cr_assert_not(MayRunOn(option, FactsOf(step)));
 }
+
+// Guards against a job that fails because the last attempt of its task goes
+// back to the worker on which the task has just failed, or to one that fails
+// whatever it starts, while others are only full.
+Test(WorkerChoice, LastAttemptWaitsForATrustedWorker)
+{
+  FleetWorker failed = Worker("failed");
+  FleetWorker suspect = Worker("suspect");
+  FleetWorker full = Worker("full");
+  full.used_.memoryMb_ = full.facts_.room_.memoryMb_;
+  std::vector<WorkerOption> options(3);
+  options[0].worker_ = &failed;
+  options[1].worker_ = &suspect;
+  options[1].suspect_ = true;
+  options[2].worker_ = &full;
+  const StepSpec step = Backfill();
+  const std::vector<std::string> avoided{ "failed" };
+  ChoiceFacts facts = FactsOf(step);
+  facts.avoid_ = avoided;
+  cr_assert_eq(ChooseWorker(options, facts), 1);
+  facts.lastAttempt_ = true;
+  cr_assert_not(ChooseWorker(options, facts).has_value());
+  full.used_.memoryMb_ = 0;
+  cr_assert_eq(ChooseWorker(options, facts), 2);
+}
+
+// Guards against a last attempt that waits forever, because no worker that may
+// run the task is trusted.
+Test(WorkerChoice, LastAttemptTakesASuspectWhereNoWorkerIsTrusted)
+{
+  FleetWorker failed = Worker("failed");
+  WorkerOption option;
+  option.worker_ = &failed;
+  option.suspect_ = true;
+  const StepSpec step = Backfill();
+  ChoiceFacts facts = FactsOf(step);
+  facts.lastAttempt_ = true;
+  cr_assert(ChooseWorker(std::span(&option, 1), facts).has_value());
+}
