LongRunningLimit: Admit as many tasks of a new job as the limit leaves

Cause: a new long-running job was held back whole if all of its tasks together did not fit under the limit that leaves room for short work.

Change: the limit is applied task by task. The same limit holds, so short work keeps what it had. Tasks that have run before come back as they did; under the next leader the tasks of a job that has started count as having run.

LongRunningLimit/LargeWatcherStartsWithTheTasksThatFit.

--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -213,7 +213,8 @@
      * again.
      */
     bool starving_ = false;
-    /** The log reports the job as deferred; see IsDeferred(). */
+    /** The log reports that tasks of the job are deferred; see
+     * AdmissibleNewTasks(). */
     bool deferred_ = false;
   };
 
@@ -348,6 +349,8 @@
   std::vector<ReadyKey> PlacementOrder();
   JobRank RankNow(const FleetJob& aJob, const FleetStep& aStep) const;
   bool PlaceStep(const ReadyKey& aKey, Instant aNow);
+  /** Whether a long-running step has only tasks that are deferred. */
+  bool IsDeferred(JobEntry& aEntry, const FleetStep& aStep, Instant aNow);
   /** Records that a task of the step found no worker. */
   void RecordMiss(const FleetJob& aJob, const FleetStep& aStep, Instant aNow);
   bool MissesAgain(JobEntry& aEntry, const FleetStep& aStep, Instant aNow);
@@ -440,8 +443,15 @@
   // Long-running tasks.
   /** Records the demand of one more occurrence of the job. */
   void RecordDemand(const FleetJob& aJob, Instant aNow);
-  /** Whether a new long-running job is deferred in favor of short work. */
-  bool IsDeferred(JobEntry& aEntry, const FleetStep& aStep, Instant aNow);
+  /**
+   * Number of waiting tasks of the step that never ran and may start now; the
+   * other ones of a long-running job are deferred in favor of short work.
+   */
+  std::size_t AdmissibleNewTasks(JobEntry& aEntry,
+                                 const FleetStep& aStep,
+                                 Instant aNow);
+  /** Whether the task never ran, as far as this leader knows. */
+  bool IsNew(const JobEntry& aEntry, const FleetTask& aTask) const;
   /**
    * CPU that started long-running jobs hold, or wait for, on the workers of the
    * service, in thousandths of a processor.
--- a/Source/Process/FleetSchedulerLongRunning.cxx
+++ b/Source/Process/FleetSchedulerLongRunning.cxx
@@ -121,45 +121,67 @@
     if (step == nullptr || !step->spec_->longRunning_) {
       continue;
     }
+    const JobEntry& entry = found->second;
     const auto waiting =
       std::count_if(step->tasks_.begin(),
                     step->tasks_.end(),
-                    [](const FleetTask& aTask) { return aTask.Waits(); });
+                    [this, &entry](const FleetTask& aTask) {
+                      return aTask.Waits() && !IsNew(entry, aTask);
+                    });
     sum += waiting * step->spec_->cpuMilli_;
   }
   return sum;
 }
 
-bool
-FleetScheduler::IsDeferred(JobEntry& aEntry,
-                           const FleetStep& aStep,
-                           Instant aNow)
+std::size_t
+FleetScheduler::AdmissibleNewTasks(JobEntry& aEntry,
+                                   const FleetStep& aStep,
+                                   Instant aNow)
 {
-  FleetJob& job = *aEntry.job_;
-  if (!aStep.spec_->longRunning_ || job.EverStarted()) {
-    return false;
+  const StepSpec& step = *aStep.spec_;
+  const JobDescription& spec = aEntry.job_->Spec();
+  const auto waiting = static_cast<std::size_t>(std::count_if(
+    aStep.tasks_.begin(), aStep.tasks_.end(), [&](const FleetTask& aTask) {
+      return aTask.Waits() && IsNew(aEntry, aTask);
+    }));
+  if (!step.longRunning_ || waiting == 0) {
+    return waiting;
   }
-  const JobDescription& spec = job.Spec();
-  const std::int64_t wanted =
-    static_cast<std::int64_t>(aStep.tasks_.size()) * aStep.spec_->cpuMilli_;
   const std::int64_t held = LongRunningCpuMilli(spec.service_);
   const ServiceCapacity room = CapacityOfService(spec.service_);
   const double limit = longRunningAdmission_.MaxLongRunningCpuMilli(
     spec.service_, spec.priority_, room.cpuMilli_, aNow);
   // Users count a job as lost if it waits while half of the capacity is free.
   const bool idle = room.usedCpuMilli_ < room.cpuMilli_ / 2;
-  const bool defer = !idle && static_cast<double>(held + wanted) > limit;
+  std::size_t admissible = waiting;
+  if (!idle && step.cpuMilli_ > 0) {
+    const double left = std::max(0.0, limit - static_cast<double>(held));
+    admissible = std::min(
+      waiting,
+      static_cast<std::size_t>(left / static_cast<double>(step.cpuMilli_)));
+  }
+  const bool defer = admissible < waiting;
   if (defer != aEntry.deferred_) {
     aEntry.deferred_ = defer;
     LogEvent(defer ? "standing-held-back" : "standing-admitted",
              spec.id_,
              {},
-             "it requests " + std::to_string(wanted) +
-               ", other long-running jobs hold " + std::to_string(held) +
+             std::to_string(admissible) + " of " + std::to_string(waiting) +
+               " new tasks may start, which request " +
+               std::to_string(step.cpuMilli_) +
+               " each; long-running jobs hold " + std::to_string(held) +
                " of " + std::to_string(static_cast<std::int64_t>(limit)) +
                " permitted thousandths of a processor");
   }
-  return defer;
+  return admissible;
+}
+
+bool
+FleetScheduler::IsNew(const JobEntry& aEntry, const FleetTask& aTask) const
+{
+  // An earlier leader may have run the tasks of a job that has started.
+  return !aTask.endedAt_.has_value() &&
+         !(aEntry.fromEarlierLeader_ && aEntry.job_->EverStarted());
 }
 
 std::optional<Instant>
@@ -181,8 +203,7 @@
          std::any_of(aStep.tasks_.begin(),
                      aStep.tasks_.end(),
                      [&](const FleetTask& aTask) {
-                       return aTask.Waits() &&
-                              DowntimeStart(aEntry, aTask).has_value();
+                       return aTask.Waits() && !IsNew(aEntry, aTask);
                      });
 }
 
--- a/Source/Process/FleetSchedulerMaintenance.cxx
+++ b/Source/Process/FleetSchedulerMaintenance.cxx
@@ -31,8 +31,8 @@
 constexpr Millis kMinRateSample{ 700 };
 
 /**
- * Ratio of the remaining time here to the expected time elsewhere, with the cost
- * of the move, above which a run moves.
+ * Ratio of the remaining time here to the expected time elsewhere, with the
+ * cost of the move, above which a run moves.
  */
 constexpr double kMoveFactor = 2;
 /**
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -228,6 +228,15 @@
   return order;
 }
 
+bool
+FleetScheduler::IsDeferred(JobEntry& aEntry,
+                           const FleetStep& aStep,
+                           Instant aNow)
+{
+  return aStep.spec_->longRunning_ && !HasRestarting(aEntry, aStep) &&
+         AdmissibleNewTasks(aEntry, aStep, aNow) == 0;
+}
+
 bool
 FleetScheduler::PlaceStep(const ReadyKey& aKey, Instant aNow)
 {
@@ -244,16 +253,20 @@
   // Tasks that never ran would take the capacity of restarting tasks, also of
   // other jobs.
   const bool restarting = HasRestarting(entry, step);
+  std::size_t admissible = AdmissibleNewTasks(entry, step, aNow);
   for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
     const FleetTask& task = step.tasks_[i];
     if (!task.Waits()) {
       continue;
     }
-    const bool mustWait = restarting && !DowntimeStart(entry, task).has_value();
+    const bool isNew = IsNew(entry, task);
+    const bool mustWait = isNew && (restarting || admissible == 0);
     if (mustWait || task.notBefore_ > aNow) {
       allPlaced = false;
     } else if (!PlaceOrMiss(entry, step, i, aNow)) {
       return false;
+    } else if (isNew) {
+      --admissible;
     }
   }
   return allPlaced;
--- a/Tests/Fleet/LongRunningLimitTest.cxx
+++ b/Tests/Fleet/LongRunningLimitTest.cxx
@@ -191,3 +191,24 @@
   cr_assert_gt(room.MaxLongRunningCpuMilli("service", 0, 64000, At(17000)),
                before);
 }
+
+// Guards against a watcher with many tasks that does not run at all, because
+// the fleet has room for most of them, but not for all.
+Test(LongRunningLimit, LargeWatcherStartsWithTheTasksThatFit)
+{
+  SharedFleet fleet;
+  fleet.RunWithQuotes(Millis(6000));
+  JobDescription large = MakeJob("new0", 16, 4000);
+  large.steps_.front().longRunning_ = true;
+  fleet.world_.Submit(large);
+  fleet.RunWithQuotes(Millis(2000));
+  std::size_t started = 0;
+  for (int i = 0; i < 16; ++i) {
+    started += fleet.world_.Starts("new0.0.0." + std::to_string(i));
+  }
+  cr_assert_gt(started, 0);
+  cr_assert_lt(started, 16, "Quotes have no capacity left.");
+  fleet.world_.ChangeLeader();
+  fleet.RunWithQuotes(Millis(2000));
+  cr_assert_eq(fleet.world_.MaxConcurrentRuns(), 1);
+}
