Tests: Show that starts expire with the view of evacuations

With the guard out the three tests of late starts passed, because the bound on cancelled jobs, which is shorter, held them. The world of these tests has a bound on cancellations that is four times as long.

--- a/Tests/Fleet/EvacuationTest.cxx
+++ b/Tests/Fleet/EvacuationTest.cxx
@@ -22,7 +22,11 @@
                std::size_t aSouth,
                FleetResources aRoom = { 4000, 64000, 0 })
 {
-  FleetWorld world(aNorth + aSouth, aRoom);
+  // Orders must not expire for another reason before the evacuation's bound.
+  FleetBounds bounds;
+  bounds.cancelBound_ = 4 * kEvacuationBound;
+  bounds.evacuationBound_ = kEvacuationBound;
+  FleetWorld world(aNorth + aSouth, aRoom, bounds);
   for (std::size_t i = 0; i < aNorth + aSouth; ++i) {
     world.Host(i).dataCentre_ = i < aNorth ? kNorth : kSouth;
   }
--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -280,8 +280,11 @@
 
 // Fleet.
 
-FleetWorld::FleetWorld(std::size_t aHosts, FleetResources aRoom)
+FleetWorld::FleetWorld(std::size_t aHosts,
+                       FleetResources aRoom,
+                       const FleetBounds& aBounds)
   : now_(At(1000000))
+  , bounds_(aBounds)
 {
   for (std::size_t i = 0; i < aHosts; ++i) {
     const std::string number = std::to_string(i);
@@ -309,8 +312,7 @@
 {
   epoch_ = aEpoch;
   LoseWrite();
-  scheduler_ =
-    std::make_unique<FleetScheduler>(aEpoch, FleetBounds(), WallMs());
+  scheduler_ = std::make_unique<FleetScheduler>(aEpoch, bounds_, WallMs());
   for (const auto& [id, job] : jobs_) {
     scheduler_->OnJobStored(job, now_);
   }
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -136,7 +136,8 @@
 {
 public:
   explicit FleetWorld(std::size_t aHosts,
-                      FleetResources aRoom = { 16000, 64000, 0 });
+                      FleetResources aRoom = { 16000, 64000, 0 },
+                      const FleetBounds& aBounds = FleetBounds());
 
   /** Advances the time in steps of 10 ms. */
   void Run(Millis aFor);
@@ -247,6 +248,7 @@
   void StartLeader(std::uint64_t aEpoch);
 
   Instant now_;
+  FleetBounds bounds_;
   std::uint64_t epoch_ = 1;
   std::unique_ptr<FleetScheduler> scheduler_;
   std::vector<HostFake> hosts_;
