WorkerChoice: Backfill gets what serving tasks leave by their learned load

Cause: serving tasks were assumed to use 0.6 of the processors that they declare. It was right for no deployment; the users load them at 0.42 in the mean, in waves.

Change: the load of each job is learned already, from the tail latencies of its tasks. Its upper limit for the next half second, weighted by declared processors, takes the place of the constant on each worker once there is a measurement.

WorkerChoice/BackfillGetsWhatLightlyLoadedServingTasksLeave.

--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -522,6 +522,10 @@
   struct SharingRun;
   std::vector<SharingRun> SharingRuns(FleetWorker& aWorker);
   void MonitorServing(FleetWorker& aWorker, Instant aNow);
+  /** Share of their declared CPU that the serving tasks use at most, by the
+   * learned load of their jobs; none without serving tasks. */
+  std::optional<double> ServingUseShare(
+    std::span<const SharingRun> aRuns) const;
   void UpdateReportRate(FleetWorker& aWorker, bool aHasServing);
   void PauseBackfill(FleetWorker& aWorker,
                      std::span<const SharingRun> aRuns,
--- a/Source/Process/FleetSchedulerSharing.cxx
+++ b/Source/Process/FleetSchedulerSharing.cxx
@@ -42,6 +42,9 @@
 /** Weight with which that share returns to 1 while no usage is measured. */
 constexpr double kShareDecay = 0.1;
 
+/** Interval ahead for which the CPU use of serving tasks is predicted. */
+constexpr Millis kServingUseHorizon{ 500 };
+
 /** Granularity of ordered paces in percent; a finer one costs more orders. */
 constexpr std::uint32_t kPaceStep = 10;
 constexpr std::uint32_t kFullPace = 100;
@@ -137,6 +140,7 @@
   interference_.Record(aWorker.node_, backfill, aNow);
   interference_.Measure(
     aWorker.node_, aWorker.servingSamples_, aWorker.measuredAt_);
+  aWorker.servingUseShare_ = ServingUseShare(runs);
   aWorker.fits_.clear();
   UpdateReportRate(aWorker, !aWorker.servingSamples_.empty());
   PauseBackfill(aWorker, runs, aNow);
@@ -145,6 +149,23 @@
   }
 }
 
+std::optional<double>
+FleetScheduler::ServingUseShare(std::span<const SharingRun> aRuns) const
+{
+  double declared = 0;
+  double used = 0;
+  for (const SharingRun& one : aRuns) {
+    if (one.room_->serves_) {
+      const auto cpu = static_cast<double>(one.room_->room_.cpuMilli_);
+      const double load =
+        interference_.Model().LoadWithin(one.room_->job_, kServingUseHorizon);
+      declared += cpu;
+      used += cpu * std::min(1.0, load);
+    }
+  }
+  return declared > 0 ? std::optional(used / declared) : std::nullopt;
+}
+
 void
 FleetScheduler::UpdateReportRate(FleetWorker& aWorker, bool aHasServing)
 {
--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -13,9 +13,9 @@
  */
 constexpr double kMinBackfillShare = 0.8;
 
-/** Assumed share of their declared processors that serving tasks use; the
- * actual use is not reported. Higher use shows as a lower share of CPU for
- * backfill. */
+/** Assumed share of their declared processors that serving tasks use, until
+ * their latencies have shown their load. Higher use shows as a lower share of
+ * CPU for backfill. */
 constexpr double kServingUseShare = 0.6;
 /** Minimum ratio of CPU used to CPU requested by the backfill on a worker;
  * below it, no more backfill starts there. */
@@ -82,7 +82,8 @@
 BackfillShare(const FleetWorker& aWorker, std::int64_t aCpuMilli)
 {
   const double unused =
-    (1 - kServingUseShare) * static_cast<double>(aWorker.servingCpuMilli_);
+    (1 - aWorker.servingUseShare_.value_or(kServingUseShare)) *
+    static_cast<double>(aWorker.servingCpuMilli_);
   const double left = static_cast<double>(aWorker.Free().cpuMilli_) + unused;
   const auto wanted =
     static_cast<double>(aWorker.backfillCpuMilli_ + aCpuMilli);
--- a/Tests/Fleet/WorkerChoiceTest.cxx
+++ b/Tests/Fleet/WorkerChoiceTest.cxx
@@ -116,3 +116,24 @@
   facts.lastAttempt_ = true;
   cr_assert(ChooseWorker(std::span(&option, 1), facts).has_value());
 }
+
+// Guards against processors that stay idle beside serving tasks with little
+// load, while backfill waits: 40 of 64 processors are declared, and a fifth of
+// them is used.
+Test(WorkerChoice, BackfillGetsWhatLightlyLoadedServingTasksLeave)
+{
+  FleetWorker worker = Worker("w");
+  worker.serving_ = 4;
+  worker.used_.cpuMilli_ = 40000;
+  worker.servingCpuMilli_ = 40000;
+  worker.backfillCpuMilli_ = 49000;
+  WorkerOption option;
+  option.worker_ = &worker;
+  const StepSpec step = Backfill();
+  const ChoiceFacts facts = FactsOf(step);
+  cr_assert_not(ChooseWorker(std::span(&option, 1), facts).has_value());
+  worker.servingUseShare_ = 0.2;
+  cr_assert(ChooseWorker(std::span(&option, 1), facts).has_value());
+  worker.servingUseShare_ = 0.9;
+  cr_assert_not(ChooseWorker(std::span(&option, 1), facts).has_value());
+}
