Profile: Add a command that summarises the logs of a fleet

cactusrail profile FILE reads the log of the entries and prints, by priority, how long jobs waited and took and how they ended; stopped runs by reason; and every five seconds the reserved processors, those of backfill, the mean pressure and the workers with a task over its objective. Lines of other processes and text before the JSON of a line are skipped, so collected logs can be read as they are.

--- a/Source/Process/AllCommands.cxx
+++ b/Source/Process/AllCommands.cxx
@@ -3,6 +3,7 @@
 #include "Process/Completion.h"
 #include "Process/ConfigCommands.h"
 #include "Process/ExplainCommand.h"
+#include "Process/ProfileCommand.h"
 #include "Process/RoleCommands.h"
 #include "Process/TopCommand.h"
 #include "Process/WorkCommands.h"
@@ -63,6 +64,7 @@
   AddWorkCommands(table);
   AddExplainCommands(table);
   AddTopCommand(table);
+  AddProfileCommand(table);
   AddProgramCommands(table);
   return table;
 }
--- a/Utilities/completion/cactusrail.bash
+++ b/Utilities/completion/cactusrail.bash
@@ -26,11 +26,12 @@
     "cancel "*) words="--yes --dry-run --operation --wait --entry --key-file --output --help" ;;
     "explain "*) words="--entry --key-file --output --help" ;;
     "top "*) words="--once --entry --key-file --output --help" ;;
+    "profile "*) words="--help" ;;
     "version "*) words="--output --help" ;;
     "completion "*) words="--help" ;;
   esac
   if [ "$COMP_CWORD" -eq 1 ]; then
-    words="cancel completion config create drain entry explain fleet-entry fleet-side inspect list pause resume side stop top version"
+    words="cancel completion config create drain entry explain fleet-entry fleet-side inspect list pause resume side stop top profile version"
   elif [ "$COMP_CWORD" -eq 2 ]; then
     case "${COMP_WORDS[1]}" in
       config) words="check get keys set" ;;
