--- a/Utilities/completion/cactusrail.bash
+++ b/Utilities/completion/cactusrail.bash
@@ -31,7 +31,7 @@
     "completion "*) words="--help" ;;
   esac
   if [ "$COMP_CWORD" -eq 1 ]; then
-    words="cancel completion config create drain entry explain fleet-entry fleet-side inspect list pause resume side stop top profile version"
+    words="cancel completion config create drain entry explain fleet-entry fleet-side inspect list pause profile resume side stop top version"
   elif [ "$COMP_CWORD" -eq 2 ]; then
     case "${COMP_WORDS[1]}" in
       config) words="check get keys set" ;;
