Fleet: What a first reading of the evacuation and the learned use tripped over

StopOnDraining no longer shares a word with evacuations of data centres. An outdated answer of the table is logged where it is refused; ConsistentStore moves to Process, whose log it uses. LogProfile::AddLine is three functions. Comments say when the learned use applies: from the first report of serving tasks on.

--- a/Source/Connection/ConsistentStore.h
+++ b/Source/Process/ConsistentStore.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "Connection/RowStore.h"
+#include "Process/Log.h"
 #include "Process/SocketAddress.h"
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -81,6 +83,9 @@
              Result<Answer> aAnswer) {
       if (const auto* answer = std::get_if<Answer>(&aAnswer)) {
         if (IsOutdated(*answer, seen)) {
+          LogProblem("table-answer-outdated",
+                     { { "version", std::to_string(answer->version_) },
+                       { "seen", std::to_string(seen) } });
           callback(NotRun(FailureKind::Refused,
                           "The table service answered with version " +
                             std::to_string(answer->version_) +
--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "Connection/ConsistentStore.h"
 #include "Connection/HttpFront.h"
 #include "Connection/RowStore.h"
 #include "Process/CallerCall.h"
+#include "Process/ConsistentStore.h"
 #include "Process/FleetLeader.h"
 #include "Process/FleetRecords.h"
 #include "Process/FleetSettings.h"
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -445,7 +445,8 @@
   void RecordDemand(const FleetJob& aJob, Instant aNow);
   /**
    * Number of waiting tasks of the step that never ran and may start now; the
-   * other ones of a long-running job are deferred in favor of short work.
+   * other ones of a long-running job are deferred in favor of short work. Logs
+   * when that begins and ends.
    */
   std::size_t AdmissibleNewTasks(JobEntry& aEntry,
                                  const FleetStep& aStep,
@@ -512,11 +513,11 @@
    * Stops a run on a draining worker if the run would not end before the worker
    * leaves. Runs of long-running tasks stop at once, those of gangs never.
    */
-  void EvacuateDraining(FleetWorker& aWorker,
-                        const TaskKey& aName,
-                        TaskLocation& aPlace,
-                        TaskRun& aRun,
-                        Instant aNow);
+  void StopOnDraining(FleetWorker& aWorker,
+                      const TaskKey& aName,
+                      TaskLocation& aPlace,
+                      TaskRun& aRun,
+                      Instant aNow);
 
   // Serving tasks beside backfill.
   struct SharingRun;
--- a/Source/Process/FleetSchedulerMaintenance.cxx
+++ b/Source/Process/FleetSchedulerMaintenance.cxx
@@ -164,7 +164,7 @@
   const StepSpec& spec = *aPlace.step_->spec_;
   FleetTask& task = *aPlace.task_;
   if (aWorker.facts_.draining_) {
-    EvacuateDraining(aWorker, aName, aPlace, aRun, aNow);
+    StopOnDraining(aWorker, aName, aPlace, aRun, aNow);
     return;
   }
   if (!aRun.reported_ || spec.gang_ || aRun.pace_ < 100 ||
@@ -208,11 +208,11 @@
 }
 
 void
-FleetScheduler::EvacuateDraining(FleetWorker& aWorker,
-                                 const TaskKey& aName,
-                                 TaskLocation& aPlace,
-                                 TaskRun& aRun,
-                                 Instant aNow)
+FleetScheduler::StopOnDraining(FleetWorker& aWorker,
+                               const TaskKey& aName,
+                               TaskLocation& aPlace,
+                               TaskRun& aRun,
+                               Instant aNow)
 {
   const StepSpec& spec = *aPlace.step_->spec_;
   if (spec.gang_) {
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -128,7 +128,8 @@
   double backfillShare_ = 1;
   /** CPU declared by serving tasks, of which they use only a part. */
   std::int64_t servingCpuMilli_ = 0;
-  /** Learned upper limit of that part; none before the first measurement. */
+  /** Learned upper limit of that part; none while no serving task has been
+   * reported. */
   std::optional<double> servingUseShare_;
   /** Number of serving tasks by job and image. */
   std::map<ServingGroup, std::uint32_t> servingGroups_;
--- a/Source/Process/LogProfile.cxx
+++ b/Source/Process/LogProfile.cxx
@@ -83,36 +83,60 @@
     QDateTime::fromString(line.value(QLatin1String("time")).toString(),
                           Qt::ISODateWithMs)
       .toMSecsSinceEpoch();
-  const std::string id = TextOf(line, "id");
-  if (event == "job-queued") {
-    jobs_.try_emplace(id, Job{ TextOf(line, "detail"), atMs, {}, {}, "open" });
-  } else if (event == "run-ordered") {
-    const auto job = jobs_.find(id.substr(0, id.find('.')));
-    if (job != jobs_.end() && !job->second.startedAtMs_.has_value()) {
-      job->second.startedAtMs_ = atMs;
-    }
-  } else if (event == "job-ended") {
-    const auto job = jobs_.find(id);
-    if (job != jobs_.end()) {
-      job->second.endedAtMs_ = atMs;
-      job->second.state_ = TextOf(line, "detail");
-    }
-  } else if (event == "run-stopped") {
-    ++stops_[WithoutNumbers(TextOf(line, "detail"))];
-  } else if (event == "worker-view") {
-    Usage& usage = usage_[atMs / kSpanMs * kSpanMs];
-    const std::string cpu = TextOf(line, "cpu");
-    const std::size_t slash = cpu.find('/');
-    if (slash == std::string::npos) {
-      return;
-    }
-    ++usage.lines_;
-    usage.fixed_ += std::atof(cpu.substr(0, slash).c_str());
-    usage.capacity_ += std::atof(cpu.substr(slash + 1).c_str());
-    usage.backfill_ += NumberOf(line, "backfill");
-    usage.pressure_ += NumberOf(line, "pressure");
-    usage.overObjective_ += NumberOf(line, "pressure") > 1 ? 1 : 0;
+  if (event == "worker-view") {
+    AddWorker(atMs,
+              TextOf(line, "cpu"),
+              NumberOf(line, "backfill"),
+              NumberOf(line, "pressure"));
+  } else {
+    AddJobEvent(event, TextOf(line, "id"), TextOf(line, "detail"), atMs);
+  }
+}
+
+void
+LogProfile::AddJobEvent(const std::string& aEvent,
+                        const std::string& aId,
+                        const std::string& aDetail,
+                        std::int64_t aAtMs)
+{
+  if (aEvent == "job-queued") {
+    jobs_.try_emplace(aId, Job{ aDetail, aAtMs, {}, {}, "open" });
+    return;
+  }
+  if (aEvent == "run-stopped") {
+    ++stops_[WithoutNumbers(aDetail)];
+    return;
+  }
+  // The id of a run begins with that of its job.
+  const auto job = jobs_.find(aId.substr(0, aId.find('.')));
+  if (job == jobs_.end()) {
+    return;
+  }
+  if (aEvent == "run-ordered" && !job->second.startedAtMs_.has_value()) {
+    job->second.startedAtMs_ = aAtMs;
+  } else if (aEvent == "job-ended") {
+    job->second.endedAtMs_ = aAtMs;
+    job->second.state_ = aDetail;
+  }
+}
+
+void
+LogProfile::AddWorker(std::int64_t aAtMs,
+                      const std::string& aCpu,
+                      double aBackfill,
+                      double aPressure)
+{
+  const std::size_t slash = aCpu.find('/');
+  if (slash == std::string::npos) {
+    return;
   }
+  Usage& usage = usage_[aAtMs / kSpanMs * kSpanMs];
+  ++usage.lines_;
+  usage.fixed_ += std::atof(aCpu.substr(0, slash).c_str());
+  usage.capacity_ += std::atof(aCpu.substr(slash + 1).c_str());
+  usage.backfill_ += aBackfill;
+  usage.pressure_ += aPressure;
+  usage.overObjective_ += aPressure > 1 ? 1 : 0;
 }
 
 std::string
--- a/Source/Process/LogProfile.h
+++ b/Source/Process/LogProfile.h
@@ -45,6 +45,15 @@
     std::size_t overObjective_ = 0;
   };
 
+  void AddJobEvent(const std::string& aEvent,
+                   const std::string& aId,
+                   const std::string& aDetail,
+                   std::int64_t aAtMs);
+  /** aCpu is the reserved and the whole CPU of a worker, as "used/all". */
+  void AddWorker(std::int64_t aAtMs,
+                 const std::string& aCpu,
+                 double aBackfill,
+                 double aPressure);
   std::string JobsText() const;
   std::string StopsText() const;
   std::string UsageText() const;
--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -13,8 +13,8 @@
  */
 constexpr double kMinBackfillShare = 0.8;
 
-/** Assumed share of their declared processors that serving tasks use, until
- * their latencies have shown their load. Higher use shows as a lower share of
+/** Assumed share of their declared processors that serving tasks use, until a
+ * report contains them. Higher use shows as a lower share of
  * CPU for backfill. */
 constexpr double kServingUseShare = 0.6;
 /** Minimum ratio of CPU used to CPU requested by the backfill on a worker;
--- a/Tests/Fleet/TableWatchTest.cxx
+++ b/Tests/Fleet/TableWatchTest.cxx
@@ -1,6 +1,6 @@
 #include "Process/TableWatch.h"
-#include "Connection/ConsistentStore.h"
 #include "MemoryStore.h"
+#include "Process/ConsistentStore.h"
 #include "Tests/EventLoop.h"
 
 #include <criterion/criterion.h>
