FleetScheduler: Judge unanswered starts by the side's clock

Cause: a start counted as unanswered if 3 s had passed by the leader's clock when the leader processed a report of the side, also if the report had been sent before the start and had waited for the leader. A leader seconds behind stopped nearly all runs that it had started and cordoned their workers, which kept it behind.

Why it works: the deadline is set by the first report that lists the start and compared with the clock in later reports, so the time that a report waits for the leader no longer counts.

--- a/Source/Process/FleetJob.h
+++ b/Source/Process/FleetJob.h
@@ -33,6 +33,9 @@
   /** Sequence number, on the worker's link, of the orders that carried the
    * start. */
   std::uint64_t orderSequence_ = 0;
+  /** Side's clock, in microseconds, by which the worker must have answered the
+   * start; none before the side has reported the start on the current link. */
+  std::optional<std::uint64_t> answerDueMicros_;
   Instant startedAt_;
   /** Progress in the first report, in percent. */
   std::uint32_t firstPercent_ = 0;
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -503,6 +503,9 @@
                  const std::string& aTask,
                  TaskRun& aRun,
                  std::string_view aWhy);
+  /** Sets the deadline for the worker's answer to a start that its side has
+   * reported. */
+  static void ExpectAnswer(const FleetWorker& aWorker, TaskRun& aRun);
   void MaintainRuns(FleetWorker& aWorker, Instant aNow);
   void MaintainRun(FleetWorker& aWorker,
                    const TaskKey& aName,
--- a/Source/Process/FleetSchedulerMaintenance.cxx
+++ b/Source/Process/FleetSchedulerMaintenance.cxx
@@ -16,8 +16,8 @@
 constexpr Millis kStallTimeout{ 1600 };
 
 /**
- * Time without an answer of the worker, counted from the order, after which a
- * start is withdrawn.
+ * Time without an answer of the worker, counted from the first report that
+ * lists the start, after which a start is withdrawn.
  */
 constexpr Millis kStartTimeout{ 3000 };
 
@@ -68,6 +68,20 @@
            "run " + std::to_string(aRun.run_) + ": " + std::string(aWhy));
 }
 
+/**
+ * The deadline is a time of the side's clock. By the leader's clock, reports
+ * that waited for a busy leader would look like silence of the worker.
+ */
+void
+FleetScheduler::ExpectAnswer(const FleetWorker& aWorker, TaskRun& aRun)
+{
+  if (!aRun.answerDueMicros_.has_value()) {
+    aRun.answerDueMicros_ =
+      aWorker.echoMicros_ +
+      static_cast<std::uint64_t>(Micros(kStartTimeout).count());
+  }
+}
+
 double
 FleetScheduler::ExpectedMillis(const FleetJob& aJob,
                                const FleetStep& aStep) const
@@ -141,8 +155,8 @@
         continue;
       }
       WithdrawFromEvacuated(aWorker, task, run, aNow);
-      if (run.phase_ == RunPhase::Ordered &&
-          aNow - run.startedAt_ > kStartTimeout) {
+      if (run.phase_ == RunPhase::Ordered && run.answerDueMicros_.has_value() &&
+          aWorker.echoMicros_ > *run.answerDueMicros_) {
         aWorker.cordonedUntil_ = aNow + kStallPause;
         place->task_->avoid_.push_back(aWorker.node_);
         OrderStop(aWorker.node_, task, run, "its start got no answer");
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -79,6 +79,8 @@
       place.has_value() ? FindRun(*place->task_, aNode, key.second) : nullptr;
     if (run != nullptr) {
       run->orderSequence_ = 0;
+      // A restarted side may have a different clock.
+      run->answerDueMicros_.reset();
     }
   }
   worker.unknownRuns_.clear();
@@ -539,6 +541,7 @@
     run->orderSequence_ = aWorker.ordersSent_ + 1;
   }
   if (aFact.starting_) {
+    ExpectAnswer(aWorker, *run);
     return;
   }
   if (run->phase_ == RunPhase::Ordered) {
--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -373,6 +373,12 @@
   }
 }
 
+void
+FleetWorld::SuspendLeader(Millis aFor)
+{
+  leaderContinuesAt_ = now_ + aFor;
+}
+
 void
 FleetWorld::RestartSide(std::size_t aHost)
 {
@@ -582,7 +588,8 @@
 void
 FleetWorld::DeliverReports()
 {
-  while (!sentReports_.empty() && sentReports_.front().arrivesAt_ <= now_) {
+  while (now_ >= leaderContinuesAt_ && !sentReports_.empty() &&
+         sentReports_.front().arrivesAt_ <= now_) {
     const SentReport sent = std::move(sentReports_.front());
     sentReports_.pop_front();
     HostFake& host = hosts_.at(sent.host_);
@@ -745,7 +752,7 @@
   for (HostFake& host : hosts_) {
     StepHost(host);
   }
-  if (!leaderLost_) {
+  if (!leaderLost_ && now_ >= leaderContinuesAt_) {
     StepLeader();
   }
   Check();
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -149,6 +149,8 @@
   void ChangeLeader();
   /** Removes the leader until ChangeLeader() starts a new one. */
   void LoseLeader();
+  /** Suspends the leader; messages to it wait until it continues. */
+  void SuspendLeader(Millis aFor);
   /** Kills the process of the side and restarts it. */
   void RestartSide(std::size_t aHost);
   /** Cuts or restores the connection between the leader and the host. */
@@ -268,6 +270,7 @@
   std::deque<SentReport> sentReports_;
   std::vector<FleetEvent> events_;
   bool leaderLost_ = false;
+  Instant leaderContinuesAt_;
   std::optional<ProgressBatch> writing_;
   /** Time at which the store has applied writing_. */
   Instant writtenAt_;
