FleetScheduler: Keep reservations until their task could be placed

What callers saw: nothing yet.

Cause: expired reservations were dropped before the first pass that could place the task again, and urgent work, which is placed first, took the capacity.

Evidence: two tests on the virtual clock that failed before, LastingTask/ReservationOutlastsWithheldStarts and ReservationOutlastsTheDeferralAfterALeaderChange.

Why it works: a reservation is dropped after a pass in which its task could be placed, never before.

--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -119,9 +119,6 @@
 {
   const bool deferOldWork = DefersOldWork(aNow);
   misses_.Clear();
-  for (auto& [node, worker] : workers_) {
-    worker.DropExpiredReservations(aNow);
-  }
   std::vector<ReadyKey> placed;
   // Work of a lower priority must not take capacity that preemption frees.
   std::optional<std::int64_t> blockedPriority;
@@ -161,6 +158,13 @@
   for (const ReadyKey& key : placed) {
     ready_.erase(key);
   }
+  // Only after the pass, and not while old work is deferred: a task that could
+  // not be placed for a while still finds its reservation.
+  if (!deferOldWork) {
+    for (auto& [node, worker] : workers_) {
+      worker.DropExpiredReservations(aNow);
+    }
+  }
 }
 
 JobRank
--- a/Tests/Fleet/LongRunningTaskTest.cxx
+++ b/Tests/Fleet/LongRunningTaskTest.cxx
@@ -302,3 +302,40 @@
   cr_assert_eq(world.Starts("other.0.0.1"), 2);
   cr_assert_eq(world.Starts("watch.0.0.4"), 0);
 }
+
+// Guards against a reservation that expires while the leader may start nothing,
+// so that urgent work takes the capacity once starts go on.
+Test(LastingTask, ReservationOutlastsWithheldStarts)
+{
+  BusyFleet fleet(2, 16000);
+  fleet.world_.Submit(Watcher("watch", 1, 8000));
+  fleet.world_.Submit(Watcher("other", 3, 8000));
+  fleet.world_.Run(Millis(500));
+  fleet.world_.Host(fleet.HostOf(kWatched)).worker_.FailRun(kWatched);
+  const Instant failedAt = fleet.world_.Now();
+  fleet.world_.leaderLag_ = Millis(3000);
+  fleet.Run(Millis(3000), 4);
+  fleet.world_.leaderLag_ = Millis(0);
+  fleet.Run(Millis(1000), 4);
+  cr_assert(fleet.world_.LastStart(kWatched) > failedAt);
+}
+
+// Guards against a reservation that expires while a new leader defers the jobs
+// of its predecessor, so that new urgent work takes the capacity.
+Test(LastingTask, ReservationOutlastsTheDeferralAfterALeaderChange)
+{
+  BusyFleet fleet(3, 16000);
+  fleet.world_.Submit(Watcher("watch", 1, 8000));
+  fleet.world_.Submit(Watcher("other", 5, 8000));
+  fleet.world_.Run(Millis(500));
+  const std::size_t host = fleet.HostOf(kWatched);
+  fleet.world_.Cut((host + 1) % 3, true);
+  fleet.world_.ChangeLeader();
+  fleet.world_.Run(Millis(200));
+  fleet.world_.Host(host).worker_.FailRun(kWatched);
+  const Instant failedAt = fleet.world_.Now();
+  fleet.Run(Millis(6000), 4);
+  fleet.world_.Cut((host + 1) % 3, false);
+  fleet.Run(Millis(1000), 4);
+  cr_assert(fleet.world_.LastStart(kWatched) > failedAt);
+}
