FleetScheduler: Try reserved tasks after a miss of their step

What callers saw: nothing that is traced.

Cause: a pass ended at the first task of a step that found no worker. A failed task with a higher index was not tried although its own capacity was reserved, until the reservation expired and urgent work took it.

Evidence: LastingTask/RestartsWhileAnotherTaskOfItsStepFindsNoWorker failed before.

Why it works: all tasks of a step request the same resources, so a miss says nothing only of those with a reservation; these are still tried.

--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -254,6 +254,7 @@
   }
   FillOptions(*entry.job_, step, aNow);
   bool allPlaced = true;
+  bool missed = false;
   // Tasks that never ran would take the capacity of restarting tasks, also of
   // other jobs.
   const bool restarting = HasRestarting(entry, step);
@@ -264,11 +265,15 @@
       continue;
     }
     const bool isNew = IsNew(entry, task);
-    const bool mustWait = isNew && (restarting || admissible == 0);
+    // All tasks of a step request the same resources, so after a miss only a
+    // task with a reservation can still find a worker.
+    const bool mustWait = (isNew && (restarting || admissible == 0)) ||
+                          (missed && task.reservedOn_.empty());
     if (mustWait || task.notBefore_ > aNow) {
       allPlaced = false;
     } else if (!PlaceOrMiss(entry, step, i, aNow)) {
-      return false;
+      allPlaced = false;
+      missed = true;
     } else if (isNew) {
       --admissible;
     }
--- a/Tests/Fleet/LongRunningTaskTest.cxx
+++ b/Tests/Fleet/LongRunningTaskTest.cxx
@@ -303,6 +303,28 @@
   cr_assert_eq(world.Starts("watch.0.0.4"), 0);
 }
 
+// Guards against a failed task that does not use its reservation while a task
+// of its step with a lower index finds no worker, and then loses its capacity.
+Test(LastingTask, RestartsWhileAnotherTaskOfItsStepFindsNoWorker)
+{
+  BusyFleet fleet(3, 16000);
+  fleet.world_.Submit(Watcher("watch", 6, 8000));
+  fleet.world_.Run(Millis(500));
+  const std::size_t lost = fleet.HostOf(kWatched);
+  fleet.world_.Host(lost).worker_.gone_ = true;
+  fleet.world_.Host(lost).worker_.runs_.clear();
+  fleet.world_.Cut(lost, true);
+  // Long enough for the lost worker to be abandoned.
+  fleet.Run(Millis(12000), 4);
+  cr_assert_eq(fleet.world_.Starts(kWatched), 1);
+  WorkerFake& worker = fleet.world_.Host((lost + 1) % 3).worker_;
+  const std::string failing = worker.runs_.front().task_;
+  worker.FailRun(failing);
+  const Instant failedAt = fleet.world_.Now();
+  fleet.Run(kMaxDowntime, 4);
+  cr_assert(fleet.world_.LastStart(failing) > failedAt);
+}
+
 // Guards against a reservation that expires while the leader may start nothing,
 // so that urgent work takes the capacity once starts go on.
 Test(LastingTask, ReservationOutlastsWithheldStarts)
