Tests: Withdraw starts that workers do not answer

The change of the clock by which unanswered starts are judged had no test of a worker that does not answer. With the users' bounds the side withdraws the start first, so the test sets longer ones.

--- a/Tests/Fleet/BusyLeaderTest.cxx
+++ b/Tests/Fleet/BusyLeaderTest.cxx
@@ -59,3 +59,21 @@
     cr_assert_eq(fleet.world_.Starts(TaskOf(i)), 1);
   }
 }
+
+// Guards against a start that is never withdrawn from a worker that does not
+// answer it.
+Test(BusyLeader, WithdrawsStartsThatWorkersDoNotAnswer)
+{
+  // Starts that expire later than a worker may take to answer.
+  FleetBounds bounds;
+  bounds.cancelBound_ = Millis(10000);
+  bounds.evacuationBound_ = Millis(10000);
+  FleetWorld world(2, { 16000, 512000, 0 }, bounds);
+  world.Run(Millis(1500));
+  world.Host(0).worker_.mute_ = true;
+  world.Host(1).worker_.mute_ = true;
+  world.Submit(MakeJob("quote", 1, 8000));
+  world.Run(Millis(4500));
+  cr_assert_eq(world.EventDetails("run-stopped"),
+               "run 1: its start got no answer; ");
+}
