Tests: Say once how a fleet of watchers is filled and loses a host

Their checks are as they were; the loads, times and hosts too. The comment on FleetWorld::SuspendLeader says that orders in flight wait as well.

--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -149,7 +149,8 @@
   void ChangeLeader();
   /** Removes the leader until ChangeLeader() starts a new one. */
   void LoseLeader();
-  /** Suspends the leader; messages to it wait until it continues. */
+  /** Suspends the leader. Until it continues, messages to it and orders in
+   * flight wait, and its links stay up. */
   void SuspendLeader(Millis aFor);
   /** Kills the process of the side and restarts it. */
   void RestartSide(std::size_t aHost);
@@ -270,6 +271,7 @@
   std::deque<SentReport> sentReports_;
   std::vector<FleetEvent> events_;
   bool leaderLost_ = false;
+  /** End of SuspendLeader(); in the past unless the leader is suspended. */
   Instant leaderContinuesAt_;
   std::optional<ProgressBatch> writing_;
   /** Time at which the store has applied writing_. */
--- a/Tests/Fleet/LongRunningTaskTest.cxx
+++ b/Tests/Fleet/LongRunningTaskTest.cxx
@@ -76,6 +76,26 @@
     world_.Host(HostOf(kWatched)).worker_.FailRun(kWatched);
   }
 
+  /** Fills the fleet with long-running tasks of half a host with 16 processors
+   * each: "watch" has one, "other" has aOthers. */
+  void FillWithWatchers(std::uint32_t aOthers)
+  {
+    world_.Submit(Watcher("watch", 1, 8000));
+    world_.Submit(Watcher("other", aOthers, 8000));
+    world_.Run(Millis(500));
+  }
+
+  /** Loses a host with its worker for good and waits until the leader has
+   * abandoned the worker. */
+  void LoseHost(std::size_t aHost)
+  {
+    WorkerFake& worker = world_.Host(aHost).worker_;
+    worker.gone_ = true;
+    worker.runs_.clear();
+    world_.Cut(aHost, true);
+    Run(Millis(12000), 4);
+  }
+
   std::size_t HostOf(const std::string& aTask)
   {
     std::size_t host = 0;
@@ -307,17 +327,15 @@
 // of its step with a lower index finds no worker, and then loses its capacity.
 Test(LastingTask, RestartsWhileAnotherTaskOfItsStepFindsNoWorker)
 {
-  BusyFleet fleet(3, 16000);
+  constexpr std::size_t kHosts = 3;
+  BusyFleet fleet(kHosts, 16000);
   fleet.world_.Submit(Watcher("watch", 6, 8000));
   fleet.world_.Run(Millis(500));
+  // The first task of the step finds no worker again; the others run on.
   const std::size_t lost = fleet.HostOf(kWatched);
-  fleet.world_.Host(lost).worker_.gone_ = true;
-  fleet.world_.Host(lost).worker_.runs_.clear();
-  fleet.world_.Cut(lost, true);
-  // Long enough for the lost worker to be abandoned.
-  fleet.Run(Millis(12000), 4);
+  fleet.LoseHost(lost);
   cr_assert_eq(fleet.world_.Starts(kWatched), 1);
-  WorkerFake& worker = fleet.world_.Host((lost + 1) % 3).worker_;
+  WorkerFake& worker = fleet.world_.Host((lost + 1) % kHosts).worker_;
   const std::string failing = worker.runs_.front().task_;
   worker.FailRun(failing);
   const Instant failedAt = fleet.world_.Now();
@@ -330,9 +348,7 @@
 Test(LastingTask, ReservationOutlastsWithheldStarts)
 {
   BusyFleet fleet(2, 16000);
-  fleet.world_.Submit(Watcher("watch", 1, 8000));
-  fleet.world_.Submit(Watcher("other", 3, 8000));
-  fleet.world_.Run(Millis(500));
+  fleet.FillWithWatchers(3);
   fleet.world_.Host(fleet.HostOf(kWatched)).worker_.FailRun(kWatched);
   const Instant failedAt = fleet.world_.Now();
   // With a view of the table that is this old, the leader starts nothing.
@@ -347,13 +363,12 @@
 // of its predecessor, so that new urgent work takes the capacity.
 Test(LastingTask, ReservationOutlastsTheDeferralAfterALeaderChange)
 {
-  BusyFleet fleet(3, 16000);
-  fleet.world_.Submit(Watcher("watch", 1, 8000));
-  fleet.world_.Submit(Watcher("other", 5, 8000));
-  fleet.world_.Run(Millis(500));
+  constexpr std::size_t kHosts = 3;
+  BusyFleet fleet(kHosts, 16000);
+  fleet.FillWithWatchers(5);
   const std::size_t host = fleet.HostOf(kWatched);
   // The new leader defers old work until this host reports.
-  const std::size_t silent = (host + 1) % 3;
+  const std::size_t silent = (host + 1) % kHosts;
   fleet.world_.Cut(silent, true);
   fleet.world_.ChangeLeader();
   fleet.world_.Run(Millis(200));
