Version: Move Instant.h from Process

Modules outside of Process, and a new folder that must not include Process, need the clock types. The file is only moved; its contents are unchanged.

--- a/Examples/embed/Main.cxx
+++ b/Examples/embed/Main.cxx
@@ -1,7 +1,7 @@
-#include "Process/Instant.h"
 #include "Request/EntryCore.h"
 #include "Request/ExplainVerdict.h"
 #include "Version/ConfigurationHolder.h"
+#include "Version/Instant.h"
 
 #include <iostream>
 #include <memory>
--- a/Source/Connection/HttpCaller.h
+++ b/Source/Connection/HttpCaller.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "Connection/WireMessages.h"
-#include "Process/Instant.h"
 #include "Request/Failure.h"
+#include "Version/Instant.h"
 
 #include <cstddef>
 #include <functional>
--- a/Source/Connection/TableClient.h
+++ b/Source/Connection/TableClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Process/Instant.h"
 #include "Request/Failure.h"
+#include "Version/Instant.h"
 #include "Version/TableRows.h"
 
 #include <functional>
--- a/Source/Process/BackfillInterference.h
+++ b/Source/Process/BackfillInterference.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Process/Instant.h"
 #include "Version/ContentionModel.h"
+#include "Version/Instant.h"
 #include "Version/InterferenceHistory.h"
 
 #include <limits>
--- a/Source/Process/CallerCall.h
+++ b/Source/Process/CallerCall.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Process/Instant.h"
 #include "Request/Verdict.h"
+#include "Version/Instant.h"
 #include "Version/JobDescription.h"
 #include "Version/JobProgress.h"
 
--- a/Source/Process/ConfigurationPeers.cxx
+++ b/Source/Process/ConfigurationPeers.cxx
@@ -3,7 +3,7 @@
 #include "Connection/HttpCaller.h"
 #include "Connection/OperatorSignature.h"
 #include "Connection/SideLink.h"
-#include "Process/Instant.h"
+#include "Version/Instant.h"
 
 #include <QTimer>
 
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -2,7 +2,7 @@
 
 #include "Connection/FleetMessages.h"
 #include "Process/BackfillInterference.h"
-#include "Process/Instant.h"
+#include "Version/Instant.h"
 #include "Version/TaskKey.h"
 
 #include <cstdint>
--- a/Source/Process/Histogram.h
+++ b/Source/Process/Histogram.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Process/Instant.h"
+#include "Version/Instant.h"
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
--- a/Source/Process/Journal.cxx
+++ b/Source/Process/Journal.cxx
@@ -1,6 +1,6 @@
 #include "Process/Journal.h"
 
-#include "Process/Instant.h"
+#include "Version/Instant.h"
 
 #include <algorithm>
 #include <functional>
--- a/Source/Process/Lane.h
+++ b/Source/Process/Lane.h
@@ -2,10 +2,10 @@
 
 #include "Connection/WireMessages.h"
 #include "Process/EntrySettings.h"
-#include "Process/Instant.h"
 #include "Process/Journal.h"
 #include "Request/Failure.h"
 #include "Version/ConfigurationHolder.h"
+#include "Version/Instant.h"
 
 #include <cstdint>
 #include <functional>
--- a/Source/Process/LeaderLease.h
+++ b/Source/Process/LeaderLease.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Process/FleetTimings.h"
-#include "Process/Instant.h"
+#include "Version/Instant.h"
 
 #include <cereal/types/string.hpp>
 
--- a/Source/Process/LeaderLink.h
+++ b/Source/Process/LeaderLink.h
@@ -2,7 +2,7 @@
 
 #include "Connection/FleetMessages.h"
 #include "Connection/SideLink.h"
-#include "Process/Instant.h"
+#include "Version/Instant.h"
 
 #include <QObject>
 #include <QPointer>
--- a/Source/Process/Log.cxx
+++ b/Source/Process/Log.cxx
@@ -1,10 +1,10 @@
 #include "Process/Log.h"
 
-#include "Process/Instant.h"
 #include "Process/LogCollapse.h"
 #include "Process/LogLine.h"
 #include "Process/LogOutput.h"
 #include "Process/Metrics.h"
+#include "Version/Instant.h"
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
--- a/Source/Process/MembershipView.h
+++ b/Source/Process/MembershipView.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Connection/WireMessages.h"
-#include "Process/Instant.h"
+#include "Version/Instant.h"
 
 #include <cstdint>
 #include <map>
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "Process/Histogram.h"
-#include "Process/Instant.h"
 #include "Request/Verdict.h"
+#include "Version/Instant.h"
 
 #include <array>
 #include <atomic>
--- a/Source/Process/OperatorGuard.cxx
+++ b/Source/Process/OperatorGuard.cxx
@@ -1,9 +1,9 @@
 #include "Process/OperatorGuard.h"
 
 #include "Connection/FrameSigner.h"
-#include "Process/Instant.h"
 #include "Process/Metrics.h"
 #include "Process/OperatorRoutes.h"
+#include "Version/Instant.h"
 
 #include <QCryptographicHash>
 
--- a/Source/Process/RequestMeter.h
+++ b/Source/Process/RequestMeter.h
@@ -2,8 +2,8 @@
 
 #include "Connection/GuardedSocket.h"
 #include "Connection/WireMessages.h"
-#include "Process/Instant.h"
 #include "Process/Metrics.h"
+#include "Version/Instant.h"
 
 #include <string>
 #include <unordered_map>
--- a/Source/Process/SchedulerCore.h
+++ b/Source/Process/SchedulerCore.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "Process/Instant.h"
 #include "Process/SchedulerActions.h"
 #include "Request/Failure.h"
 #include "Version/CellLease.h"
+#include "Version/Instant.h"
 #include "Version/PlacementChooser.h"
 #include "Version/WorkTimings.h"
 
--- a/Source/Process/StepSegments.h
+++ b/Source/Process/StepSegments.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Process/Instant.h"
 #include "Request/RequestStep.h"
+#include "Version/Instant.h"
 
 #include <cstdint>
 #include <optional>
--- a/Source/Process/StoredJobs.h
+++ b/Source/Process/StoredJobs.h
@@ -3,7 +3,7 @@
 #include "Connection/RowStore.h"
 #include "Process/CallerCall.h"
 #include "Process/FleetRecords.h"
-#include "Process/Instant.h"
+#include "Version/Instant.h"
 #include "Version/JobProgress.h"
 #include "Version/RecordCodec.h"
 
--- a/Source/Process/WorkerKeeper.h
+++ b/Source/Process/WorkerKeeper.h
@@ -2,7 +2,7 @@
 
 #include "Connection/FleetMessages.h"
 #include "Process/FleetTimings.h"
-#include "Process/Instant.h"
+#include "Version/Instant.h"
 
 #include <cstdint>
 #include <map>
--- a/Source/Request/ClaimBatcher.h
+++ b/Source/Request/ClaimBatcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Process/Instant.h"
 #include "Request/OutcomeWriter.h"
+#include "Version/Instant.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/Source/Request/EntryCore.h
+++ b/Source/Request/EntryCore.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "Connection/WireMessages.h"
-#include "Process/Instant.h"
 #include "Process/MembershipView.h"
 #include "Request/ClaimRecord.h"
 #include "Request/Failure.h"
 #include "Request/OutcomeWriter.h"
 #include "Request/RequestStep.h"
+#include "Version/Instant.h"
 
 #include <cstdint>
 #include <memory>
--- a/Source/Request/ServiceSides.h
+++ b/Source/Request/ServiceSides.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Connection/WireMessages.h"
-#include "Process/Instant.h"
 #include "Request/RetryBudget.h"
 #include "Request/Routing.h"
+#include "Version/Instant.h"
 
 #include <cstdint>
 #include <map>
--- a/Source/Request/SideCore.h
+++ b/Source/Request/SideCore.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Connection/WireMessages.h"
-#include "Process/Instant.h"
 #include "Request/Failure.h"
 #include "Request/RequestStep.h"
+#include "Version/Instant.h"
 
 #include <cstdint>
 #include <deque>
--- a/Source/Version/ConfigurationVersion.h
+++ b/Source/Version/ConfigurationVersion.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "Process/Instant.h"
 #include "Request/Failure.h"
 #include "Version/Configuration.h"
+#include "Version/Instant.h"
 #include "Version/TableRows.h"
 
 #include <cstdint>
--- a/Source/Version/Reaction.h
+++ b/Source/Version/Reaction.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Process/Instant.h"
 #include "Version/Configuration.h"
+#include "Version/Instant.h"
 #include "Version/InterferenceModel.h"
 #include "Version/WorkRecords.h"
 
--- a/Tests/Process/Child.cxx
+++ b/Tests/Process/Child.cxx
@@ -1,6 +1,6 @@
 #include "Child.h"
 
-#include "Process/Instant.h"
+#include "Version/Instant.h"
 
 #include <QCoreApplication>
 #include <QTimer>
--- a/Tests/Process/Ledger.h
+++ b/Tests/Process/Ledger.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Process/Instant.h"
 #include "Request/Verdict.h"
+#include "Version/Instant.h"
 
 #include <cstddef>
 #include <map>
