Load: Feature switches and the message fields of the new parts

This change adds what the parts share: the switches of section [features], which are off by default and can follow the protocol of the workers, the settings, and the fields of messages and records. No decision uses them yet.

--- a/Source/Connection/FleetMessages.h
+++ b/Source/Connection/FleetMessages.h
@@ -45,6 +45,10 @@
   std::uint64_t remainingMicros_ = 0;
   /** Whether the worker responds to the side's calls. */
   bool answers_ = false;
+  /** Start time of the worker's process as it announces it, in ms since 1970;
+   * 0 if it announces none. Together with id_ it identifies an incarnation, as
+   * a worker may restart under its id. */
+  std::int64_t startedAtMs_ = 0;
 
   bool operator==(const WorkerDescription&) const = default;
 
@@ -59,7 +63,8 @@
        room_,
        draining_,
        remainingMicros_,
-       answers_);
+       answers_,
+       startedAtMs_);
   }
 };
 
@@ -108,11 +113,13 @@
   /** Tail latency in ms of a task with a latency objective; for other tasks the
    * CPU used. */
   std::uint32_t measure_ = 0;
+  /** Pace in force, as a percentage of full speed. */
+  std::uint8_t pace_ = 100;
 
   template<class Archive>
   void serialize(Archive& ar)
   {
-    ar(task_, run_, starting_, checkpoint_, percent_, measure_);
+    ar(task_, run_, starting_, checkpoint_, percent_, measure_, pace_);
   }
 };
 
@@ -192,11 +199,12 @@
   bool starting_ = false;
   std::uint8_t percent_ = 0;
   std::uint32_t measure_ = 0;
+  std::uint8_t pace_ = 100;
 
   template<class Archive>
   void serialize(Archive& ar)
   {
-    ar(number_, starting_, percent_, measure_);
+    ar(number_, starting_, percent_, measure_, pace_);
   }
 };
 
@@ -266,6 +274,23 @@
   }
 };
 
+/** Role of a run beside the other runs of its worker. */
+struct RunProfile
+{
+  std::string task_;
+  std::uint32_t run_ = 0;
+  /** Tail latency that the task must meet, in ms; 0 for none. */
+  std::uint32_t latencyObjectiveMs_ = 0;
+  /** Whether the task uses idle CPU only, so that its pace may be lowered. */
+  bool backfill_ = false;
+
+  template<class Archive>
+  void serialize(Archive& ar)
+  {
+    ar(task_, run_, latencyObjectiveMs_, backfill_);
+  }
+};
+
 struct StopOrder
 {
   std::string task_;
@@ -317,6 +342,11 @@
   std::vector<StartOrder> starts_;
   std::vector<StopOrder> stops_;
   std::vector<PaceOrder> paces_;
+  /** Profiles of runs that the side does not know yet. */
+  std::vector<RunProfile> profiles_;
+  /** Start time of the worker's incarnation, see
+   * WorkerDescription::startedAtMs_. */
+  std::int64_t workerStartedAtMs_ = 0;
 
   template<class Archive>
   void serialize(Archive& ar)
@@ -331,7 +361,9 @@
        endsStored_,
        starts_,
        stops_,
-       paces_);
+       paces_,
+       profiles_,
+       workerStartedAtMs_);
   }
 };
 
@@ -351,6 +383,10 @@
   /** Store a cancellation, because the requester can't reach the table service.
    */
   StoreCancel = 5,
+  /** Heartbeat of the link to the leader. The subject is the version of the
+   * last load digest received; the answer holds a newer one, if there is one.
+   */
+  Load = 6,
 };
 
 struct FleetRequestMessage
@@ -393,11 +429,14 @@
   /** A JobState, a count, or the version of the leader's row when leadership is
    * handed over. */
   std::uint64_t value_ = 0;
+  /** Load digest encoded by RecordCodec, in answers to Load; empty if it has
+   * not changed. */
+  std::string record_;
 
   template<class Archive>
   void serialize(Archive& ar)
   {
-    ar(id_, outcome_, value_);
+    ar(id_, outcome_, value_, record_);
   }
 };
 
@@ -425,11 +464,13 @@
   std::uint64_t epoch_ = 0;
   /** Processor capacity of an entry's host, in thousandths of a processor. */
   std::uint32_t milliProcessors_ = 0;
+  /** Bandwidth of an entry's host, in Mbit/s; 0 if it is not known. */
+  std::uint32_t linkMbps_ = 0;
 
   template<class Archive>
   void serialize(Archive& ar)
   {
-    ar(node_, isLeader_, epoch_, milliProcessors_);
+    ar(node_, isLeader_, epoch_, milliProcessors_, linkMbps_);
   }
 };
 
--- a/Source/Connection/ReportDecoder.cxx
+++ b/Source/Connection/ReportDecoder.cxx
@@ -34,6 +34,7 @@
     found->second.starting_ = figure.starting_;
     found->second.percent_ = figure.percent_;
     found->second.measure_ = figure.measure_;
+    found->second.pace_ = figure.pace_;
   }
   for (const RunCheckpoint& checkpoint : aChange.checkpoints_) {
     const auto found = runs_.find(checkpoint.number_);
--- a/Source/Connection/ReportEncoder.cxx
+++ b/Source/Connection/ReportEncoder.cxx
@@ -63,9 +63,12 @@
   }
   if (run.fact_.starting_ != aFact.starting_ ||
       run.fact_.percent_ != aFact.percent_ ||
-      run.fact_.measure_ != aFact.measure_) {
-    aChange.figures_.push_back(
-      { run.number_, aFact.starting_, Percent(aFact), aFact.measure_ });
+      run.fact_.measure_ != aFact.measure_ || run.fact_.pace_ != aFact.pace_) {
+    aChange.figures_.push_back({ run.number_,
+                                 aFact.starting_,
+                                 Percent(aFact),
+                                 aFact.measure_,
+                                 aFact.pace_ });
   }
   if (run.fact_.checkpoint_ != aFact.checkpoint_) {
     aChange.checkpoints_.push_back({ run.number_, aFact.checkpoint_ });
--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -152,7 +152,9 @@
     , store_(aSettings.fleet_.store_)
     , intake_(store_)
     , stored_(store_)
-    , leaderLink_(aSettings.fleet_.name_, aSettings.processors_)
+    , leaderLink_(aSettings.fleet_.name_,
+                  aSettings.processors_,
+                  aSettings.linkMbps_)
     , lease_(store_,
              { aSettings.fleet_.name_,
                incarnation_,
@@ -293,6 +295,11 @@
         [this] { EndLeadership(); });
       leadership_->Start();
     }
+    if (IsLeading()) {
+      if (const auto protocol = leadership_->Scheduler().Protocol()) {
+        lease_.SetWorkerProtocol(*protocol);
+      }
+    }
     const LeaderRecord& leader = lease.Leader();
     const bool other = !leader.node_.empty() &&
                        leader.incarnation_ != incarnation_ &&
@@ -381,7 +388,7 @@
   static FleetResponseMessage Outcome(FleetOutcome aOutcome,
                                       std::uint64_t aValue = 0)
   {
-    return { 0, aOutcome, aValue };
+    return { 0, aOutcome, aValue, {} };
   }
 
   /** Answers a request to the leader from another entry or from this one. */
@@ -407,6 +414,10 @@
                             leadership_->Scheduler().Waiting(aAsk.subject_))
                   : Outcome(FleetOutcome::NotLeading));
         return;
+      case FleetRequestKind::Load:
+        aAnswer(
+          Outcome(IsLeading() ? FleetOutcome::Ok : FleetOutcome::NotLeading));
+        return;
       case FleetRequestKind::StoreJob:
       case FleetRequestKind::StoreCancel:
         StoreForPeer(aAsk, aAnswer);
--- a/Source/Process/FleetLeader.h
+++ b/Source/Process/FleetLeader.h
@@ -327,7 +327,7 @@
     connect(link, &SideLink::Lost, this, [this, aNode](bool, const QString&) {
       OnLost(aNode);
     });
-    link->Send(FleetHelloMessage{ node_, true, epoch_, 0 });
+    link->Send(FleetHelloMessage{ node_, true, epoch_, 0, 0 });
   }
 
   void OnLost(const std::string& aNode)
--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -478,6 +478,22 @@
 
 // Queries.
 
+std::optional<WorkerProtocol>
+FleetScheduler::Protocol() const
+{
+  std::optional<WorkerProtocol> protocol;
+  for (const auto& [node, worker] : workers_) {
+    if (!worker.synced_ || worker.facts_.id_.empty()) {
+      continue;
+    }
+    if (worker.facts_.startedAtMs_ == 0) {
+      return WorkerProtocol::IdOnly;
+    }
+    protocol = WorkerProtocol::WithStartTime;
+  }
+  return protocol;
+}
+
 std::optional<JobState>
 FleetScheduler::StateOf(std::string_view aJob) const
 {
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Connection/FleetMessages.h"
+#include "Load/FeatureSwitch.h"
 #include "Process/BackfillInterference.h"
 #include "Process/FleetJob.h"
 #include "Process/FleetTimings.h"
@@ -53,6 +54,7 @@
   Millis restoreTime_{ 250 };
   /** Work after which a run has a new checkpoint. */
   Millis checkpointInterval_{ 1000 };
+  FleetFeatures features_;
 };
 
 /** Data centres that the operator has evacuated, as known to an entry. */
@@ -181,6 +183,8 @@
   BackfillInterference& Interference() { return interference_; }
 
   // Queries.
+  /** Protocol of the workers that have reported; none before the first one. */
+  std::optional<WorkerProtocol> Protocol() const;
   /**
    * Returns none if the job is unknown here, and a final state only once that
    * state is stored.
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -106,6 +106,7 @@
         ? static_cast<std::uint64_t>(Micros(kHighFrequencyValidity).count())
         : 0;
     orders.orders_.workerId_ = worker.facts_.id_;
+    orders.orders_.workerStartedAtMs_ = worker.facts_.startedAtMs_;
     orders.orders_.endsStored_ = worker.endsStored_;
     worker.acknowledgementDue_ = false;
     worker.grantedAt_ = aNow;
--- a/Source/Process/FleetSettings.cxx
+++ b/Source/Process/FleetSettings.cxx
@@ -11,6 +11,13 @@
 
 constexpr std::int64_t kHourMs = 3600000;
 
+/** Makes a setting of the section [features]. */
+constexpr SettingSpec
+FeatureSetting(std::string_view aName, std::string_view aHelp)
+{
+  return { aName, SettingKind::Choice, "off", 0, 0, aHelp, {}, "off,on,auto" };
+}
+
 constexpr std::array<SettingSpec, 7> kCommon{ {
   RequiredSetting("fleet.name", SettingKind::Text, "this process's name"),
   RequiredSetting("fleet.data-centre",
@@ -41,7 +48,7 @@
     "info,warning" },
 } };
 
-constexpr std::array<SettingSpec, 10> kEntry{ {
+constexpr std::array<SettingSpec, 18> kEntry{ {
   RequiredSetting("fleet.callers",
                   SettingKind::Address,
                   "IP:PORT that callers' requests arrive at"),
@@ -99,9 +106,33 @@
     0,
     0,
     "how many times as long a task takes away from its data" },
+  { "host.link-mbps",
+    SettingKind::Text,
+    "0",
+    0,
+    0,
+    "bandwidth of this host in Mbit/s; 0 if unknown; larger ones lead" },
+  FeatureSetting("features.early-takeover",
+                 "replace a lost leader before its lease expires"),
+  FeatureSetting("features.admission",
+                 "reject jobs that cannot be completed while their result is "
+                 "useful"),
+  FeatureSetting("features.store-breaker",
+                 "reject requests at once while the table service is "
+                 "unavailable"),
+  FeatureSetting("features.overload-order",
+                 "in an overload, place jobs first that can be completed in "
+                 "time"),
+  FeatureSetting("features.fair-shares",
+                 "share scarce capacity among callers' data centres, queues "
+                 "and job sizes"),
+  FeatureSetting("features.local-pacing",
+                 "sides throttle backfill beside overloaded serving tasks"),
+  FeatureSetting("features.duplicates",
+                 "start a duplicate of a slow run where its step allows it"),
 } };
 
-constexpr std::array<SettingSpec, 4> kSide{ {
+constexpr std::array<SettingSpec, 6> kSide{ {
   NumberSetting("bounds.stop-timeout-ms",
                 "1000",
                 0,
@@ -120,6 +151,10 @@
                 kHourMs,
                 "ms",
                 "the longest lease that the worker grants"),
+  FeatureSetting("features.early-takeover",
+                 "replace a lost leader before its lease expires"),
+  FeatureSetting("features.local-pacing",
+                 "throttle backfill beside overloaded serving tasks"),
 } };
 
 template<std::size_t kCount>
@@ -144,6 +179,13 @@
   return number;
 }
 
+FeatureSwitch
+ReadFeature(const SettingsFile& aFile, const char* aName)
+{
+  // SettingsFile has checked the text against the choices.
+  return ParseFeatureSwitch(aFile.Text(aName)).value_or(FeatureSwitch::Off);
+}
+
 FleetSettings
 ReadCommon(const SettingsFile& aFile)
 {
@@ -208,6 +250,21 @@
                   aPath + ": [host] processors: is \"" + processors +
                     "\"; expected a number above 0.");
   }
+  const std::string& bandwidth = file.Text("host.link-mbps");
+  settings.linkMbps_ = ParseFraction(bandwidth).value_or(-1);
+  if (settings.linkMbps_ < 0) {
+    return NotRun(FailureKind::BadInput,
+                  aPath + ": [host] link-mbps: is \"" + bandwidth +
+                    "\"; expected a number of at least 0.");
+  }
+  FleetFeatures& features = bounds.features_;
+  features.earlyTakeover_ = ReadFeature(file, "features.early-takeover");
+  features.admission_ = ReadFeature(file, "features.admission");
+  features.storeBreaker_ = ReadFeature(file, "features.store-breaker");
+  features.overloadOrder_ = ReadFeature(file, "features.overload-order");
+  features.fairShares_ = ReadFeature(file, "features.fair-shares");
+  features.localPacing_ = ReadFeature(file, "features.local-pacing");
+  features.duplicates_ = ReadFeature(file, "features.duplicates");
   return settings;
 }
 
@@ -232,6 +289,9 @@
   settings.worker_ = file.Address("fleet.worker");
   settings.maxLease_ = Millis(file.Number("bounds.max-lease-ms"));
   settings.stopTimeout_ = Millis(file.Number("bounds.stop-timeout-ms"));
+  settings.features_.earlyTakeover_ =
+    ReadFeature(file, "features.early-takeover");
+  settings.features_.localPacing_ = ReadFeature(file, "features.local-pacing");
   return settings;
 }
 
--- a/Source/Process/FleetSettings.h
+++ b/Source/Process/FleetSettings.h
@@ -36,6 +36,8 @@
   FleetBounds bounds_;
   /** Number of processors of this host, or its share of one processor. */
   double processors_ = 1;
+  /** Bandwidth of this host, in Mbit/s; 0 if it is not known. */
+  double linkMbps_ = 0;
 
   static std::span<const SettingSpec> Specs();
   static Result<FleetEntrySettings> Load(const std::string& aPath);
@@ -53,6 +55,7 @@
   Millis maxLease_{ 0 };
   /** Maximum time that a worker takes to stop a run. */
   Millis stopTimeout_{ 0 };
+  FleetFeatures features_;
 
   static std::span<const SettingSpec> Specs();
   static Result<FleetSideSettings> Load(const std::string& aPath);
--- a/Source/Process/LeaderLease.cxx
+++ b/Source/Process/LeaderLease.cxx
@@ -83,6 +83,7 @@
 LeaderLease::NextWhileHolding(Instant aNow)
 {
   wanted_ = row_.record_;
+  wanted_.workerProtocol_ = workerProtocol_.value_or(wanted_.workerProtocol_);
   if (stepDown_) {
     wanted_.node_.clear();
     wanted_.incarnation_.clear();
@@ -135,9 +136,12 @@
     sentAt_ = aNow;
     return LeaseStep::Read;
   }
-  wanted_ = {
-    row_.record_.epoch_ + 1, self_.node_, self_.incarnation_, self_.address_
-  };
+  wanted_ = { row_.record_.epoch_ + 1,
+              self_.node_,
+              self_.incarnation_,
+              self_.address_,
+              row_.record_.workerProtocol_ };
+  workerProtocol_.reset();
   return Write(aNow);
 }
 
--- a/Source/Process/LeaderLease.h
+++ b/Source/Process/LeaderLease.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Load/FeatureSwitch.h"
 #include "Process/FleetTimings.h"
 #include "Version/Instant.h"
 
@@ -22,11 +23,15 @@
   std::string incarnation_;
   /** Address at which the process accepts links, "IP:PORT". */
   std::string address_;
+  /** Protocol of the fleet's workers, which enables features that are set to
+   * "auto". A new leader keeps the value of the former one until workers have
+   * reported. */
+  WorkerProtocol workerProtocol_ = WorkerProtocol::IdOnly;
 
   template<class Archive>
   void serialize(Archive& ar)
   {
-    ar(epoch_, node_, incarnation_, address_);
+    ar(epoch_, node_, incarnation_, address_, workerProtocol_);
   }
 };
 
@@ -140,6 +145,13 @@
    */
   bool ShouldYieldTo(double aProcessors) const;
 
+  /** Sets the value of LeaderRecord::workerProtocol_ that the next renewal
+   * writes. */
+  void SetWorkerProtocol(WorkerProtocol aProtocol)
+  {
+    workerProtocol_ = aProtocol;
+  }
+
   /** Starts a planned stop: the next write releases the lease. */
   void StepDown();
 
@@ -173,6 +185,8 @@
   /** Time of the first observation of the current row version. */
   Instant unchangedSince_;
   LeaderRecord wanted_;
+  /** Value for the next renewal; none until the workers have reported. */
+  std::optional<WorkerProtocol> workerProtocol_;
   bool busy_ = false;
   bool holds_ = false;
   bool outcomeUnknown_ = false;
--- a/Source/Process/LeaderLink.cxx
+++ b/Source/Process/LeaderLink.cxx
@@ -16,9 +16,10 @@
 
 }
 
-LeaderLink::LeaderLink(std::string aNode, double aProcessors)
+LeaderLink::LeaderLink(std::string aNode, double aProcessors, double aLinkMbps)
   : node_(std::move(aNode))
   , milliProcessors_(static_cast<std::uint32_t>(1000 * aProcessors))
+  , linkMbps_(static_cast<std::uint32_t>(aLinkMbps))
 {
 }
 
@@ -90,7 +91,8 @@
   connect(link_, &SideLink::Lost, this, [this](bool, const QString& aReason) {
     OnLost(aReason);
   });
-  link_->Send(FleetHelloMessage{ node_, false, 0, milliProcessors_ });
+  link_->Send(
+    FleetHelloMessage{ node_, false, 0, milliProcessors_, linkMbps_ });
   return link_;
 }
 
--- a/Source/Process/LeaderLink.h
+++ b/Source/Process/LeaderLink.h
@@ -29,7 +29,7 @@
 public:
   using Callback = std::function<void(std::optional<FleetResponseMessage>)>;
 
-  LeaderLink(std::string aNode, double aProcessors);
+  LeaderLink(std::string aNode, double aProcessors, double aLinkMbps);
   ~LeaderLink() override;
 
   /** Sets the address and incarnation of the leader; an empty address means
@@ -60,6 +60,7 @@
 
   std::string node_;
   std::uint32_t milliProcessors_;
+  std::uint32_t linkMbps_;
   std::string address_;
   std::string incarnation_;
   QPointer<SideLink> link_;
--- a/Source/Process/LeaseRunner.h
+++ b/Source/Process/LeaseRunner.h
@@ -54,6 +54,12 @@
     Step();
   }
 
+  /** See LeaderLease::SetWorkerProtocol(). */
+  void SetWorkerProtocol(WorkerProtocol aProtocol)
+  {
+    lease_.SetWorkerProtocol(aProtocol);
+  }
+
   const LeaderLease& Lease() const { return lease_; }
 
   /** Returns when the table last answered. While the table answers, it is
--- a/Source/Version/JobDescription.h
+++ b/Source/Version/JobDescription.h
@@ -105,6 +105,9 @@
   /** When occurrence 0 is due, in ms since 1970; 0 for at once. */
   std::int64_t startAtMs_ = 0;
   std::int64_t intervalMs_ = 0;
+  /** Data center of the entry that accepted the job, to which the platform
+   * sends the callers of that data centre. */
+  std::string dataCentre_;
 
   bool IsTimed() const { return occurrences_ > 0; }
 
@@ -124,7 +127,8 @@
        steps_,
        occurrences_,
        startAtMs_,
-       intervalMs_);
+       intervalMs_,
+       dataCentre_);
   }
 };
 
--- a/Tests/Fuzz/FuzzTargets.cxx
+++ b/Tests/Fuzz/FuzzTargets.cxx
@@ -166,10 +166,11 @@
   return { whole,
            change,
            EncodeFrame(orders),
-           EncodeFrame(FleetHelloMessage{ "entry1", true, 3, 500 }),
+           EncodeFrame(FleetHelloMessage{ "entry1", true, 3, 500, 200 }),
            EncodeFrame(FleetRequestMessage{
              1, FleetRequestKind::JobStored, "5c0e7a21d94b36f8", "record" }),
-           EncodeFrame(FleetResponseMessage{ 1, FleetOutcome::Ok, 7 }) };
+           EncodeFrame(
+             FleetResponseMessage{ 1, FleetOutcome::Ok, 7, "digest" }) };
 }
 
 std::vector<std::string>
