--- a/Source/Version/FairShare.cxx
+++ b/Source/Version/FairShare.cxx
@@ -50,6 +50,16 @@
          found->second.quotaMilliCpus_;
 }
 
+double
+FairShare::AllocatedPerShare(std::string_view aTenant) const
+{
+  const auto found = tenants_.find(aTenant);
+  return found == tenants_.end()
+           ? 0
+           : static_cast<double>(found->second.allocatedMilliCpus_) /
+               found->second.share_;
+}
+
 std::optional<std::size_t>
 FairShare::Next(std::span<const Waiting> aWaiting) const
 {
@@ -60,12 +70,7 @@
     if (!IsWithinQuota(waiting.tenant_, waiting.milliCpus_)) {
       continue;
     }
-    const auto found = tenants_.find(waiting.tenant_);
-    const double held =
-      found == tenants_.end()
-        ? 0
-        : static_cast<double>(found->second.allocatedMilliCpus_) /
-            found->second.share_;
+    const double held = AllocatedPerShare(waiting.tenant_);
     if (!best.has_value() || held < lowest) {
       best = index;
       lowest = held;
--- a/Source/Version/FairShare.h
+++ b/Source/Version/FairShare.h
@@ -42,6 +42,8 @@
   /** Returns whether an additional allocation stays within the tenant's quota.
    */
   bool IsWithinQuota(std::string_view aTenant, std::int64_t aMilliCpus) const;
+  /** Returns the ratio of a tenant's allocation to its share. */
+  double AllocatedPerShare(std::string_view aTenant) const;
 
 private:
   struct Tenant
