Scheduler: Placement order in an overload, and fair shares

In a burst the order by latest start made nearly all jobs late, and nothing took into account whose jobs bore the delay.

With features.overload-order the leader selects the jobs that can be in time, at most every 100 ms and in a shortage whenever a job comes or ends, and places the others after them. With features.fair-shares the data centre of the accepting entry, the queue and the size of a job decide which one is deferred. Both are off by default; with "auto" and workers of the earlier protocol, and without a shortage, tasks start in the same order as before (OverloadOrderTest).

--- a/Source/Load/CallerShares.cxx
+++ b/Source/Load/CallerShares.cxx
@@ -82,6 +82,9 @@
 
 CallerShares::CallerShares() = default;
 CallerShares::~CallerShares() = default;
+CallerShares::CallerShares(CallerShares&&) noexcept = default;
+CallerShares&
+CallerShares::operator=(CallerShares&&) noexcept = default;
 
 JobSize
 CallerShares::SizeOf(std::string_view aQueue, double aWorkMs)
--- a/Source/Load/CallerShares.h
+++ b/Source/Load/CallerShares.h
@@ -41,8 +41,8 @@
 public:
   CallerShares();
   ~CallerShares();
-  CallerShares(const CallerShares&) = delete;
-  CallerShares& operator=(const CallerShares&) = delete;
+  CallerShares(CallerShares&&) noexcept;
+  CallerShares& operator=(CallerShares&&) noexcept;
 
   /** Returns the number of the group of a job that has just been accepted, and
    * adds the job to the recent ones of its queue. */
--- a/Source/Load/InTimeSelection.cxx
+++ b/Source/Load/InTimeSelection.cxx
@@ -19,6 +19,10 @@
  * again. Without it, small errors of the estimate would defer and resume jobs
  * alternately. */
 constexpr double kReturnMargin = 0.1;
+/** Share of a job's chain before its deadline in which its last tasks leave
+ * processors to other jobs. Tasks end one after the other, so on average a
+ * processor is available to the job until half a task before the deadline. */
+constexpr double kTailShare = 0.5;
 
 /** Selection under construction. */
 class Selector
@@ -65,6 +69,12 @@
     return static_cast<double>(aJob.deadlineMs_ - nowMs_);
   }
 
+  /** Time for which the processors can work on jobs with this deadline. */
+  double UsableMillis(const OpenWork& aJob) const
+  {
+    return MillisLeft(aJob) - kTailShare * aJob.chainMs_;
+  }
+
   static bool MustReturn(const OpenWork& aJob)
   {
     return aJob.wasDeferred_ && aJob.doneShare_ < kMostDone;
@@ -95,9 +105,9 @@
     return candidates;
   }
 
-  std::pair<std::int64_t, std::string_view> KeyOf(std::size_t aJob) const
+  std::pair<double, std::string_view> KeyOf(std::size_t aJob) const
   {
-    return { jobs_[aJob].deadlineMs_, jobs_[aJob].job_ };
+    return { UsableMillis(jobs_[aJob]), jobs_[aJob].job_ };
   }
 
   void AddRunning(const OpenWork& aJob)
@@ -136,7 +146,7 @@
       const std::size_t group = shares_ == nullptr ? 0 : job.group_;
       deferrable_[group].emplace(job.workMs_, aJob);
     }
-    while (loadMs_ > Processors() * MillisLeft(job)) {
+    while (loadMs_ > Processors() * UsableMillis(job)) {
       const auto group = GroupToDefer();
       if (group == deferrable_.end()) {
         return;
@@ -221,7 +231,7 @@
       }
       load += jobs_[other].workMs_;
       if (added &&
-          load > Processors(kReturnMargin) * MillisLeft(jobs_[other])) {
+          load > Processors(kReturnMargin) * UsableMillis(jobs_[other])) {
         return false;
       }
     }
@@ -235,7 +245,7 @@
     for (const std::size_t job : aCandidates) {
       load += jobs_[job].workMs_;
       if (verdicts_[job] != InTimeVerdict::Selected ||
-          load > Processors() * MillisLeft(jobs_[job])) {
+          load > Processors() * UsableMillis(jobs_[job])) {
         return true;
       }
     }
--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -634,7 +634,8 @@
 
   void Serve(const SubmitJob& aCall, Instant aDeadline, const Answer& aAnswer)
   {
-    const JobDescription spec = aCall.spec_;
+    JobDescription spec = aCall.spec_;
+    spec.dataCentre_ = settings_.fleet_.dataCentre_;
     const auto viaLeader = [this, spec, aDeadline, aAnswer] {
       StoreViaLeader(FleetRequestKind::StoreJob,
                      spec.id_,
--- a/Source/Process/FleetJob.h
+++ b/Source/Process/FleetJob.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Load/InTimeSelection.h"
 #include "Version/Instant.h"
 #include "Version/JobDescription.h"
 #include "Version/JobProgress.h"
@@ -113,6 +114,12 @@
 {
   std::vector<FleetStep> steps_;
   std::size_t stepsDone_ = 0;
+  /** Decision of the last selection; Selected without a shortage. */
+  InTimeVerdict inTime_ = InTimeVerdict::Selected;
+  /** Group in CallerShares; none before the first selection. */
+  std::optional<std::size_t> callerGroup_;
+  /** Position of the group by its work, the least first. */
+  std::uint32_t groupRank_ = 0;
 };
 
 /**
--- a/Source/Process/FleetLeader.h
+++ b/Source/Process/FleetLeader.h
@@ -8,6 +8,7 @@
 #include "Process/Guarded.h"
 #include "Process/LeaderLease.h"
 #include "Process/Log.h"
+#include "Process/Metrics.h"
 #include "Process/ProgressWriter.h"
 #include "Process/RemovedJobs.h"
 #include "Process/SocketAddress.h"
@@ -87,6 +88,7 @@
     for (auto& [node, side] : sides_) {
       DropLink(side);
     }
+    ExportOverload({});
   }
 
   void Start()
@@ -425,6 +427,7 @@
         found->second.link_->Send(std::move(orders.orders_));
       }
     }
+    ExportOverload(scheduler_.Overload());
     StoreChanges(now);
     for (const FleetEvent& event : scheduler_.TakeEvents()) {
       LogChange(event.event_,
@@ -434,6 +437,14 @@
     }
   }
 
+  static void ExportOverload(const OverloadFigures& aFigures)
+  {
+    Metrics& metrics = Metrics::OfProcess();
+    metrics.Set(Gauge::DeferredJobs, aFigures.deferredJobs_);
+    metrics.Set(Gauge::GroupWork, aFigures.workMs_);
+    metrics.Set(Gauge::LargestGroupWork, aFigures.largestGroupWorkMs_);
+  }
+
   void StoreChanges(Instant aNow)
   {
     if (writer_.Busy() || aNow < nextFlush_) {
--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -156,6 +156,8 @@
   JobEntry& entry = jobs_[aSpec.id_];
   entry.job_ = std::make_unique<FleetJob>(aSpec, firstRun_);
   entry.fromEarlierLeader_ = !loaded_;
+  overload_.open_.insert(aSpec.id_);
+  overload_.changed_ = true;
   if (earlyCancels_.erase(aSpec.id_) > 0) {
     FinishJob(entry, JobState::Cancelled);
     return;
@@ -217,6 +219,8 @@
   job.Finish(aState, wallMs_);
   StopAllRuns(job);
   MarkChanged(aEntry);
+  overload_.open_.erase(job.Spec().id_);
+  overload_.changed_ = true;
   LogEvent("job-ended", job.Spec().id_, {}, std::string(JobStateText(aState)));
 }
 
@@ -545,6 +549,7 @@
 FleetScheduler::Forget(const std::string& aJob)
 {
   jobs_.erase(aJob);
+  overload_.open_.erase(aJob);
 }
 
 }
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -8,6 +8,7 @@
 #include "Process/FleetWorker.h"
 #include "Process/JobOrder.h"
 #include "Process/LongRunningLimit.h"
+#include "Process/OverloadState.h"
 #include "Process/PlacementMisses.h"
 #include "Process/TakeoverSummary.h"
 #include "Process/WorkerChoice.h"
@@ -197,6 +198,7 @@
   /** Number of scans of all workers for a step under this leader. */
   std::uint64_t WorkerScans() const { return workerScans_; }
   const std::map<std::string, FleetWorker>& Workers() const { return workers_; }
+  const OverloadFigures& Overload() const { return overload_.figures_; }
 
 private:
   struct JobEntry
@@ -353,6 +355,44 @@
   std::vector<ReadyKey> PlacementOrder();
   JobRank RankNow(const FleetJob& aJob, const FleetStep& aStep) const;
   bool PlaceStep(const ReadyKey& aKey, Instant aNow);
+
+  // Order in an overload, and fair shares.
+  struct OpenOccurrence;
+  /** Updates the jobs that are selected to be in time, at intervals; at once if
+   * a job came or ended in a shortage. */
+  void UpdateSelection(Instant aNow);
+  JobRank RankInOverload(JobRank aRank,
+                         const FleetOccurrence& aOccurrence) const;
+  std::map<WorkClass, std::vector<OpenOccurrence>> OpenWorkByClass(
+    Instant aNow);
+  OpenOccurrence DescribeOpen(const FleetJob& aJob,
+                              std::uint32_t aNumber,
+                              FleetOccurrence& aOccurrence,
+                              Instant aNow);
+  static double AddStep(const FleetStep& aStep,
+                        double aTaskMs,
+                        OpenOccurrence& aOpen,
+                        Instant aNow);
+  /** Estimates the processors that the class can use, of which it holds
+   * aHeldCpuMilli; none if no worker is usable. */
+  std::optional<double> ProcessorsFor(const WorkClass& aClass,
+                                      std::int64_t aHeldCpuMilli,
+                                      Instant aNow);
+  void Select(const WorkClass& aClass,
+              std::vector<OpenOccurrence>& aOpen,
+              Instant aNow);
+  std::vector<std::size_t> Apply(const InTimeSelection& aSelection,
+                                 std::vector<OpenOccurrence>& aOpen);
+  void RecordShortage(const WorkClass& aClass,
+                      const std::vector<std::size_t>& aDeferred,
+                      std::size_t aOpenJobs,
+                      Instant aNow);
+  void EndShortages(Instant aNow);
+  std::string DescribeGroups(const Shortage& aShortage) const;
+  void RankGroups(std::vector<OpenOccurrence>& aOpen);
+  void AddFigures(const std::vector<OpenOccurrence>& aOpen);
+
+  // Placement of steps.
   /** Whether a long-running step has only tasks that are deferred. */
   bool IsDeferred(JobEntry& aEntry, const FleetStep& aStep, Instant aNow);
   /** Records that a task of the step found no worker. */
@@ -610,6 +650,7 @@
   WorkerReservations reservations_;
   LongRunningLimit longRunningAdmission_;
   PlacementMisses misses_;
+  OverloadState overload_;
   std::vector<FleetEvent> events_;
   /**
    * Number of events of LogLongRunningWait() in the current period, and the end
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -119,6 +119,7 @@
 FleetScheduler::PlaceReady(Instant aNow)
 {
   const bool deferOldWork = DefersOldWork(aNow);
+  UpdateSelection(aNow);
   misses_.Clear();
   std::vector<ReadyKey> placed;
   // Work of a lower priority must not take capacity that preemption frees.
@@ -189,14 +190,13 @@
     remaining.push_back(step != nullptr && step->AllDone() ? 0 : all.back());
   }
   JobTimes times;
-  times.dueMs_ =
-    spec.IsTimed()
-      ? spec.startAtMs_ +
-          static_cast<std::int64_t>(aStep.occurrence_) * spec.intervalMs_
-      : spec.acceptedAtMs_;
+  times.dueMs_ = DueMsOf(spec, aStep.occurrence_);
   times.chainMs_ = ChainMillis(spec.steps_, all);
   times.leftMs_ = ChainMillis(spec.steps_, remaining);
-  return RankOf(spec, times, wallMs_);
+  const JobRank rank = RankOf(spec, times, wallMs_);
+  return occurrence == aJob.Occurrences().end()
+           ? rank
+           : RankInOverload(rank, occurrence->second);
 }
 
 std::vector<FleetScheduler::ReadyKey>
--- a/Source/Process/JobOrder.cxx
+++ b/Source/Process/JobOrder.cxx
@@ -31,12 +31,26 @@
   return longest;
 }
 
+std::int64_t
+ObjectiveMillis(const JobDescription& aJob, double aChainMs)
+{
+  return static_cast<std::int64_t>(
+    static_cast<double>(aJob.latencyObjectiveMs_) + aJob.stretch_ * aChainMs);
+}
+
+std::int64_t
+DueMsOf(const JobDescription& aJob, std::uint32_t aOccurrence)
+{
+  return aJob.IsTimed()
+           ? aJob.startAtMs_ +
+               static_cast<std::int64_t>(aOccurrence) * aJob.intervalMs_
+           : aJob.acceptedAtMs_;
+}
+
 JobRank
 RankOf(const JobDescription& aJob, const JobTimes& aTimes, std::int64_t aNowMs)
 {
-  const auto objective =
-    static_cast<std::int64_t>(static_cast<double>(aJob.latencyObjectiveMs_) +
-                              aJob.stretch_ * aTimes.chainMs_);
+  const std::int64_t objective = ObjectiveMillis(aJob, aTimes.chainMs_);
   const auto remaining = static_cast<std::int64_t>(aTimes.leftMs_);
   if (objective <= 0 || aNowMs + remaining <= aTimes.dueMs_ + objective) {
     return { JobOutlook::Useful, aTimes.dueMs_ + objective - remaining };
--- a/Source/Process/JobOrder.h
+++ b/Source/Process/JobOrder.h
@@ -14,6 +14,9 @@
 {
   /** The result can still be useful, in time or late. */
   Useful,
+  /** The same, but in an overload the job is not among those that can be
+   * completed in time. */
+  Deferred,
   /** Long-running job with a waiting task that ran before. */
   Restarting,
   /** Long-running job, which runs until it is cancelled. Placed before urgent
@@ -28,13 +31,21 @@
 struct JobRank
 {
   JobOutlook outlook_ = JobOutlook::Useful;
-  /** Sort key within one outlook, in ms since 1970; the earliest goes first. */
+  /** Sort key within one outlook, a time since 1970; the earliest goes first.
+   * In ms, with fair shares alone in s. */
   std::int64_t orderMs_ = 0;
+  /** Decide between equal keys where fair shares alone are in force: the group
+   * with the least work first, then the exact time. */
+  std::uint32_t groupRank_ = 0;
+  std::int64_t exactMs_ = 0;
 
   bool operator<(const JobRank& aOther) const
   {
-    return std::tie(outlook_, orderMs_) <
-           std::tie(aOther.outlook_, aOther.orderMs_);
+    return std::tie(outlook_, orderMs_, groupRank_, exactMs_) <
+           std::tie(aOther.outlook_,
+                    aOther.orderMs_,
+                    aOther.groupRank_,
+                    aOther.exactMs_);
   }
 };
 
@@ -43,6 +54,16 @@
 double
 ChainMillis(std::span<const StepSpec> aSteps, std::span<const double> aMillis);
 
+/** Returns the time from an occurrence's due time to its deadline, in ms; 0 or
+ * less if the job has none. aChainMs is the duration of its longest chain. */
+std::int64_t
+ObjectiveMillis(const JobDescription& aJob, double aChainMs);
+
+/** Returns the time at which an occurrence was accepted or due, in ms since
+ * 1970. */
+std::int64_t
+DueMsOf(const JobDescription& aJob, std::uint32_t aOccurrence);
+
 /** Times of one occurrence of a job. */
 struct JobTimes
 {
--- a/Source/Process/Metrics.cxx
+++ b/Source/Process/Metrics.cxx
@@ -39,6 +39,10 @@
   { "journal_requests", "requests whose steps are remembered" },
   { "requests_in_progress", "requests without their final answer" },
   { "evacuated_data_centres", "data centres in which no task starts" },
+  { "deferred_jobs", "jobs placed after those that can be in time" },
+  { "group_work_ms", "processor-ms of the selected and running work" },
+  { "largest_group_work_ms",
+    "processor-ms of it that belong to the callers' largest group" },
 } };
 
 struct Series
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -50,10 +50,13 @@
   JournalRequests,
   RequestsInProgress,
   EvacuatedDataCentres,
+  DeferredJobs,
+  GroupWork,
+  LargestGroupWork,
 };
 
 constexpr std::size_t kGaugeCount =
-  static_cast<std::size_t>(Gauge::EvacuatedDataCentres) + 1;
+  static_cast<std::size_t>(Gauge::LargestGroupWork) + 1;
 
 /** Name of a counter or gauge, such as "table_calls", and its help text. */
 struct MetricName
--- a/Tests/Fleet/JobOrderTest.cxx
+++ b/Tests/Fleet/JobOrderTest.cxx
@@ -57,6 +57,21 @@
   cr_assert_lt(older, overdue);
 }
 
+// A deferred job goes after all jobs that can be in time, whatever their latest
+// starts, and before jobs whose result is no longer awaited. Long-running tasks
+// would keep the capacity that it needs.
+Test(JobOrder, DeferredJobGoesAfterUsefulAndBeforeOtherWork)
+{
+  JobRank deferred = RankAfter(0, 1000);
+  deferred.outlook_ = JobOutlook::Deferred;
+  cr_assert_lt(RankAfter(900, 1000), deferred);
+  for (const JobOutlook other : { JobOutlook::Restarting,
+                                  JobOutlook::LongRunning,
+                                  JobOutlook::Overdue }) {
+    cr_assert_lt(deferred, (JobRank{ other, 0 }));
+  }
+}
+
 // A step waits for the step before it, so the chain is the sum of both.
 // Completed steps count as 0.
 Test(JobOrder, ChainIsTheLongestRemainingPath)
--- a/Tests/Fleet/ProcessFleet.cxx
+++ b/Tests/Fleet/ProcessFleet.cxx
@@ -203,6 +203,7 @@
   const std::string ip = LoopbackOf(1 + number);
   FleetEntrySettings settings;
   settings.fleet_ = CommonOf("entry" + std::to_string(number), ip);
+  settings.fleet_.dataCentre_ = "centre" + std::to_string(number);
   settings.callers_ = { ip, 7003 };
   settings.readiness_ = { ip, 7004 };
   settings.processors_ = aProcessors;
--- a/Tests/Fleet/ProcessFleetTest.cxx
+++ b/Tests/Fleet/ProcessFleetTest.cxx
@@ -58,6 +58,24 @@
   cr_assert_eq(StartsOf(fleet, 2, "job1.0.0.0"), 1);
 }
 
+// Guards against shares of the wrong data centre: a job belongs to that of the
+// entry that accepted it, not to the leader's.
+Test(ProcessFleet, JobIsStoredWithTheDataCentreOfItsEntry)
+{
+  const Application application;
+  ProcessFleet fleet(2, 1);
+  WarmUp(fleet);
+  for (std::size_t entry = 0; entry < 2; ++entry) {
+    const std::string id = "job" + std::to_string(entry);
+    cr_assert_eq(fleet.Ask(entry, "POST", id, "1").status_, 200);
+    const Row& row = MemoryTables::OfTest().rows_.at(JobRowId(id));
+    const Result<JobDescription> job = DecodeRecord<JobDescription>(row.value_);
+    cr_assert(std::holds_alternative<JobDescription>(job));
+    const std::string centre = "centre" + std::to_string(entry);
+    cr_assert_eq(std::get<JobDescription>(job).dataCentre_, centre);
+  }
+}
+
 // Guards against a task that runs again or a job that does not complete,
 // because entries are stopped while the fleet works.
 Test(ProcessFleet, TasksRunOnceWhenEntriesStopInTurn)
--- a/Tests/Load/CallerSharesTest.cxx
+++ b/Tests/Load/CallerSharesTest.cxx
@@ -179,15 +179,11 @@
   for (int i = 0; i < 200; ++i) {
     shares.Classify("a", "q", i + 1);
   }
-  cr_expect_str_eq(shares.NameOf(shares.Classify("a", "q", 50)).c_str(),
-                   "a q small");
-  cr_expect_str_eq(shares.NameOf(shares.Classify("a", "q", 150)).c_str(),
-                   "a q medium");
-  cr_expect_str_eq(shares.NameOf(shares.Classify("a", "q", 195)).c_str(),
-                   "a q large");
+  cr_expect_eq(shares.NameOf(shares.Classify("a", "q", 50)), "a q small");
+  cr_expect_eq(shares.NameOf(shares.Classify("a", "q", 150)), "a q medium");
+  cr_expect_eq(shares.NameOf(shares.Classify("a", "q", 195)), "a q large");
   for (int i = 0; i < 400; ++i) {
     shares.Classify("a", "q", 10 * (i % 100 + 1));
   }
-  cr_expect_str_eq(shares.NameOf(shares.Classify("a", "q", 195)).c_str(),
-                   "a q small");
+  cr_expect_eq(shares.NameOf(shares.Classify("a", "q", 450)), "a q small");
 }
--- a/Tests/Load/InTimeSelectionTest.cxx
+++ b/Tests/Load/InTimeSelectionTest.cxx
@@ -25,7 +25,6 @@
   work.job_ = aJob;
   work.deadlineMs_ = kNow + aMillisLeft;
   work.workMs_ = aWorkMs;
-  work.chainMs_ = 10;
   return work;
 }
 
@@ -177,6 +176,17 @@
   cr_expect_not(SelectOnOne({ late, Work("b", 1000, 100) }).shortage_);
 }
 
+// Guards against a job that is selected although its last tasks would start too
+// late: they cannot use all processors until the deadline.
+Test(InTimeSelection, TasksNeedTheirDurationBeforeTheDeadline)
+{
+  OpenWork longTasks = Work("b", 1000, 600);
+  longTasks.chainMs_ = 200;
+  cr_expect_eq(Verdicts({ Work("a", 800, 300), longTasks }), "SS");
+  longTasks.chainMs_ = 400;
+  cr_expect_eq(Verdicts({ Work("a", 800, 300), longTasks }), "SD");
+}
+
 // Guards against jobs that are deferred and selected alternately.
 Test(InTimeSelection, DeferredJobReturnsOnlyWithMargin)
 {
