LocalPacing: Test missing orders and a responsive leader more strictly

Two guards could be taken out without a failing test: the timeout of orders (unanswered reports covered it), and the condition that the cap is not in force beside a responsive leader (each answer lifted it before the check).

Each guard of the module was then taken out by itself. What failed: no pause after 1.5 s: BackfillIsPausedWithoutALeader and four others; half of the cap instead of the pace in force: FirstReductionHalvesThePaceInForce; no timeout of orders: MissingOrdersPutTheCapInForce; always in force: ResponsiveLeaderIsNotOverridden; lost link ignored: LostLinkPutsTheCapInForceAtOnce; unanswered reports ignored, or late answers accepted: SlowLeaderCountsAsAbsent; any report or any orders lift the cap: CapStaysUntilTheLeaderAnsweredAReportWithThePaces; no interval between raises, or no hysteresis: FluctuatingReadingsCauseNoOscillation; a gap taken for recovery: SilentWorkerChangesNothing; a cap that outlasts its release: NextAbsenceBeginsWithoutACap; overload counted from the cap on: OverloadBeforeTheLossOfTheLeaderCounts.

--- a/Tests/Load/LocalPacingTest.cxx
+++ b/Tests/Load/LocalPacingTest.cxx
@@ -40,7 +40,9 @@
       Note();
       pacing_.OnReading({ At(now_), aPressure(now_), pace_ });
       Note();
-      pacing_.OnReportSent(At(now_), showsPaces_);
+      if (reports_) {
+        pacing_.OnReportSent(At(now_), showsPaces_);
+      }
       if (answers_) {
         pacing_.OnOrders(At(now_ - answerDelay_), At(now_));
         Note();
@@ -54,6 +56,7 @@
       raisedAt_.push_back(now_);
     }
     cap_ = pacing_.Cap();
+    lowestCap_ = std::min(lowestCap_, cap_);
   }
 
   LocalPacing pacing_;
@@ -62,9 +65,11 @@
   std::uint32_t pace_ = 100;
   bool answers_ = true;
   bool showsPaces_ = true;
+  bool reports_ = true;
   /** Age of the report that the leader answers. */
   std::int64_t answerDelay_ = 0;
   std::uint32_t cap_ = kUncappedPace;
+  std::uint32_t lowestCap_ = kUncappedPace;
   std::vector<std::int64_t> raisedAt_;
 };
 
@@ -76,7 +81,19 @@
   Side side;
   side.Run(5000, 3);
   cr_assert_not(side.pacing_.InForce());
-  cr_assert_eq(side.pacing_.Cap(), kUncappedPace);
+  cr_assert_eq(side.lowestCap_, kUncappedPace);
+}
+
+// Guards against harm beside a worker that gives no reason for a report: orders
+// that are missing for a second suffice.
+Test(LocalPacing, MissingOrdersPutTheCapInForce)
+{
+  Side side;
+  side.reports_ = false;
+  side.answers_ = false;
+  side.Run(1500, 1.5);
+  cr_assert(side.pacing_.InForce());
+  cr_assert_lt(side.pacing_.Cap(), kUncappedPace);
 }
 
 // Guards against harm while there is no leader: the cap is in force one second
