WorkerKeeper: Cap the pace of backfill while the leader is absent

While no leader leads, or one does not answer, nothing lowers the pace of backfill beside serving tasks. The side now reads the pressure from its worker's lists of runs and applies the cap of LocalPacing to the runs that the leader has named as backfill, if features.local-pacing is enabled.

Reports show the pace in force. A side that has restarted does not know the pace of the runs that it finds. It took them for unthrottled, and dropped an order of 100 percent, so that a paused run stayed paused; it now reports the pace as unknown and passes on the next order. A pace call without an answer may be executed seconds late and undo a later one, so with the feature enabled the pace is repeated every second for 13 s.

The log has local-pacing at the beginning and the end of a cap, the metrics backfill_pace_cap and backfill_pace_reductions.

--- a/Source/Connection/FleetMessages.h
+++ b/Source/Connection/FleetMessages.h
@@ -113,9 +113,12 @@
   /** Tail latency in ms of a task with a latency objective; for other tasks the
    * CPU used. */
   std::uint32_t measure_ = 0;
-  /** Pace in force, as a percentage of full speed. */
+  /** Pace in force, as a percentage of full speed; kUnknownPace if the side has
+   * found the run on its worker and has not paced it since. */
   std::uint8_t pace_ = 100;
 
+  static constexpr std::uint8_t kUnknownPace = 255;
+
   template<class Archive>
   void serialize(Archive& ar)
   {
--- a/Source/Process/FleetSide.h
+++ b/Source/Process/FleetSide.h
@@ -127,7 +127,8 @@
     // the keeper raises the fence on the first refusal.
     , keeper_({ aSettings.maxLease_,
                 aSettings.stopTimeout_,
-                static_cast<std::uint64_t>(ReadWallClock() / 1000) },
+                static_cast<std::uint64_t>(ReadWallClock() / 1000),
+                aSettings.features_.localPacing_ },
               ReadMonotonicClock())
     , key_(store_, [this] { OnKey(); })
   {
@@ -151,6 +152,7 @@
     }
     metrics_ = std::move(std::get<std::unique_ptr<HttpFront>>(metrics));
     Metrics::OfProcess().Describe("fleet-side", settings_.fleet_.name_);
+    Metrics::OfProcess().Set(Gauge::BackfillPaceCap, kUncappedPace);
     key_.Start();
     tick_.start(kTick);
     return true;
@@ -296,6 +298,7 @@
     connect(aLink, &SideLink::Lost, this, [this, aLink] {
       if (link_ == aLink) {
         link_.clear();
+        keeper_.OnLeaderLinkLost();
         LogChange("leader-lost", {});
       }
       aLink->deleteLater();
@@ -347,6 +350,7 @@
       link_->Close();
       link_->deleteLater();
       link_.clear();
+      keeper_.OnLeaderLinkLost();
     }
   }
 
@@ -398,6 +402,7 @@
         link_->Send(reports_.Encode(std::move(*report)));
       }
     }
+    PublishPacing();
     const bool ready = keeper_.ReadyToStop() && !deregistering_;
     if (stopped_ && (ready || now >= stopBound_)) {
       LogChange("stopped", {});
@@ -405,6 +410,30 @@
     }
   }
 
+  /** Writes changes of the cap on the pace of backfill to the metrics, and its
+   * beginning and end to the log. */
+  void PublishPacing()
+  {
+    const LocalPacing& pacing = keeper_.Pacing();
+    const std::uint32_t cap = pacing.Cap();
+    Metrics::OfProcess().Count(Counter::BackfillPaceReductions,
+                               pacing.Reductions() - paceReductions_);
+    paceReductions_ = pacing.Reductions();
+    if (cap == paceCap_) {
+      return;
+    }
+    Metrics::OfProcess().Set(Gauge::BackfillPaceCap, cap);
+    const bool begins = paceCap_ == kUncappedPace;
+    if (begins || cap == kUncappedPace) {
+      LogChange("local-pacing",
+                { { "state", begins ? "begins" : "ends" },
+                  { "pressure", std::to_string(keeper_.Pressure()) },
+                  { "cap", std::to_string(begins ? cap : paceCap_) },
+                  { "epoch", std::to_string(keeper_.Epoch()) } });
+    }
+    paceCap_ = cap;
+  }
+
   FleetSideSettings settings_;
   std::string incarnation_;
   Store store_;
@@ -427,6 +456,10 @@
   /** Version of this side's row as last written. */
   std::uint64_t memberVersion_ = 0;
   bool deregistering_ = false;
+  /** Cap on the pace of backfill, and number of its reductions, as last
+   * published. */
+  std::uint32_t paceCap_ = kUncappedPace;
+  std::uint64_t paceReductions_ = 0;
   QTimer tick_;
   /** Monotonic clock that includes suspended time minus the clock that does
    * not. */
--- a/Source/Process/Metrics.cxx
+++ b/Source/Process/Metrics.cxx
@@ -32,6 +32,8 @@
   { "log_lines_collapsed", "log lines of a flood that were only counted" },
   { "log_lines_dropped", "log lines that the log's reader had no room for" },
   { "series_overflows", "values counted under 'other' for lack of room" },
+  { "backfill_pace_reductions",
+    "reductions of a side's cap on the pace of backfill" },
 } };
 
 constexpr std::array<MetricName, kGaugeCount> kGaugeNames{ {
@@ -39,6 +41,8 @@
   { "journal_requests", "requests whose steps are remembered" },
   { "requests_in_progress", "requests without their final answer" },
   { "evacuated_data_centres", "data centres in which no task starts" },
+  { "backfill_pace_cap",
+    "a side's cap on the pace of backfill in percent; 100 for no cap" },
 } };
 
 struct Series
--- a/Source/Process/WorkerKeeper.cxx
+++ b/Source/Process/WorkerKeeper.cxx
@@ -49,6 +49,11 @@
 /** Increase of a fence that is too low because the wall clock was set back: one
  * hour in ms, which is more than any clock correction. */
 constexpr std::uint64_t kFenceIncrement = 3600000;
+/** Time after which a worker no longer executes a call without an answer. Users
+ * describe orders that are carried out up to 12 s late. */
+constexpr Millis kLateCallBound{ 13000 };
+/** Interval at which a pace is ordered again until that time has passed. */
+constexpr Millis kPaceRepetition{ 1000 };
 
 Millis
 MaxLeaseDuration(Millis aLease)
@@ -199,6 +204,7 @@
 {
   (void)aNow;
   linked_ = true;
+  pacing_.OnLinked();
   ordersSeen_ = 0;
   endsReported_ = endsStored_;
   reportDue_ = true;
@@ -235,6 +241,8 @@
       runs_.try_emplace(RunKey(order.task_, order.run_));
     if (added) {
       entry->second.order_ = order;
+      entry->second.pace_ = kUncappedPace;
+      entry->second.appliedPace_ = kUncappedPace;
       entry->second.startUntil_ =
         Instant(Micros(static_cast<std::int64_t>(aOrders.startsUntilMicros_)));
       entry->second.nextCallAt_ = aNow;
@@ -255,6 +263,10 @@
       found->second.pace_ = order.percent_;
     }
   }
+  ApplyProfiles(aOrders);
+  // After the paces: once the leader is in charge again, only they apply.
+  pacing_.OnOrders(
+    Instant(Micros(static_cast<std::int64_t>(aOrders.echoMicros_))), aNow);
   return true;
 }
 
@@ -297,7 +309,8 @@
 Millis
 WorkerKeeper::HoldWait(Instant aNow) const
 {
-  if (aNow < highFrequencyUntil_) {
+  if (aNow < highFrequencyUntil_ ||
+      (PacesLocally() && pacing_.InForce() && HasSharing())) {
     return kHighFrequencyReportPeriod;
   }
   return runs_.empty() ? kIdleHoldWait : kHoldWait;
@@ -370,20 +383,8 @@
     if (ordersInFlight_ >= kMaxOrdersInFlight) {
       return;
     }
-    if (run.phase_ != Phase::Starting && !run.stopAnswered_ &&
-        run.pace_ != run.appliedPace_ && !run.paceCallInFlight_ &&
-        aNow >= run.nextCallAt_) {
-      CallInFlight open;
-      open.kind_ = CallInFlight::Kind::Pace;
-      open.key_ = key;
-      open.workerId_ = facts_.id_;
-      open.pace_ = run.pace_;
-      PaceCall call;
-      call.order_ = { key.first, key.second, run.pace_ };
-      call.head_ = Head(std::move(open), kOrderTimeout, aNow);
-      aCalls.emplace_back(std::move(call));
-      run.paceCallInFlight_ = true;
-      ++ordersInFlight_;
+    if (PaceIsDue(run, aNow)) {
+      AddPace(aCalls, key, run, aNow);
     }
     if (run.callInFlight_ || aNow < run.nextCallAt_) {
       continue;
@@ -479,6 +480,7 @@
 WorkerKeeper::TakeCalls(Instant aNow)
 {
   CheckLeases(aNow);
+  pacing_.OnTime(aNow);
   std::vector<WorkerCall> calls;
   if (facts_.id_.empty()) {
     AddPortCheck(calls, aNow);
@@ -578,19 +580,10 @@
       --ordersInFlight_;
       OnStopAnswer(call, aAnswer, aNow);
       break;
-    case CallInFlight::Kind::Pace: {
+    case CallInFlight::Kind::Pace:
       --ordersInFlight_;
-      const auto run = runs_.find(call.key_);
-      if (run != runs_.end()) {
-        run->second.paceCallInFlight_ = false;
-        if (aAnswer.outcome_ == CallOutcome::Accepted) {
-          run->second.appliedPace_ = call.pace_;
-        } else {
-          run->second.nextCallAt_ = aNow + kOrderRetry;
-        }
-      }
+      OnPaceAnswer(call, aAnswer, aNow);
       break;
-    }
     case CallInFlight::Kind::Hold:
       holdInFlight_ = false;
       OnHoldAnswer(call, aAnswer, aNow);
@@ -714,6 +707,7 @@
   runsKnown_ = true;
   measuredAt_ = aNow;
   ApplyRunLists(aCall, aAnswer, aNow);
+  ReadPressure(aAnswer, aNow);
   deferredReportDue_ = deferredReportDue_ || aNow < highFrequencyUntil_;
   nextHoldAt_ = HasUnstoredEnds() ? aNow + kUnstoredDelay : aNow;
 }
@@ -836,6 +830,8 @@
     fact.checkpoint_ = run.checkpoint_;
     fact.percent_ = run.percent_;
     fact.measure_ = run.measure_;
+    fact.pace_ = static_cast<std::uint8_t>(
+      run.appliedPace_.value_or(RunStatus::kUnknownPace));
     report.runs_.push_back(std::move(fact));
   }
   for (auto end = ends_.upper_bound(endsReported_); end != ends_.end(); ++end) {
@@ -843,7 +839,144 @@
     endsReported_ = end->first;
   }
   report.refused_ = std::exchange(refused_, {});
+  pacing_.OnReportSent(aNow, PacesAreApplied());
   return report;
 }
 
+// Local pacing.
+
+bool
+WorkerKeeper::PacesLocally() const
+{
+  return IsEnabled(settings_.localPacing_,
+                   facts_.startedAtMs_ == 0 ? WorkerProtocol::IdOnly
+                                            : WorkerProtocol::WithStartTime);
+}
+
+void
+WorkerKeeper::ApplyProfiles(const FleetOrders& aOrders)
+{
+  for (const RunProfile& profile : aOrders.profiles_) {
+    const auto found = runs_.find(RunKey(profile.task_, profile.run_));
+    if (found != runs_.end()) {
+      found->second.latencyObjectiveMs_ = profile.latencyObjectiveMs_;
+      found->second.backfill_ = profile.backfill_;
+    }
+  }
+}
+
+bool
+WorkerKeeper::HasSharing() const
+{
+  bool serves = false;
+  bool backfill = false;
+  for (const auto& [key, run] : runs_) {
+    serves = serves || run.latencyObjectiveMs_ > 0;
+    backfill = backfill || run.backfill_;
+  }
+  return serves && backfill;
+}
+
+std::optional<std::uint32_t>
+WorkerKeeper::WantedPace(const LocalRun& aRun) const
+{
+  const std::uint32_t cap = PacesLocally() ? pacing_.Cap() : kUncappedPace;
+  if (!aRun.backfill_ || cap == kUncappedPace) {
+    return aRun.pace_;
+  }
+  return std::min(aRun.pace_.value_or(kUncappedPace), cap);
+}
+
+bool
+WorkerKeeper::PaceIsDue(const LocalRun& aRun, Instant aNow) const
+{
+  const std::optional<std::uint32_t> wanted = WantedPace(aRun);
+  const bool maybeUndone = PacesLocally() && aNow < aRun.latePaceUntil_ &&
+                           aNow - aRun.pacedAt_ >= kPaceRepetition;
+  return aRun.phase_ != Phase::Starting && !aRun.stopAnswered_ &&
+         wanted.has_value() && (wanted != aRun.appliedPace_ || maybeUndone) &&
+         !aRun.paceCallInFlight_ && aNow >= aRun.nextCallAt_;
+}
+
+/** Whether all backfill works at the pace that it is meant to have. */
+bool
+WorkerKeeper::PacesAreApplied() const
+{
+  return std::none_of(runs_.begin(), runs_.end(), [this](const auto& aEntry) {
+    const LocalRun& run = aEntry.second;
+    const std::optional<std::uint32_t> wanted = WantedPace(run);
+    return run.backfill_ && run.phase_ == Phase::Running &&
+           wanted.has_value() && wanted != run.appliedPace_;
+  });
+}
+
+void
+WorkerKeeper::ReadPressure(const CallAnswer& aAnswer, Instant aNow)
+{
+  pressure_ = 0;
+  for (const RunStatus& fact : aAnswer.runs_) {
+    const auto found = runs_.find(RunKey(fact.task_, fact.run_));
+    // A long-running task that is not operating yet has no latency.
+    if (found != runs_.end() && found->second.latencyObjectiveMs_ > 0 &&
+        fact.percent_ >= 100) {
+      pressure_ = std::max(pressure_,
+                           static_cast<double>(fact.measure_) /
+                             found->second.latencyObjectiveMs_);
+    }
+  }
+  std::uint32_t highest = 0;
+  bool any = false;
+  for (const auto& [key, run] : runs_) {
+    if (run.backfill_) {
+      any = true;
+      highest = std::max(highest, WantedPace(run).value_or(kUncappedPace));
+    }
+  }
+  pacing_.OnReading({ aNow, pressure_, any ? highest : kUncappedPace });
+}
+
+void
+WorkerKeeper::AddPace(std::vector<WorkerCall>& aCalls,
+                      const RunKey& aKey,
+                      LocalRun& aRun,
+                      Instant aNow)
+{
+  const std::uint32_t pace = WantedPace(aRun).value_or(kUncappedPace);
+  CallInFlight open;
+  open.kind_ = CallInFlight::Kind::Pace;
+  open.key_ = aKey;
+  open.workerId_ = facts_.id_;
+  open.pace_ = pace;
+  PaceCall call;
+  call.order_ = { aKey.first, aKey.second, pace };
+  call.head_ = Head(std::move(open), kOrderTimeout, aNow);
+  aCalls.emplace_back(std::move(call));
+  aRun.paceCallInFlight_ = true;
+  ++ordersInFlight_;
+}
+
+void
+WorkerKeeper::OnPaceAnswer(const CallInFlight& aCall,
+                           const CallAnswer& aAnswer,
+                           Instant aNow)
+{
+  const auto found = runs_.find(aCall.key_);
+  if (found == runs_.end()) {
+    return;
+  }
+  LocalRun& run = found->second;
+  run.paceCallInFlight_ = false;
+  if (aAnswer.outcome_ != CallOutcome::Accepted) {
+    run.nextCallAt_ = aNow + kOrderRetry;
+    if (aAnswer.outcome_ == CallOutcome::UnknownOutcome) {
+      run.latePaceUntil_ = aCall.sentAt_ + kLateCallBound;
+    }
+    return;
+  }
+  run.appliedPace_ = aCall.pace_;
+  run.pacedAt_ = aNow;
+  // The cap is lifted only after the leader has seen the paces in force.
+  deferredReportDue_ = deferredReportDue_ || pacing_.InForce();
+}
+
 }
--- a/Source/Process/WorkerKeeper.h
+++ b/Source/Process/WorkerKeeper.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "Connection/FleetMessages.h"
+#include "Load/FeatureSwitch.h"
+#include "Load/LocalPacing.h"
 #include "Process/FleetTimings.h"
 #include "Version/Instant.h"
 
@@ -133,6 +135,9 @@
  *   incarnation.
  * - A start that the worker has not accepted before its order expires is
  *   refused, because its job may have been cancelled in the meantime.
+ * - A run works at the leader's pace, or at the lower cap of LocalPacing if the
+ *   leader has named the run as backfill. A run that was found on the worker
+ *   keeps its pace until the leader orders one.
  */
 class WorkerKeeper
 {
@@ -147,6 +152,9 @@
     Millis stopTimeout_{ 1000 };
     /** Initial fence. */
     std::uint64_t fence_ = 1;
+    /** Whether backfill is throttled while the leader is absent. Auto follows
+     * the protocol of this side's worker. */
+    FeatureSwitch localPacing_ = FeatureSwitch::Off;
   };
 
   WorkerKeeper(const Settings& aSettings, Instant aNow);
@@ -156,6 +164,7 @@
   /** Handles the message of a worker that it is about to exit. */
   void OnWorkerLeft(const std::string& aWorkerId, Instant aNow);
   void OnLeaderLink(Instant aNow);
+  void OnLeaderLinkLost() { pacing_.OnLinkLost(); }
   /** Returns false if the orders come from a former leader, whose link must be
    * closed. */
   bool OnOrders(const FleetOrders& aOrders, Instant aNow);
@@ -184,6 +193,11 @@
   std::size_t RunCount() const { return runs_.size(); }
   /** Returns when the authority over the worker's leases ends. */
   Instant AuthorityUntil() const { return authorityUntil_; }
+  /** Returns the cap on the pace of backfill. */
+  const LocalPacing& Pacing() const { return pacing_; }
+  /** Returns the highest ratio of tail latency to objective in the last list of
+   * runs. */
+  double Pressure() const { return pressure_; }
 
 private:
   enum class Phase : std::uint8_t
@@ -216,9 +230,20 @@
     std::string checkpoint_;
     std::uint32_t percent_ = 0;
     std::uint32_t measure_ = 0;
-    std::uint32_t pace_ = 100;
-    std::uint32_t appliedPace_ = 100;
+    /** Pace that the leader ordered; none if the run was found on the worker
+     * and no pace has been ordered since. */
+    std::optional<std::uint32_t> pace_;
+    /** Pace that the worker accepted; none if it is not known. */
+    std::optional<std::uint32_t> appliedPace_;
     bool paceCallInFlight_ = false;
+    /** Time at which the worker accepted the last pace. */
+    Instant pacedAt_;
+    /** Time until which the worker may execute a pace call that had no answer,
+     * and so undo a later one. */
+    Instant latePaceUntil_;
+    /** Profile from the leader; see RunProfile. */
+    std::uint32_t latencyObjectiveMs_ = 0;
+    bool backfill_ = false;
   };
 
   using RunKey = std::pair<std::string, std::uint32_t>;
@@ -257,6 +282,24 @@
   Runs::iterator WithdrawStart(Runs::iterator aEntry, StartRejection aWhy);
   Runs::iterator RefuseStart(Runs::iterator aEntry, StartRejection aWhy);
   void AddOrders(std::vector<WorkerCall>& aCalls, Instant aNow);
+  // Local pacing.
+  bool PacesLocally() const;
+  void ApplyProfiles(const FleetOrders& aOrders);
+  /** Whether tasks with a latency objective share the worker with backfill. */
+  bool HasSharing() const;
+  /** Returns the pace at which a run is meant to work; none if it keeps the
+   * pace that it has. */
+  std::optional<std::uint32_t> WantedPace(const LocalRun& aRun) const;
+  bool PaceIsDue(const LocalRun& aRun, Instant aNow) const;
+  bool PacesAreApplied() const;
+  void ReadPressure(const CallAnswer& aAnswer, Instant aNow);
+  void AddPace(std::vector<WorkerCall>& aCalls,
+               const RunKey& aKey,
+               LocalRun& aRun,
+               Instant aNow);
+  void OnPaceAnswer(const CallInFlight& aCall,
+                    const CallAnswer& aAnswer,
+                    Instant aNow);
   bool AddStart(std::vector<WorkerCall>& aCalls,
                 const RunKey& aKey,
                 LocalRun& aRun,
@@ -320,6 +363,8 @@
   std::map<std::uint64_t, CallInFlight> calls_;
   std::uint64_t nextCall_ = 1;
   std::size_t ordersInFlight_ = 0;
+  LocalPacing pacing_;
+  double pressure_ = 0;
   Instant nextHoldAt_;
   Instant reportedAt_;
   /** Time of the last list of runs from the worker. */
