FleetScheduler: Follow the paces that sides report

1.6 s after its first report a new leader stopped runs of backfill that the former leader had paused, as "it makes no progress": it took their pace for 100 percent. Reproduced on the virtual clock before the change: PausedRunIsNotStoppedAsStalledByTheNextLeader printed "stopped: run 1: it makes no progress".

Where features.local-pacing is enabled, the leader takes over the pace of an adopted run, judges progress, slowness and interference by the lower of its own pace and the reported one, and orders its next decision again for adopted runs and where a side shows another pace. It sends profiles of serving and backfill runs, and orders at least every 400 ms to sides that have both: orders came only once a second, and the side takes a leader for unresponsive after that time.

A leader that was frozen for 6 s still stops a run as stalled, with the feature off as well: it compares its own clock with reports that waited. That finding was open and stays so.

--- a/Source/Process/FleetJob.h
+++ b/Source/Process/FleetJob.h
@@ -5,6 +5,7 @@
 #include "Version/JobProgress.h"
 #include "Version/TaskKey.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -44,7 +45,17 @@
   Instant progressAt_;
   Instant firstReportAt_;
   bool reported_ = false;
+  /** Pace that this leader ordered, or took over from the side. */
   std::uint32_t pace_ = 100;
+  /** Pace in force in the last report; none if the side does not know it, or if
+   * reported paces are not used. */
+  std::optional<std::uint32_t> reportedPace_;
+  /** Sequence number, on the worker's link, of the orders that carried the last
+   * pace. */
+  std::uint64_t paceSequence_ = 0;
+  /** The side may not have the pace of this leader: the next decision is
+   * ordered even if it is equal to pace_. */
+  bool paceOrderDue_ = false;
   /** The run was throttled at some time, so its duration is no measure of the
    * worker's speed. */
   bool everThrottled_ = false;
@@ -55,6 +66,12 @@
   std::optional<Instant> slowSince_;
   /** As reported: tail latency in ms, or CPU use in thousandths of a core. */
   std::uint32_t measure_ = 0;
+
+  /** Pace at which the run works: its side may have lowered the ordered one. */
+  std::uint32_t PaceInForce() const
+  {
+    return std::min(pace_, reportedPace_.value_or(pace_));
+  }
 };
 
 /** A task and its runs. */
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -551,6 +551,29 @@
                    std::uint32_t aIndex,
                    double aSpeed);
   void MoveIfSlow(FleetWorker& aWorker, const SharingRun& aRun, Instant aNow);
+
+  // Paces that sides set while they have no leader.
+  /** Determines whether sides pace locally, from the protocol of the workers
+   * that have reported. */
+  void UpdateLocalPacing();
+  /** Adds the role of a run to the next orders of its worker, if the run serves
+   * or is backfill. */
+  void AddProfile(FleetWorker& aWorker,
+                  const std::string& aTask,
+                  std::uint32_t aRun,
+                  const StepSpec& aStep);
+  /** Adds the profiles of all runs on the worker to its next orders, once a
+   * link. */
+  void AddAllProfiles(FleetWorker& aWorker);
+  /** Takes over the pace of a run of backfill that its side reports. */
+  void ApplyReportedPace(const FleetWorker& aWorker,
+                         TaskRun& aRun,
+                         const RunStatus& aFact,
+                         bool aAdopted,
+                         Instant aNow);
+  /** Returns the longest interval between orders to the worker's side. */
+  Millis OrderPeriod(const FleetWorker& aWorker) const;
+
   /**
    * Expected time from a stop of the run until a run elsewhere has completed
    * the task, in ms: the stop, and the work that its checkpoint does not cover.
@@ -604,6 +627,9 @@
   /** The log reports that old work waits for sides. */
   bool deferralLogged_ = false;
   std::int64_t wallMs_ = 0;
+  /** Sides pace backfill locally, and this leader follows the paces that they
+   * report; see FleetFeatures::localPacing_. */
+  bool localPacing_ = false;
   WorkerHealth health_;
   BackfillInterference interference_;
   DurationModel durations_;
--- a/Source/Process/FleetSchedulerMaintenance.cxx
+++ b/Source/Process/FleetSchedulerMaintenance.cxx
@@ -181,7 +181,7 @@
     StopOnDraining(aWorker, aName, aPlace, aRun, aNow);
     return;
   }
-  if (!aRun.reported_ || spec.gang_ || aRun.pace_ < 100 ||
+  if (!aRun.reported_ || spec.gang_ || aRun.PaceInForce() < 100 ||
       (spec.longRunning_ && aRun.percent_ >= 100)) {
     return;
   }
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -78,7 +78,7 @@
       orders_.erase(node);
       continue;
     }
-    const bool renewalDue = aNow - worker.grantedAt_ >= kReportPeriod;
+    const bool renewalDue = aNow - worker.grantedAt_ >= OrderPeriod(worker);
     const auto found = orders_.find(node);
     if (found == orders_.end() && !renewalDue && !worker.acknowledgementDue_) {
       continue;
@@ -646,6 +646,9 @@
       spec.payload_,
       aStep.spec_->checkpoints_ ? task.checkpoint_ : std::string(),
       {} });
+  if (localPacing_) {
+    AddProfile(aWorker, text, aRun, *aStep.spec_);
+  }
   const std::string detail = "run " + std::to_string(aRun);
   LogEvent("run-ordered", text, aWorker.node_, detail);
   if (aStep.spec_->longRunning_ && task.endedAt_.has_value()) {
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -69,6 +69,8 @@
   worker.linked_ = true;
   worker.synced_ = false;
   worker.ordersSent_ = 0;
+  worker.ordersSeen_ = 0;
+  worker.profilesSent_ = false;
   orders_.erase(aNode);
   // Orders may be lost with the last link. The first report lists the starts
   // that arrived, and stops are ordered again.
@@ -79,6 +81,7 @@
       place.has_value() ? FindRun(*place->task_, aNode, key.second) : nullptr;
     if (run != nullptr) {
       run->orderSequence_ = 0;
+      run->paceSequence_ = 0;
       // A restarted side may have a different clock.
       run->answerDueMicros_.reset();
     }
@@ -120,9 +123,13 @@
   const std::size_t startsInFlight = first ? StartsInFlight(worker) : 0;
   worker.echoMicros_ = aReport.clockMicros_;
   worker.reportedAt_ = aNow;
+  worker.ordersSeen_ = aReport.ordersSeen_;
   if (aReport.worker_.id_ != worker.facts_.id_) {
     OnNewIncarnation(worker, aReport, aNow);
   }
+  const bool protocolMayChange =
+    first || aReport.worker_.id_ != worker.facts_.id_ ||
+    aReport.worker_.startedAtMs_ != worker.facts_.startedAtMs_;
   if (aReport.worker_.draining_ && !worker.facts_.draining_) {
     worker.drainingSince_ = aNow;
     LogEvent("worker-draining", {}, aNode, aReport.worker_.id_);
@@ -131,6 +138,9 @@
   worker.measuredAt_ =
     aNow - Micros(static_cast<std::int64_t>(aReport.measuredMicrosAgo_));
   worker.synced_ = true;
+  if (protocolMayChange) {
+    UpdateLocalPacing();
+  }
   if (worker.mayRunOldWork_ && takeover_.has_value()) {
     takeover_->Add(aReport.ends_);
   }
@@ -143,6 +153,7 @@
     HandleRefusal(worker, refused, aNow);
   }
   Reconcile(worker, aReport, aNow);
+  AddAllProfiles(worker);
   MaintainRuns(worker, aNow);
   if (first) {
     const auto unlinkedTime =
@@ -509,7 +520,8 @@
   }
   FleetTask& task = *place->task_;
   TaskRun* run = FindRun(task, aWorker.node_, aFact.run_);
-  if (run == nullptr) {
+  const bool adopted = run == nullptr;
+  if (adopted) {
     const bool elsewhere = !task.runs_.empty();
     task.runs_.push_back({});
     run = &task.runs_.back();
@@ -527,6 +539,9 @@
              aFact.task_,
              aWorker.node_,
              "run " + std::to_string(aFact.run_));
+    if (aWorker.profilesSent_) {
+      AddProfile(aWorker, aFact.task_, aFact.run_, *place->step_->spec_);
+    }
     const bool allowed = !elsewhere || place->step_->spec_->allowsCopies_;
     if (place->entry_->job_->IsOver() || task.done_ || !allowed) {
       OrderStop(aWorker.node_,
@@ -560,6 +575,9 @@
     run->percent_ = aFact.percent_;
   }
   run->measure_ = aFact.measure_;
+  if (localPacing_ && place->step_->spec_->backfill_) {
+    ApplyReportedPace(aWorker, *run, aFact, adopted, aNow);
+  }
   if (place->step_->spec_->checkpoints_ && !aFact.checkpoint_.empty()) {
     task.checkpoint_ = aFact.checkpoint_;
   }
--- a/Source/Process/FleetSchedulerSharing.cxx
+++ b/Source/Process/FleetSchedulerSharing.cxx
@@ -116,9 +116,10 @@
     const StepSpec& spec = *one.place_.step_->spec_;
     const TaskRun& run = *one.run_;
     if (!one.room_->serves_) {
-      backfill.push_back(
-        { spec.image_, aWorker.TenthsOf(spec.cpuMilli_), run.pace_ / 100.0 });
-      if (aNow - run.startedAt_ > kMinUsageSample && run.pace_ == 100 &&
+      backfill.push_back({ spec.image_,
+                           aWorker.TenthsOf(spec.cpuMilli_),
+                           run.PaceInForce() / 100.0 });
+      if (aNow - run.startedAt_ > kMinUsageSample && run.PaceInForce() == 100 &&
           run.measure_ > 0) {
         asked += static_cast<double>(spec.cpuMilli_);
         used += static_cast<double>(run.measure_);
@@ -232,7 +233,7 @@
       paced.push_back(&one);
       backfill.push_back({ one.room_->image_,
                            aWorker.TenthsOf(one.room_->backfillCpuMilli_),
-                           one.run_->pace_ / 100.0 });
+                           one.run_->PaceInForce() / 100.0 });
     }
   }
   if (paced.empty()) {
@@ -244,7 +245,7 @@
     TaskRun& run = *paced[i]->run_;
     const std::uint32_t minPace = run.starving_ ? kMinPace : 0;
     const std::uint32_t pace = std::max(minPace, PaceOf(speeds[i]));
-    if (pace != run.pace_) {
+    if (pace != run.pace_ || run.paceOrderDue_) {
       SetPace(aWorker, *paced[i], pace, aNow);
     }
     MoveIfSlow(aWorker, *paced[i], aNow);
@@ -258,12 +259,16 @@
                         Instant aNow)
 {
   TaskRun& run = *aRun.run_;
-  run.pace_ = aPace;
-  run.everThrottled_ = true;
-  // Progress at the new pace is evaluated from this time on.
-  run.progressAt_ = aNow;
-  run.firstReportAt_ = aNow;
-  run.firstPercent_ = run.percent_;
+  if (run.pace_ != aPace) {
+    run.pace_ = aPace;
+    run.everThrottled_ = true;
+    // Progress at the new pace is evaluated from this time on.
+    run.progressAt_ = aNow;
+    run.firstReportAt_ = aNow;
+    run.firstPercent_ = run.percent_;
+  }
+  run.paceOrderDue_ = false;
+  run.paceSequence_ = aWorker.ordersSent_ + 1;
   OrdersFor(aWorker).paces_.push_back({ aRun.name_, run.run_, aPace });
 }
 
@@ -287,6 +292,7 @@
   TaskRun& run = aStep.tasks_[aIndex].runs_.back();
   run.pace_ = pace;
   run.everThrottled_ = true;
+  run.paceSequence_ = aWorker.ordersSent_ + 1;
   const TaskKey name{
     aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, aIndex
   };
--- a/Source/Process/FleetTimings.h
+++ b/Source/Process/FleetTimings.h
@@ -67,6 +67,14 @@
 /** Longest interval between two reports of a side; the leader answers each. */
 constexpr Millis kReportPeriod{ 1000 };
 
+/**
+ * Longest interval between orders to a side that paces locally, while tasks
+ * with a latency objective share its worker with backfill. A side takes a
+ * leader for unresponsive one second after its last orders, and one lost
+ * message must not look like that.
+ */
+constexpr Millis kPacedOrderPeriod{ 400 };
+
 /**
  * Interval at which a side polls its worker and reports each answer under
  * high-frequency reporting. Latencies of serving tasks beside backfill rise
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -76,6 +76,11 @@
   Instant reportedAt_;
   /** Number of orders sent on this link. */
   std::uint64_t ordersSent_ = 0;
+  /** Sequence number of the last orders that the last report reflects. */
+  std::uint64_t ordersSeen_ = 0;
+  /** The side has the profiles of the runs on its worker, or they are part of
+   * its next orders. */
+  bool profilesSent_ = false;
   /** Time at which the last orders were sent; orders renew the side's
    * authority. */
   Instant grantedAt_;
--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -102,10 +102,47 @@
   if (const auto* hold = std::get_if<HoldCall>(&aCall)) {
     return Hold(*hold, aNow);
   }
+  return Pace(std::get<PaceCall>(aCall), aNow);
+}
+
+CallAnswer
+WorkerFake::Pace(const PaceCall& aCall, Instant aNow)
+{
+  ++paceCalls_;
+  for (Run& run : runs_) {
+    if (run.task_ == aCall.order_.task_ && run.run_ == aCall.order_.run_) {
+      run.pace_ = aCall.order_.percent_;
+    }
+  }
+  if (losesPaceAnswers_) {
+    return {};
+  }
+  CallAnswer answer;
+  answer.clockMs_ = MillisOf(aNow);
   answer.outcome_ = CallOutcome::Accepted;
   return answer;
 }
 
+std::uint32_t
+WorkerFake::PaceOf(const std::string& aTask) const
+{
+  const auto found =
+    std::find_if(runs_.begin(), runs_.end(), [&aTask](const Run& aRun) {
+      return aRun.task_ == aTask;
+    });
+  return found == runs_.end() ? 100 : found->pace_;
+}
+
+std::uint32_t
+WorkerFake::Latency() const
+{
+  std::uint32_t paces = 0;
+  for (const Run& run : runs_) {
+    paces += IsLongRunning(run.task_) ? 0 : run.pace_;
+  }
+  return latencyMs_ + harmMs_ * paces / 100;
+}
+
 CallAnswer
 WorkerFake::Start(const StartCall& aCall, Instant aNow)
 {
@@ -179,17 +216,17 @@
       continue;
     }
     const auto left = std::chrono::duration_cast<Millis>(run.endsAt_ - aNow);
-    const auto percent = IsLongRunning(run.task_)
-                           ? 100
-                           : 100 - 100 *
-                                     std::max<std::int64_t>(0, left.count()) /
-                                     taskTime_.count();
+    const bool longRunning = IsLongRunning(run.task_);
+    const auto percent =
+      longRunning ? 100
+                  : 100 - 100 * std::max<std::int64_t>(0, left.count()) /
+                            taskTime_.count();
     answer.runs_.push_back({ run.task_,
                              run.run_,
                              false,
                              run.checkpoint_,
                              static_cast<std::uint32_t>(percent),
-                             0 });
+                             longRunning ? Latency() : 0 });
   }
   answer.ends_.assign(ends_.begin(), ends_.end());
   return answer;
@@ -210,7 +247,11 @@
 WorkerFake::Advance(Instant aNow)
 {
   std::vector<Run> left;
-  for (const Run& run : runs_) {
+  const Micros passed = aNow - std::exchange(advancedAt_, aNow);
+  for (Run& run : runs_) {
+    if (!IsLongRunning(run.task_)) {
+      run.endsAt_ += passed * (100 - run.pace_) / 100;
+    }
     if (aNow >= leaseUntil_) {
       End(run, EndKind::Lapsed);
     } else if (run.stopsAt_.has_value() && aNow >= *run.stopsAt_) {
@@ -292,10 +333,7 @@
                    .worker_ = WorkerFake("w" + number + "-1"),
                    .room_ = aRoom,
                    .rack_ = "r1" };
-    WorkerKeeper::Settings settings;
-    settings.fence_ = 1;
-    settings.stopTimeout_ = Millis(500);
-    host.keeper_ = std::make_unique<WorkerKeeper>(settings, now_);
+    host.keeper_ = std::make_unique<WorkerKeeper>(KeeperSettings(1), now_);
     hosts_.push_back(std::move(host));
   }
   StartLeader(1);
@@ -307,6 +345,16 @@
   return kWallMs + MillisOf(now_) + clockOffset_.count();
 }
 
+WorkerKeeper::Settings
+FleetWorld::KeeperSettings(std::uint64_t aFence) const
+{
+  WorkerKeeper::Settings settings;
+  settings.fence_ = aFence;
+  settings.stopTimeout_ = Millis(500);
+  settings.localPacing_ = bounds_.features_.localPacing_;
+  return settings;
+}
+
 void
 FleetWorld::StartLeader(std::uint64_t aEpoch)
 {
@@ -383,10 +431,8 @@
 FleetWorld::RestartSide(std::size_t aHost)
 {
   HostFake& host = hosts_.at(aHost);
-  WorkerKeeper::Settings settings;
-  settings.fence_ = host.worker_.fence_ + 1;
-  settings.stopTimeout_ = Millis(500);
-  host.keeper_ = std::make_unique<WorkerKeeper>(settings, now_);
+  host.keeper_ = std::make_unique<WorkerKeeper>(
+    KeeperSettings(host.worker_.fence_ + 1), now_);
   LoseLink(host);
 }
 
@@ -541,6 +587,7 @@
   announcement.facts_.rack_ = aHost.rack_;
   announcement.facts_.labels_ = aHost.labels_;
   announcement.facts_.room_ = aHost.room_;
+  announcement.facts_.startedAtMs_ = aHost.startedAtMs_;
   announcement.clockMs_ = MillisOf(now_);
   announcement.sequence_ = ++aHost.sequence_;
   aHost.keeper_->OnAnnounced(announcement, now_);
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -38,6 +38,8 @@
     std::optional<Instant> stopsAt_;
     /** A member of a gang that does not end before the others. */
     bool waitsForGang_ = false;
+    /** Percentage of its full speed at which the run works. */
+    std::uint32_t pace_ = 100;
   };
 
   /** An accepted start, or the acknowledgement of a done end. */
@@ -59,6 +61,10 @@
   void FailRun(const std::string& aTask);
   /** Simulates a crash: the worker restarts with a new identity and no runs. */
   void Crash(std::string aNewId);
+  /** Pace of the run of a task; 100 if there is none. */
+  std::uint32_t PaceOf(const std::string& aTask) const;
+  /** Tail latency of the long-running tasks, in ms. */
+  std::uint32_t Latency() const;
   /** Number of current runs of a task, including those being stopped. */
   std::size_t RunsOf(const std::string& aTask) const;
   /** Whether runs of the task end as failed. */
@@ -81,6 +87,13 @@
   bool gone_ = false;
   /** The port accepts calls and closes them without an answer or an effect. */
   bool mute_ = false;
+  /** Pace calls are executed, but their answers are lost. */
+  bool losesPaceAnswers_ = false;
+  std::size_t paceCalls_ = 0;
+  /** Tail latency of long-running tasks without other tasks, and the increase
+   * by each other task at full speed, in ms. */
+  std::uint32_t latencyMs_ = 0;
+  std::uint32_t harmMs_ = 0;
   std::vector<Run> runs_;
   std::deque<RunEndReport> ends_;
   std::uint64_t fence_ = 0;
@@ -98,10 +111,12 @@
   CallAnswer Start(const StartCall& aCall, Instant aNow);
   CallAnswer Stop(const StopCall& aCall, Instant aNow);
   CallAnswer Hold(const HoldCall& aCall, Instant aNow);
+  CallAnswer Pace(const PaceCall& aCall, Instant aNow);
   bool IsLongRunning(const std::string& aTask) const;
   void End(const Run& aRun, EndKind aKind);
 
   Instant leaseUntil_;
+  Instant advancedAt_;
   std::uint64_t nextEnd_ = 1;
   std::map<std::string, std::uint32_t> highestEnded_;
 };
@@ -116,6 +131,8 @@
   std::string rack_;
   std::string dataCentre_ = {};
   std::vector<std::string> labels_ = {};
+  /** Start time that the worker announces; 0 for none. */
+  std::int64_t startedAtMs_ = 0;
   bool linked_ = false;
   bool cut_ = false;
   std::uint64_t sequence_ = 0;
@@ -242,6 +259,7 @@
   void DeliverOrders();
   void DeliverReports();
   void LoseLink(HostFake& aHost);
+  WorkerKeeper::Settings KeeperSettings(std::uint64_t aFence) const;
   void Announce(HostFake& aHost);
   void Check();
   void CheckStarts(WorkerFake& aWorker);
--- a/Tests/Fleet/HarmBench.h
+++ b/Tests/Fleet/HarmBench.h
@@ -16,8 +16,8 @@
  */
 struct HarmBench
 {
-  HarmBench()
-    : scheduler_(1, FleetBounds(), kWallMs)
+  explicit HarmBench(const FleetBounds& aBounds = FleetBounds())
+    : scheduler_(1, aBounds, kWallMs)
   {
     scheduler_.OnSideRegistered("side", now_);
     scheduler_.OnLoaded(now_, kWallMs);
@@ -88,6 +88,9 @@
         paces_.insert(paces_.end(),
                       orders.orders_.paces_.begin(),
                       orders.orders_.paces_.end());
+        profiles_.insert(profiles_.end(),
+                         orders.orders_.profiles_.begin(),
+                         orders.orders_.profiles_.end());
       }
       for (RunStatus& run : runs_) {
         if (run.task_.starts_with("serving")) {
@@ -118,6 +121,7 @@
   std::uint64_t lastEnd_ = 0;
   std::vector<StopOrder> stops_;
   std::vector<PaceOrder> paces_;
+  std::vector<RunProfile> profiles_;
   std::uint32_t latency_ = 4;
   /** Validity of the last order of high-frequency reporting; 0 if none. */
   std::uint64_t highFrequencyMicros_ = 0;
