--- a/Source/Process/Metrics.cxx
+++ b/Source/Process/Metrics.cxx
@@ -32,6 +32,8 @@
   { "log_lines_collapsed", "log lines of a flood that were only counted" },
   { "log_lines_dropped", "log lines that the log's reader had no room for" },
   { "series_overflows", "values counted under 'other' for lack of room" },
+  { "backfill_pace_reductions",
+    "reductions of a side's cap on the pace of backfill" },
 } };
 
 constexpr std::array<MetricName, kGaugeCount> kGaugeNames{ {
@@ -43,6 +45,8 @@
   { "group_work_ms", "processor-ms of the selected and running work" },
   { "largest_group_work_ms",
     "processor-ms of it that belong to the callers' largest group" },
+  { "backfill_pace_cap",
+    "a side's cap on the pace of backfill in percent; 100 for no cap" },
 } };
 
 struct Series
