Worker: Identify an incarnation by id and start time

A worker may restart under its id: without runs, ends and fence, and with a clock and counters that begin again. The side identified it by the id alone, so it ignored the ends of the new process, reported its former runs, and let late calls start tasks again. Announcements with missing or wrong fields were read as zeros and empty texts.

The side now compares the pair of id and start time. A probe under a higher fence decides which process is alive; past pairs stay past; nothing is reported before a hold with that fence was accepted and stops executed before it are over. Answers, orders, announcements and deregistrations of another pair change nothing. While another process answers under the same id, no order, lease or acknowledgement is sent. Invalid announcements are answered with 400, logged and counted.

LeavingWorkerKeepsItsRunsUntilItsPortRefuses and the simulated worker that has ended answer PortRefused instead of NotDone, which the outcome is called now.

--- a/Source/Connection/FleetMessages.h
+++ b/Source/Connection/FleetMessages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Version/WorkerIncarnation.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -50,6 +52,8 @@
    * a worker may restart under its id. */
   std::int64_t startedAtMs_ = 0;
 
+  WorkerIncarnation Incarnation() const { return { id_, startedAtMs_ }; }
+
   bool operator==(const WorkerDescription&) const = default;
 
   template<class Archive>
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -120,7 +120,7 @@
   const std::size_t startsInFlight = first ? StartsInFlight(worker) : 0;
   worker.echoMicros_ = aReport.clockMicros_;
   worker.reportedAt_ = aNow;
-  if (aReport.worker_.id_ != worker.facts_.id_) {
+  if (aReport.worker_.Incarnation() != worker.facts_.Incarnation()) {
     OnNewIncarnation(worker, aReport, aNow);
   }
   if (aReport.worker_.draining_ && !worker.facts_.draining_) {
@@ -185,7 +185,8 @@
     LogEvent("worker-new-life",
              {},
              aWorker.node_,
-             aWorker.facts_.id_ + " was replaced by " + aReport.worker_.id_);
+             aWorker.facts_.Incarnation().Text() + " was replaced by " +
+               aReport.worker_.Incarnation().Text());
     DropAllRuns(aWorker, "its worker crashed", aNow);
   }
   aWorker.DropReservations();
--- a/Source/Process/FleetSide.h
+++ b/Source/Process/FleetSide.h
@@ -32,6 +32,9 @@
 struct WorkerLeaving
 {
   std::string id_;
+  /** Start time of the worker, see WorkerDescription::startedAtMs_; 0 if the
+   * message contains none. */
+  std::int64_t startedAtMs_ = 0;
 };
 
 /** Message of a worker to the side on its host; monostate for any other
@@ -161,27 +164,82 @@
     const Result<WorkerNotice> decoded = Platform::DecodeNotice(aExchange);
     if (const auto* failure = std::get_if<Failure>(&decoded)) {
       LogProblem("notice-refused", { { "reason", failure->message_ } });
+      const bool notFound = failure->kind_ == FailureKind::NotFound;
+      if (!notFound) {
+        Metrics::OfProcess().Count(Counter::WorkerNoticesIgnored);
+      }
       HttpAnswer answer;
-      answer.status_ = failure->kind_ == FailureKind::NotFound ? 404 : 400;
+      answer.status_ = notFound ? 404 : 400;
       aExchange.Answer(answer);
       return;
     }
     const Instant now = ReadMonotonicClock();
     const auto& notice = std::get<WorkerNotice>(decoded);
     if (const auto* announced = std::get_if<WorkerAnnouncement>(&notice)) {
-      if (announced->facts_.id_ != keeper_.WorkerId()) {
-        LogChange("worker-announced", { { "worker", announced->facts_.id_ } });
+      if (!OnAnnounced(*announced, now)) {
+        HttpAnswer answer;
+        answer.status_ = 400;
+        aExchange.Answer(answer);
+        return;
       }
-      keeper_.OnAnnounced(*announced, now);
     } else if (const auto* leaving = std::get_if<WorkerLeaving>(&notice)) {
-      LogChange("worker-left", { { "worker", leaving->id_ } });
-      keeper_.OnWorkerLeft(leaving->id_, now);
+      OnWorkerLeft(*leaving, now);
     }
     aExchange.Answer(Platform::AcknowledgeNotice());
     RegisterIfNeeded();
     Pump();
   }
 
+  /** Returns false if the announcement is invalid. */
+  bool OnAnnounced(const WorkerAnnouncement& aAnnouncement, Instant aNow)
+  {
+    const WorkerIncarnation announced = aAnnouncement.facts_.Incarnation();
+    const bool isNew = announced != keeper_.Incarnation();
+    const AnnouncementOutcome outcome =
+      keeper_.OnAnnounced(aAnnouncement, aNow);
+    if (outcome == AnnouncementOutcome::Accepted) {
+      if (isNew) {
+        LogChange("worker-announced", { { "worker", announced.Text() } });
+      }
+      return true;
+    }
+    const bool invalid = outcome == AnnouncementOutcome::Invalid;
+    LogIgnored(announced,
+               invalid ? "It contradicts the worker in use."
+                       : "It is late or from a past incarnation.");
+    return !invalid;
+  }
+
+  void OnWorkerLeft(const WorkerLeaving& aLeaving, Instant aNow)
+  {
+    const WorkerIncarnation left{ aLeaving.id_, aLeaving.startedAtMs_ };
+    if (keeper_.OnWorkerLeft(left.id_, aNow, left.startedAtMs_)) {
+      LogChange("worker-left", { { "worker", left.Text() } });
+    } else {
+      LogIgnored(left, "Its incarnation is not in use.");
+    }
+  }
+
+  static void LogIgnored(const WorkerIncarnation& aWorker, const char* aReason)
+  {
+    Metrics::OfProcess().Count(Counter::WorkerNoticesIgnored);
+    LogChange("worker-notice-ignored",
+              { { "worker", aWorker.Text() }, { "reason", aReason } });
+  }
+
+  /** Logs the incarnation in use if it is another one than before. */
+  void LogIncarnation()
+  {
+    const WorkerIncarnation current = keeper_.Incarnation();
+    if (current == loggedIncarnation_) {
+      return;
+    }
+    LogChange("worker-incarnation",
+              { { "worker", current.Text() },
+                { "former", loggedIncarnation_.Text() } });
+    loggedIncarnation_ = current;
+  }
+
   // Link to the leader.
 
   void OnKey()
@@ -385,6 +443,7 @@
   {
     const Instant now = ReadMonotonicClock();
     DetectSuspension(now);
+    LogIncarnation();
     for (const WorkerCall& call : keeper_.TakeCalls(now)) {
       const std::uint64_t id =
         std::visit([](const auto& aCall) { return aCall.head_.id_; }, call);
@@ -410,6 +469,8 @@
   Store store_;
   typename Platform::WorkerClient worker_;
   WorkerKeeper keeper_;
+  /** Incarnation of the worker as last logged. */
+  WorkerIncarnation loggedIncarnation_;
   KeyKeeper<Store> key_;
   std::unique_ptr<HttpFront> front_;
   std::unique_ptr<HttpFront> metrics_;
--- a/Source/Process/Metrics.cxx
+++ b/Source/Process/Metrics.cxx
@@ -32,6 +32,7 @@
   { "log_lines_collapsed", "log lines of a flood that were only counted" },
   { "log_lines_dropped", "log lines that the log's reader had no room for" },
   { "series_overflows", "values counted under 'other' for lack of room" },
+  { "worker_notices_ignored", "messages of workers that changed nothing" },
 } };
 
 constexpr std::array<MetricName, kGaugeCount> kGaugeNames{ {
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -38,10 +38,11 @@
   LogLinesCollapsed,
   LogLinesDropped,
   SeriesOverflows,
+  WorkerNoticesIgnored,
 };
 
 constexpr std::size_t kCounterCount =
-  static_cast<std::size_t>(Counter::SeriesOverflows) + 1;
+  static_cast<std::size_t>(Counter::WorkerNoticesIgnored) + 1;
 
 /** Gauges of a process, in the order of kGaugeNames. */
 enum class Gauge : std::uint8_t
--- a/Source/Process/WorkerKeeper.cxx
+++ b/Source/Process/WorkerKeeper.cxx
@@ -90,27 +90,44 @@
   return WorkerClock(aNow) + lease.count();
 }
 
-void
+/** Returns whether the announcement contradicts what is known of the worker. */
+bool
+WorkerKeeper::IsInvalid(const WorkerAnnouncement& aAnnouncement) const
+{
+  const WorkerDescription& facts = aAnnouncement.facts_;
+  // A process does not change its service, so another service under the same
+  // identity is from another writer.
+  const bool otherService =
+    facts.Incarnation() == Incarnation() && facts.service_ != facts_.service_;
+  return otherService || (startTimeSeen_ && facts.startedAtMs_ == 0);
+}
+
+AnnouncementOutcome
 WorkerKeeper::OnAnnounced(const WorkerAnnouncement& aAnnouncement, Instant aNow)
 {
-  const std::string& id = aAnnouncement.facts_.id_;
-  if (pastIncarnations_.contains(id) || (leaving_ && id == facts_.id_)) {
-    return;
+  if (IsInvalid(aAnnouncement)) {
+    return AnnouncementOutcome::Invalid;
+  }
+  const WorkerIncarnation announced = aAnnouncement.facts_.Incarnation();
+  if (pastIncarnations_.contains(announced) ||
+      (leaving_ && announced == Incarnation())) {
+    return AnnouncementOutcome::Ignored;
   }
   if (facts_.id_.empty()) {
-    BeginIncarnation(aAnnouncement, aNow);
-    return;
+    BeginIncarnation(aAnnouncement, fence_, aNow);
+    return AnnouncementOutcome::Accepted;
   }
-  if (id != facts_.id_) {
+  if (announced != Incarnation()) {
     // Either the worker has restarted after a crash, or this announcement of an
     // earlier incarnation was delayed. A probe of the worker decides.
     candidate_ = aAnnouncement;
     nextHoldAt_ = aNow;
-    return;
+    return AnnouncementOutcome::Accepted;
   }
   if (aAnnouncement.sequence_ < sequence_) {
-    return;
+    return AnnouncementOutcome::Ignored;
   }
+  leaveUnverified_ = leaveUnverified_ && aAnnouncement.sequence_ == sequence_;
   sequence_ = aAnnouncement.sequence_;
   const bool changed =
     facts_.draining_ != aAnnouncement.facts_.draining_ ||
@@ -123,21 +140,40 @@
     clockReadAt_ = aNow;
   }
   reportDue_ = reportDue_ || changed;
+  return AnnouncementOutcome::Accepted;
+}
+
+bool
+WorkerKeeper::HasPastIncarnation(const std::string& aWorkerId) const
+{
+  const auto first = pastIncarnations_.lower_bound({ aWorkerId, 0 });
+  return first != pastIncarnations_.end() && first->id_ == aWorkerId;
 }
 
 void
 WorkerKeeper::BeginIncarnation(const WorkerAnnouncement& aAnnouncement,
+                               std::uint64_t aMinFence,
                                Instant aNow)
 {
   predatesSide_ = !incarnationSeen_;
   incarnationSeen_ = true;
   if (!facts_.id_.empty()) {
-    pastIncarnations_.insert(facts_.id_);
+    pastIncarnations_.insert(Incarnation());
     RemoveAllRuns();
   }
+  restartedUnderId_ = aAnnouncement.facts_.startedAtMs_ != 0 &&
+                      HasPastIncarnation(aAnnouncement.facts_.id_);
+  if (restartedUnderId_) {
+    // Calls with the present fence may have been sent to the former
+    // incarnation, and the new one has received no fence.
+    fence_ = std::max(fence_ + 1, aMinFence);
+    AssumeUnknownLeases(aNow);
+  }
   facts_ = aAnnouncement.facts_;
   facts_.answers_ = false;
   leaving_ = false;
+  leaveUnverified_ = false;
+  otherAnswers_ = false;
   sequence_ = aAnnouncement.sequence_;
   clockMs_ = aAnnouncement.clockMs_;
   clockReadAt_ = aNow;
@@ -164,20 +200,32 @@
   reportDue_ = true;
 }
 
-void
-WorkerKeeper::OnWorkerLeft(const std::string& aWorkerId, Instant aNow)
+bool
+WorkerKeeper::OnWorkerLeft(const std::string& aWorkerId,
+                           Instant aNow,
+                           std::int64_t aStartedAtMs)
 {
   // The worker exits once this message is answered, or some seconds later if
   // the answer is lost. Its runs may continue until its port refuses.
-  if (candidate_.has_value() && candidate_->facts_.id_ == aWorkerId) {
+  const WorkerIncarnation left{ aWorkerId, aStartedAtMs };
+  const bool isCandidate =
+    candidate_.has_value() && candidate_->facts_.Incarnation() == left;
+  if (isCandidate) {
     candidate_.reset();
   }
-  if (facts_.id_ == aWorkerId) {
+  if (left == Incarnation()) {
     leaving_ = true;
     nextHoldAt_ = aNow;
     facts_.draining_ = true;
     reportDue_ = true;
+    return true;
+  }
+  if (!left.HasStartTime() && aWorkerId == facts_.id_) {
+    leaveUnverified_ = true;
+    nextHoldAt_ = aNow;
+    return true;
   }
+  return isCandidate;
 }
 
 void
@@ -185,7 +233,9 @@
 {
   // The runs of a worker end with its process.
   leaving_ = false;
-  pastIncarnations_.insert(facts_.id_);
+  leaveUnverified_ = false;
+  otherAnswers_ = false;
+  pastIncarnations_.insert(Incarnation());
   facts_ = WorkerDescription();
   RemoveAllRuns();
   ends_.clear();
@@ -194,6 +244,35 @@
   runsKnown_ = true;
 }
 
+/**
+ * Ends an incarnation that has never answered and in whose place another one
+ * answers: its announcement was late.
+ *
+ * The other one may have runs from before the start of this side, so nothing is
+ * reported until it has answered a hold.
+ */
+void
+WorkerKeeper::EndUnansweredIncarnation(Instant aNow)
+{
+  EndIncarnation();
+  runsKnown_ = false;
+  incarnationSeen_ = false;
+  portRefusals_ = 0;
+  nextHoldAt_ = aNow + kHoldRetry;
+}
+
+/**
+ * Extends the latest possible end of all leases for runs that the worker may
+ * have started by late calls: their leases are in ms of the clock of a former
+ * incarnation, and the worker shortens them to the maximum.
+ */
+void
+WorkerKeeper::AssumeUnknownLeases(Instant aNow)
+{
+  leasesExpireAt_ =
+    std::max(leasesExpireAt_, aNow + MaxLeaseDuration(settings_.maxLease_));
+}
+
 void
 WorkerKeeper::OnLeaderLink(Instant aNow)
 {
@@ -219,7 +298,8 @@
   authorityUntil_ = std::max(authorityUntil_, until);
   highFrequencyUntil_ = Instant(Micros(static_cast<std::int64_t>(
     aOrders.echoMicros_ + aOrders.highFrequencyMicros_)));
-  if (aOrders.workerId_ != facts_.id_) {
+  if (WorkerIncarnation{ aOrders.workerId_, aOrders.workerStartedAtMs_ } !=
+      Incarnation()) {
     // The orders address a past incarnation of the worker, whose runs are gone;
     // the next report shows that.
     reportDue_ = true;
@@ -284,10 +364,16 @@
 CallHeader
 WorkerKeeper::Head(CallInFlight aCall, Millis aTimeout, Instant aNow)
 {
+  const bool probe = aCall.kind_ == CallInFlight::Kind::Probe;
+  aCall.startedAtMs_ =
+    probe ? candidate_->facts_.startedAtMs_ : facts_.startedAtMs_;
+  // The incarnation in use, if it is still alive, accepts the higher fence as
+  // well; its next calls are then refused until fence_ is raised.
+  aCall.fence_ = probe && aCall.startedAtMs_ != 0 ? fence_ + 1 : fence_;
   CallHeader head;
   head.id_ = nextCall_++;
   head.workerId_ = aCall.workerId_;
-  head.fence_ = fence_;
+  head.fence_ = aCall.fence_;
   head.deadline_ = aNow + aTimeout;
   aCall.sentAt_ = aNow;
   calls_.emplace(head.id_, std::move(aCall));
@@ -323,6 +409,11 @@
     open.kind_ = CallInFlight::Kind::Probe;
     open.workerId_ = candidate_->facts_.id_;
     call.wait_ = Millis(0);
+  } else if (otherAnswers_ && !holdBeforeStop) {
+    // An acknowledgement or a lease would apply to the other incarnation.
+    open.kind_ = CallInFlight::Kind::Hold;
+    open.workerId_ = facts_.id_;
+    call.wait_ = Millis(0);
   } else {
     open.kind_ = CallInFlight::Kind::Hold;
     open.workerId_ = facts_.id_;
@@ -487,7 +578,8 @@
   WithdrawStarts(aNow);
   // Until the first hold is answered, the worker may still execute calls of an
   // earlier incarnation of this side; the hold raises the fence.
-  if (runsKnown_ && aNow >= earlierStopsEndAt_ && !stopping_) {
+  if (runsKnown_ && aNow >= earlierStopsEndAt_ && !stopping_ &&
+      !otherAnswers_) {
     AddOrders(calls, aNow);
   }
   AddHold(calls, aNow);
@@ -513,7 +605,7 @@
 WorkerKeeper::OnPortCheckAnswer(const CallAnswer& aAnswer, Instant aNow)
 {
   nextHoldAt_ = aNow + kHoldRetry;
-  if (aAnswer.outcome_ != CallOutcome::NotDone) {
+  if (aAnswer.outcome_ != CallOutcome::PortRefused) {
     portRefusals_ = 0;
     return;
   }
@@ -548,6 +640,28 @@
   runsKnown_ = runsKnown_ || facts_.id_.empty();
 }
 
+bool
+WorkerKeeper::IsCurrent(const CallInFlight& aCall) const
+{
+  return WorkerIncarnation{ aCall.workerId_, aCall.startedAtMs_ } ==
+         Incarnation();
+}
+
+/**
+ * Returns whether the answer is not from the incarnation that the call is meant
+ * for. Only lists of runs always contain the start time of their worker.
+ */
+bool
+WorkerKeeper::IsOfOtherIncarnation(const CallInFlight& aCall,
+                                   const CallAnswer& aAnswer)
+{
+  const bool hasLists = (aCall.kind_ == CallInFlight::Kind::Hold ||
+                         aCall.kind_ == CallInFlight::Kind::Probe) &&
+                        aAnswer.outcome_ == CallOutcome::Accepted;
+  return aAnswer.startedAtMs_ != aCall.startedAtMs_ &&
+         (hasLists || aAnswer.startedAtMs_ != 0);
+}
+
 void
 WorkerKeeper::OnAnswer(std::uint64_t aCall,
                        const CallAnswer& aAnswer,
@@ -559,11 +673,16 @@
   }
   const CallInFlight call = found->second;
   calls_.erase(found);
-  if (aAnswer.outcome_ == CallOutcome::Fenced) {
+  startTimeSeen_ = startTimeSeen_ || aAnswer.startedAtMs_ != 0;
+  if (aAnswer.outcome_ == CallOutcome::Fenced && call.fence_ >= fence_) {
     fence_ += kFenceIncrement;
   }
-  const bool current = call.workerId_ == facts_.id_;
-  if (current && aAnswer.clockMs_.has_value()) {
+  const bool fromOther = IsOfOtherIncarnation(call, aAnswer);
+  // Another incarnation may have executed the order, which the one in use has
+  // not answered.
+  const CallAnswer none;
+  const CallAnswer& answer = fromOther ? none : aAnswer;
+  if (!fromOther && IsCurrent(call) && aAnswer.clockMs_.has_value()) {
     clockMs_ = *aAnswer.clockMs_;
     clockReadAt_ = aNow;
     lastAnswerAt_ = aNow;
@@ -572,18 +691,18 @@
   switch (call.kind_) {
     case CallInFlight::Kind::Start:
       --ordersInFlight_;
-      OnStartAnswer(call, aAnswer, aNow);
+      OnStartAnswer(call, answer, aNow);
       break;
     case CallInFlight::Kind::Stop:
       --ordersInFlight_;
-      OnStopAnswer(call, aAnswer, aNow);
+      OnStopAnswer(call, answer, aNow);
       break;
     case CallInFlight::Kind::Pace: {
       --ordersInFlight_;
       const auto run = runs_.find(call.key_);
       if (run != runs_.end()) {
         run->second.paceCallInFlight_ = false;
-        if (aAnswer.outcome_ == CallOutcome::Accepted) {
+        if (answer.outcome_ == CallOutcome::Accepted) {
           run->second.appliedPace_ = call.pace_;
         } else {
           run->second.nextCallAt_ = aNow + kOrderRetry;
@@ -649,6 +768,7 @@
       why = StartRejection::Ticket;
       break;
     case CallOutcome::NotDone:
+    case CallOutcome::PortRefused:
       break;
   }
   if (why == StartRejection::Old) {
@@ -689,35 +809,67 @@
                            Instant aNow)
 {
   stopHoldDone_ = stopHoldDone_ || aCall.beforeStop_;
-  if (aCall.workerId_ != facts_.id_) {
+  if (!IsCurrent(aCall)) {
     nextHoldAt_ = aNow;
     return;
   }
+  const bool fromOther = IsOfOtherIncarnation(aCall, aAnswer);
   if (aAnswer.outcome_ == CallOutcome::WrongIncarnation &&
       !candidate_.has_value()) {
     // Another incarnation answers at this address, so this one has ended.
-    EndIncarnation();
+    if (runsKnown_) {
+      EndIncarnation();
+    } else {
+      EndUnansweredIncarnation(aNow);
+    }
     return;
   }
-  if (aAnswer.outcome_ == CallOutcome::NotDone && leaving_) {
+  if (aAnswer.outcome_ == CallOutcome::PortRefused &&
+      (leaving_ || leaveUnverified_)) {
     EndIncarnation();
     return;
   }
+  if (fromOther) {
+    // Another incarnation answers under this id. It announces itself, and a
+    // probe decides; until then nothing that it lists counts. The higher fence
+    // of the next hold makes it refuse late calls already.
+    otherAnswers_ = true;
+    ++fence_;
+    AssumeUnknownLeases(aNow);
+    nextHoldAt_ = aNow + kHoldRetry;
+    return;
+  }
   if (aAnswer.outcome_ != CallOutcome::Accepted) {
     nextHoldAt_ = aNow + kHoldRetry;
     return;
   }
   if (!runsKnown_) {
-    earlierStopsEndAt_ =
-      predatesSide_ ? aNow + settings_.stopTimeout_ + kStopMargin : aNow;
+    OnFirstHold(aNow);
   }
   runsKnown_ = true;
+  otherAnswers_ = false;
   measuredAt_ = aNow;
   ApplyRunLists(aCall, aAnswer, aNow);
   deferredReportDue_ = deferredReportDue_ || aNow < highFrequencyUntil_;
   nextHoldAt_ = HasUnstoredEnds() ? aNow + kUnstoredDelay : aNow;
 }
 
+/**
+ * Handles the first hold that the worker has accepted in its incarnation. From
+ * now on it refuses calls with a lower fence, but it may still be executing
+ * stops of earlier ones, whose runs it does not list.
+ */
+void
+WorkerKeeper::OnFirstHold(Instant aNow)
+{
+  const bool earlierStops = predatesSide_ || restartedUnderId_;
+  earlierStopsEndAt_ =
+    earlierStops ? aNow + settings_.stopTimeout_ + kStopMargin : aNow;
+  if (restartedUnderId_) {
+    AssumeUnknownLeases(aNow);
+  }
+}
+
 void
 WorkerKeeper::ApplyRunLists(const CallInFlight& aCall,
                             const CallAnswer& aAnswer,
@@ -790,15 +942,27 @@
                             Instant aNow)
 {
   nextHoldAt_ = aNow;
-  if (!candidate_.has_value() || candidate_->facts_.id_ != aCall.workerId_) {
+  const WorkerIncarnation probed{ aCall.workerId_, aCall.startedAtMs_ };
+  const bool accepted = aAnswer.outcome_ == CallOutcome::Accepted;
+  const bool fromOther = IsOfOtherIncarnation(aCall, aAnswer);
+  const bool isCandidate =
+    candidate_.has_value() && candidate_->facts_.Incarnation() == probed;
+  if (isCandidate && accepted && !fromOther) {
+    BeginIncarnation(*candidate_, aCall.fence_, aNow);
     return;
   }
-  if (aAnswer.outcome_ == CallOutcome::Accepted) {
-    BeginIncarnation(*candidate_, aNow);
+  if (accepted) {
+    // The incarnation in use has executed the probe with its higher fence.
+    fence_ = std::max(fence_, aCall.fence_);
+  }
+  if (!isCandidate) {
     return;
   }
-  if (aAnswer.outcome_ == CallOutcome::WrongIncarnation) {
-    pastIncarnations_.insert(aCall.workerId_);
+  const bool isOther =
+    fromOther &&
+    WorkerIncarnation{ aCall.workerId_, aAnswer.startedAtMs_ } == Incarnation();
+  if (aAnswer.outcome_ == CallOutcome::WrongIncarnation || isOther) {
+    pastIncarnations_.insert(probed);
     candidate_.reset();
     return;
   }
--- a/Source/Process/WorkerKeeper.h
+++ b/Source/Process/WorkerKeeper.h
@@ -80,8 +80,11 @@
   NoRoom,
   /** Refused, because the advice ticket is not valid. */
   Ticket,
-  /** The call had no effect. */
+  /** Refused without an effect, for example because of overload. The worker's
+   * process is alive. */
   NotDone,
+  /** The connection was refused: no process listens on the worker's port. */
+  PortRefused,
   /** Refused by another incarnation of the worker. */
   WrongIncarnation,
   /** No answer; the worker may have executed the call or may execute it seconds
@@ -96,6 +99,9 @@
   /** Clock of the worker at the time of the answer; std::nullopt without an
    * answer. */
   std::optional<std::int64_t> clockMs_;
+  /** Start time of the answering process, see WorkerDescription::startedAtMs_;
+   * 0 if the answer contains none. */
+  std::int64_t startedAtMs_ = 0;
   /** Answer to a hold: current runs, and ends that the worker still lists. */
   std::vector<RunStatus> runs_;
   std::vector<RunEndReport> ends_;
@@ -112,6 +118,17 @@
   std::uint64_t sequence_ = 0;
 };
 
+/** What the side did with an announcement. */
+enum class AnnouncementOutcome : std::uint8_t
+{
+  /** It describes the worker in use, or an incarnation to probe. */
+  Accepted,
+  /** It is from a past incarnation or late, and changed nothing. */
+  Ignored,
+  /** It cannot be from the worker of this host, and changed nothing. */
+  Invalid,
+};
+
 /**
  * Manages one worker on behalf of the leading entry: executes the orders of the
  * leader, renews the leases of the runs, and reports the state of the worker.
@@ -131,6 +148,9 @@
  *   has received a call of this incarnation.
  * - Nothing is reported before the worker has answered once in this
  *   incarnation.
+ * - A restart of the worker under its id raises the fence. Calls that were sent
+ *   to the former incarnation and arrive late are refused before anything of
+ *   the new one is reported.
  * - A start that the worker has not accepted before its order expires is
  *   refused, because its job may have been cancelled in the meantime.
  */
@@ -152,9 +172,13 @@
   WorkerKeeper(const Settings& aSettings, Instant aNow);
 
   // Events.
-  void OnAnnounced(const WorkerAnnouncement& aAnnouncement, Instant aNow);
-  /** Handles the message of a worker that it is about to exit. */
-  void OnWorkerLeft(const std::string& aWorkerId, Instant aNow);
+  AnnouncementOutcome OnAnnounced(const WorkerAnnouncement& aAnnouncement,
+                                  Instant aNow);
+  /** Handles the message of a worker that it is about to exit. Returns false if
+   * the message is not from the worker in use or a candidate. */
+  bool OnWorkerLeft(const std::string& aWorkerId,
+                    Instant aNow,
+                    std::int64_t aStartedAtMs = 0);
   void OnLeaderLink(Instant aNow);
   /** Returns false if the orders come from a former leader, whose link must be
    * closed. */
@@ -181,6 +205,8 @@
   std::uint64_t Epoch() const { return epoch_; }
   Instant LastOrders() const { return lastOrders_; }
   const std::string& WorkerId() const { return facts_.id_; }
+  /** Returns the incarnation in use; its id is empty if there is none. */
+  WorkerIncarnation Incarnation() const { return facts_.Incarnation(); }
   std::size_t RunCount() const { return runs_.size(); }
   /** Returns when the authority over the worker's leases ends. */
   Instant AuthorityUntil() const { return authorityUntil_; }
@@ -241,6 +267,9 @@
     Kind kind_ = Kind::Hold;
     RunKey key_;
     std::string workerId_;
+    /** Start time of the incarnation that the call is meant for. */
+    std::int64_t startedAtMs_ = 0;
+    std::uint64_t fence_ = 0;
     std::uint32_t pace_ = 0;
     Instant sentAt_;
     /** Last lease extension before a planned stop. */
@@ -272,6 +301,11 @@
                     Instant aNow);
   bool AddPortCheck(std::vector<WorkerCall>& aCalls, Instant aNow);
   void OnPortCheckAnswer(const CallAnswer& aAnswer, Instant aNow);
+  bool IsCurrent(const CallInFlight& aCall) const;
+  static bool IsOfOtherIncarnation(const CallInFlight& aCall,
+                                   const CallAnswer& aAnswer);
+  bool IsInvalid(const WorkerAnnouncement& aAnnouncement) const;
+  bool HasPastIncarnation(const std::string& aWorkerId) const;
   void OnProbeAnswer(const CallInFlight& aCall,
                      const CallAnswer& aAnswer,
                      Instant aNow);
@@ -281,8 +315,13 @@
   void RemoveMissingRuns(const CallInFlight& aCall,
                          const std::set<RunKey>& aListed,
                          Instant aNow);
-  void BeginIncarnation(const WorkerAnnouncement& aAnnouncement, Instant aNow);
+  void BeginIncarnation(const WorkerAnnouncement& aAnnouncement,
+                        std::uint64_t aMinFence,
+                        Instant aNow);
   void EndIncarnation();
+  void EndUnansweredIncarnation(Instant aNow);
+  void OnFirstHold(Instant aNow);
+  void AssumeUnknownLeases(Instant aNow);
   void RemoveAllRuns();
   void CheckLeases(Instant aNow);
   bool HasUnstoredEnds() const;
@@ -303,7 +342,7 @@
   std::uint64_t sequence_ = 0;
   std::optional<WorkerAnnouncement> candidate_;
   /** Past incarnations of the worker, whose late announcements are ignored. */
-  std::set<std::string> pastIncarnations_;
+  std::set<WorkerIncarnation> pastIncarnations_;
   std::int64_t clockMs_ = 0;
   Instant clockReadAt_;
   Instant lastAnswerAt_;
@@ -332,6 +371,14 @@
   bool runsKnown_ = false;
   /** Whether the worker's incarnation began before that of this side. */
   bool predatesSide_ = true;
+  /** Whether an earlier incarnation had the same id, so that this one may have
+   * executed calls that were meant for the earlier one. */
+  bool restartedUnderId_ = false;
+  /** Whether the last hold was answered by another incarnation under the same
+   * id, so that no order is sent until the incarnation in use answers. */
+  bool otherAnswers_ = false;
+  /** Whether an answer of the worker contained a start time. */
+  bool startTimeSeen_ = false;
   bool incarnationSeen_ = false;
   bool holdInFlight_ = false;
   bool reportDue_ = false;
@@ -341,6 +388,10 @@
   bool stopping_ = false;
   /** The worker has reported that it is about to exit. */
   bool leaving_ = false;
+  /** A message without a start time reported the exit of a worker with the id
+   * of the one in use. It may be a late message of an earlier incarnation, so
+   * only a refused connection confirms it. */
+  bool leaveUnverified_ = false;
   bool stopHoldSent_ = false;
   bool stopHoldDone_ = false;
 };
--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -10,6 +10,11 @@
 namespace {
 
 constexpr Millis kStep{ 10 };
+/** Maximum lease that a worker grants. */
+constexpr Millis kMaxLease{ 10000 };
+/** Difference of the fences of two incarnations of a side, which take them from
+ * the wall clock. */
+constexpr std::uint64_t kSideFence = 1000;
 
 std::int64_t
 MillisOf(Instant aTime)
@@ -68,7 +73,7 @@
 // Worker.
 
 CallAnswer
-WorkerFake::Take(const WorkerCall& aCall, Instant aNow)
+WorkerFake::Take(const WorkerCall& aCall, Instant aNow, bool aAnswered)
 {
   Advance(aNow);
   ++calls_;
@@ -77,7 +82,7 @@
   }
   if (gone_) {
     CallAnswer refused;
-    refused.outcome_ = CallOutcome::NotDone;
+    refused.outcome_ = CallOutcome::PortRefused;
     return refused;
   }
   const CallHeader& head = std::visit(
@@ -87,30 +92,30 @@
     answer.outcome_ = CallOutcome::WrongIncarnation;
     return answer;
   }
-  answer.clockMs_ = MillisOf(aNow);
+  answer.clockMs_ = ClockMs(aNow);
   if (head.fence_ < fence_) {
     answer.outcome_ = CallOutcome::Fenced;
     return answer;
   }
   fence_ = head.fence_;
   if (const auto* start = std::get_if<StartCall>(&aCall)) {
-    return Start(*start, aNow);
+    return Start(*start, aNow, aAnswered);
   }
   if (const auto* stop = std::get_if<StopCall>(&aCall)) {
     return Stop(*stop, aNow);
   }
   if (const auto* hold = std::get_if<HoldCall>(&aCall)) {
-    return Hold(*hold, aNow);
+    return Hold(*hold, aNow, aAnswered);
   }
   answer.outcome_ = CallOutcome::Accepted;
   return answer;
 }
 
 CallAnswer
-WorkerFake::Start(const StartCall& aCall, Instant aNow)
+WorkerFake::Start(const StartCall& aCall, Instant aNow, bool aAnswered)
 {
   CallAnswer answer;
-  answer.clockMs_ = MillisOf(aNow);
+  answer.clockMs_ = ClockMs(aNow);
   answer.outcome_ = CallOutcome::Accepted;
   const StartOrder& order = aCall.order_;
   for (const Run& run : runs_) {
@@ -123,11 +128,11 @@
     answer.outcome_ = CallOutcome::Old;
     return answer;
   }
-  if (aCall.leaseUntilMs_ <= MillisOf(aNow)) {
+  if (aCall.leaseUntilMs_ <= ClockMs(aNow)) {
     answer.outcome_ = CallOutcome::LeaseExpired;
     return answer;
   }
-  leaseUntil_ = std::max(leaseUntil_, At(aCall.leaseUntilMs_));
+  leaseUntil_ = std::max(leaseUntil_, LeaseEnd(aCall.leaseUntilMs_, aNow));
   runs_.push_back(
     { order.task_,
       order.run_,
@@ -136,7 +141,8 @@
       std::nullopt });
   started_.push_back(order.task_ + "/" + std::to_string(order.run_));
   startedAt_.push_back(aNow);
-  records_.push_back({ order.task_, false });
+  records_.push_back(
+    { order.task_, false, !aAnswered && fence_ <= formerFence_ });
   return answer;
 }
 
@@ -144,7 +150,7 @@
 WorkerFake::Stop(const StopCall& aCall, Instant aNow)
 {
   CallAnswer answer;
-  answer.clockMs_ = MillisOf(aNow);
+  answer.clockMs_ = ClockMs(aNow);
   answer.outcome_ = CallOutcome::Accepted;
   for (Run& run : runs_) {
     if (run.task_ == aCall.order_.task_ && run.run_ == aCall.order_.run_ &&
@@ -158,16 +164,18 @@
 }
 
 CallAnswer
-WorkerFake::Hold(const HoldCall& aCall, Instant aNow)
+WorkerFake::Hold(const HoldCall& aCall, Instant aNow, bool aAnswered)
 {
   CallAnswer answer;
-  answer.clockMs_ = MillisOf(aNow);
+  answer.clockMs_ = ClockMs(aNow);
+  answer.startedAtMs_ = startedAtMs_;
   answer.outcome_ = CallOutcome::Accepted;
   if (aCall.leaseUntilMs_.has_value()) {
-    leaseUntil_ = std::max(leaseUntil_, At(*aCall.leaseUntilMs_));
+    leaseUntil_ = std::max(leaseUntil_, LeaseEnd(*aCall.leaseUntilMs_, aNow));
   }
   acknowledged_ = std::max(acknowledged_, aCall.endsStored_);
-  while (!ends_.empty() && ends_.front().number_ <= acknowledged_) {
+  while (!ends_.empty() && ends_.front().number_ <= aCall.endsStored_) {
+    unseenEnds_ += ends_.front().number_ > listedEnds_ ? 1 : 0;
     if (ends_.front().kind_ == EndKind::Done) {
       records_.push_back({ ends_.front().task_, true });
     }
@@ -192,6 +200,9 @@
                              0 });
   }
   answer.ends_.assign(ends_.begin(), ends_.end());
+  if (aAnswered && !ends_.empty()) {
+    listedEnds_ = ends_.back().number_;
+  }
   return answer;
 }
 
@@ -260,12 +271,40 @@
 WorkerFake::Crash(std::string aNewId)
 {
   id_ = std::move(aNewId);
+  Forget();
+}
+
+void
+WorkerFake::Restart(Instant aNow, std::uint64_t aHighestFenceSent)
+{
+  formerFence_ = aHighestFenceSent;
+  startedAtMs_ = kWallMs + MillisOf(aNow);
+  clockZero_ = aNow;
+  Forget();
+}
+
+std::int64_t
+WorkerFake::ClockMs(Instant aNow) const
+{
+  return MillisOf(aNow) - MillisOf(clockZero_);
+}
+
+Instant
+WorkerFake::LeaseEnd(std::int64_t aUntilMs, Instant aNow) const
+{
+  return std::min(clockZero_ + Millis(aUntilMs), aNow + kMaxLease);
+}
+
+void
+WorkerFake::Forget()
+{
   runs_.clear();
   ends_.clear();
   highestEnded_.clear();
   fence_ = 0;
   acknowledged_ = 0;
   nextEnd_ = 1;
+  listedEnds_ = 0;
   leaseUntil_ = Instant();
 }
 
@@ -384,12 +423,21 @@
 {
   HostFake& host = hosts_.at(aHost);
   WorkerKeeper::Settings settings;
-  settings.fence_ = host.worker_.fence_ + 1;
+  settings.fence_ = (++host.sideIncarnation_) * kSideFence;
   settings.stopTimeout_ = Millis(500);
   host.keeper_ = std::make_unique<WorkerKeeper>(settings, now_);
   LoseLink(host);
 }
 
+void
+FleetWorld::RestartWorker(std::size_t aHost, Millis aDelay)
+{
+  HostFake& host = hosts_.at(aHost);
+  host.worker_.Restart(now_, host.highestFenceSent_);
+  host.sequence_ = 0;
+  host.announcesAt_ = now_ + aDelay;
+}
+
 void
 FleetWorld::LoseLink(HostFake& aHost)
 {
@@ -472,6 +520,16 @@
   return scheduler_->StateOf(aJob).value_or(JobState::Pending);
 }
 
+std::size_t
+FleetWorld::EndsAcknowledgedUnseen() const
+{
+  std::size_t unseen = 0;
+  for (const HostFake& host : hosts_) {
+    unseen += host.worker_.unseenEnds_;
+  }
+  return unseen;
+}
+
 std::size_t
 FleetWorld::Starts(const std::string& aTask) const
 {
@@ -541,23 +599,54 @@
   announcement.facts_.rack_ = aHost.rack_;
   announcement.facts_.labels_ = aHost.labels_;
   announcement.facts_.room_ = aHost.room_;
-  announcement.clockMs_ = MillisOf(now_);
+  announcement.facts_.startedAtMs_ = aHost.worker_.startedAtMs_;
+  announcement.clockMs_ = aHost.worker_.ClockMs(now_);
   announcement.sequence_ = ++aHost.sequence_;
   aHost.keeper_->OnAnnounced(announcement, now_);
 }
 
+void
+FleetWorld::Deliver(HostFake& aHost, const WorkerCall& aCall)
+{
+  const CallHeader& head = std::visit(
+    [](const auto& aOne) -> const CallHeader& { return aOne.head_; }, aCall);
+  const std::uint64_t id = head.id_;
+  aHost.highestFenceSent_ = std::max(aHost.highestFenceSent_, head.fence_);
+  ++aHost.calls_;
+  if (aHost.lateCallInterval_ != 0 &&
+      aHost.calls_ % aHost.lateCallInterval_ == 0) {
+    aHost.lateCalls_.push_back({ now_ + aHost.lateness_, aCall });
+    aHost.keeper_->OnAnswer(id, CallAnswer(), now_);
+    return;
+  }
+  aHost.keeper_->OnAnswer(id, aHost.worker_.Take(aCall, now_), now_);
+}
+
+void
+FleetWorld::DeliverLateCalls(HostFake& aHost)
+{
+  std::erase_if(aHost.lateCalls_, [&](const LateCall& aLate) {
+    if (aLate.executedAt_ > now_) {
+      return false;
+    }
+    aHost.worker_.Take(aLate.call_, now_, false);
+    return true;
+  });
+}
+
 void
 FleetWorld::StepHost(HostFake& aHost)
 {
-  if (MillisOf(now_) % 1000 == 0 ||
-      aHost.keeper_->WorkerId() != aHost.worker_.id_) {
+  const WorkerIncarnation worker{ aHost.worker_.id_,
+                                  aHost.worker_.startedAtMs_ };
+  if (now_ >= aHost.announcesAt_ &&
+      (MillisOf(now_) % 1000 == 0 || aHost.keeper_->Incarnation() != worker)) {
     Announce(aHost);
   }
   aHost.worker_.Advance(now_);
+  DeliverLateCalls(aHost);
   for (const WorkerCall& call : aHost.keeper_->TakeCalls(now_)) {
-    const std::uint64_t id =
-      std::visit([](const auto& aOne) { return aOne.head_.id_; }, call);
-    aHost.keeper_->OnAnswer(id, aHost.worker_.Take(call, now_), now_);
+    Deliver(aHost, call);
   }
   CheckStarts(aHost.worker_);
   if (aHost.cut_ || leaderLost_) {
@@ -700,7 +789,7 @@
     }
     const auto name = TaskKey::Parse(record.task_);
     const StepSpec& step = jobs_.at(name->job_).steps_.at(name->step_);
-    if (!step.allowsCopies_ && !step.longRunning_ &&
+    if (!step.allowsCopies_ && !step.longRunning_ && !record.late_ &&
         acknowledgedDone_.contains(record.task_)) {
       ++startsAfterAcknowledgedEnd_;
       startedAfterAcknowledgedEnd_ += record.task_ + "; ";
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -45,6 +45,9 @@
   {
     std::string task_;
     bool acknowledged_ = false;
+    /** A start by a late call that was meant for an earlier incarnation, before
+     * this one has received a higher fence. No side can prevent it. */
+    bool late_ = false;
   };
 
   explicit WorkerFake(std::string aId)
@@ -52,13 +55,19 @@
   {
   }
 
-  CallAnswer Take(const WorkerCall& aCall, Instant aNow);
+  /** Executes a call; aAnswered is false if its answer is lost. */
+  CallAnswer Take(const WorkerCall& aCall, Instant aNow, bool aAnswered = true);
   /** Ends the runs that are due. */
   void Advance(Instant aNow);
   /** Makes a run of the task fail. */
   void FailRun(const std::string& aTask);
   /** Simulates a crash: the worker restarts with a new identity and no runs. */
   void Crash(std::string aNewId);
+  /** Simulates a crash after which the worker restarts under its id: without
+   * runs, ends and fence, with a new start time and a new clock. */
+  void Restart(Instant aNow, std::uint64_t aHighestFenceSent);
+  /** Returns the worker's clock in ms. */
+  std::int64_t ClockMs(Instant aNow) const;
   /** Number of current runs of a task, including those being stopped. */
   std::size_t RunsOf(const std::string& aTask) const;
   /** Whether runs of the task end as failed. */
@@ -67,6 +76,8 @@
   bool IsHealthy(const Run& aRun, Instant aNow) const;
 
   std::string id_;
+  /** 0 for a worker of the earlier protocol. */
+  std::int64_t startedAtMs_ = 0;
   Millis taskTime_{ 1000 };
   /**
    * Prefixes of the names of long-running tasks, which run until they are
@@ -93,19 +104,36 @@
   std::vector<Record> records_;
   /** Number of received calls, answered or not. */
   std::size_t calls_ = 0;
+  /** Number of ends that were acknowledged before an answer listed them. */
+  std::size_t unseenEnds_ = 0;
 
 private:
-  CallAnswer Start(const StartCall& aCall, Instant aNow);
+  CallAnswer Start(const StartCall& aCall, Instant aNow, bool aAnswered);
   CallAnswer Stop(const StopCall& aCall, Instant aNow);
-  CallAnswer Hold(const HoldCall& aCall, Instant aNow);
+  CallAnswer Hold(const HoldCall& aCall, Instant aNow, bool aAnswered);
+  void Forget();
+  Instant LeaseEnd(std::int64_t aUntilMs, Instant aNow) const;
   bool IsLongRunning(const std::string& aTask) const;
   void End(const Run& aRun, EndKind aKind);
 
   Instant leaseUntil_;
+  /** Zero of the worker's clock. */
+  Instant clockZero_;
   std::uint64_t nextEnd_ = 1;
+  /** Highest fence of the calls that were sent to earlier incarnations. */
+  std::uint64_t formerFence_ = 0;
+  /** Number of the last end that an answer has listed. */
+  std::uint64_t listedEnds_ = 0;
   std::map<std::string, std::uint32_t> highestEnded_;
 };
 
+/** Call that has no answer and is executed late. */
+struct LateCall
+{
+  Instant executedAt_;
+  WorkerCall call_;
+};
+
 /** Simulated host: a side with its worker. */
 struct HostFake
 {
@@ -119,10 +147,19 @@
   bool linked_ = false;
   bool cut_ = false;
   std::uint64_t sequence_ = 0;
+  std::uint64_t sideIncarnation_ = 1;
   /** Number of the current link. Messages of earlier links are lost. */
   std::uint64_t link_ = 0;
   /** Whether the leader has received a report on the link. */
   bool up_ = false;
+  /** One call in this many has no answer and is executed late; 0 for none. */
+  std::size_t lateCallInterval_ = 0;
+  Millis lateness_{ 0 };
+  std::size_t calls_ = 0;
+  std::uint64_t highestFenceSent_ = 0;
+  std::deque<LateCall> lateCalls_ = {};
+  /** Time of the first announcement after a restart of the worker. */
+  Instant announcesAt_ = {};
   ReportEncoder encoder_ = {};
   ReportDecoder decoder_ = {};
 };
@@ -154,6 +191,8 @@
   void SuspendLeader(Millis aFor);
   /** Kills the process of the side and restarts it. */
   void RestartSide(std::size_t aHost);
+  /** Restarts the worker under its id; it announces itself after aDelay. */
+  void RestartWorker(std::size_t aHost, Millis aDelay);
   /** Cuts or restores the connection between the leader and the host. */
   void Cut(std::size_t aHost, bool aCut);
   /** Drops the link with all messages in flight; a new link follows at once. */
@@ -171,7 +210,7 @@
   bool EverOverCapacity() const { return capacityExceeded_; }
   /**
    * Number of starts of a task after a done end of it was acknowledged.
-   * Long-running tasks and those that allow copies do not count.
+   * Long-running tasks, those that allow copies and Record::late_ do not count.
    */
   std::size_t StartsAfterAcknowledgedEnd() const
   {
@@ -182,6 +221,8 @@
   {
     return startedAfterAcknowledgedEnd_;
   }
+  /** Number of ends that were acknowledged before an answer listed them. */
+  std::size_t EndsAcknowledgedUnseen() const;
   std::size_t Starts(const std::string& aTask) const;
   /** Details of all log events of that name, empty if there are none. */
   std::string EventDetails(std::string_view aEvent) const;
@@ -243,6 +284,8 @@
   void DeliverReports();
   void LoseLink(HostFake& aHost);
   void Announce(HostFake& aHost);
+  void Deliver(HostFake& aHost, const WorkerCall& aCall);
+  void DeliverLateCalls(HostFake& aHost);
   void Check();
   void CheckStarts(WorkerFake& aWorker);
   void AlignGangs();
--- a/Tests/Fleet/WorkerKeeperTest.cxx
+++ b/Tests/Fleet/WorkerKeeperTest.cxx
@@ -352,7 +352,7 @@
   fixture.keeper_.OnWorkerLeft("w1", At(10900));
   cr_assert_eq(fixture.keeper_.RunCount(), 1);
   CallAnswer refused;
-  refused.outcome_ = CallOutcome::NotDone;
+  refused.outcome_ = CallOutcome::PortRefused;
   for (const HoldCall& hold :
        CallsOf<HoldCall>(fixture.keeper_.TakeCalls(At(11600)))) {
     fixture.keeper_.OnAnswer(hold.head_.id_, refused, At(11600));
@@ -446,3 +446,51 @@
   cr_assert_geq(starts, 5);
   cr_assert_leq(starts, 11);
 }
+
+// Guards against runs that are dropped while they go on: a leaving worker that
+// is unhealthy answers a hold without executing it.
+Test(WorkerKeeper, LeavingWorkerThatStillAnswersKeepsItsRuns)
+{
+  Fixture fixture;
+  fixture.OrderStart(2, 10800);
+  const auto starts = CallsOf<StartCall>(fixture.AnswerHold(10800, {}));
+  fixture.keeper_.OnAnswer(
+    starts[0].head_.id_, Answer(CallOutcome::Accepted, 1300), At(10810));
+  fixture.keeper_.OnWorkerLeft("w1", At(10900));
+  for (const HoldCall& hold :
+       CallsOf<HoldCall>(fixture.keeper_.TakeCalls(At(11600)))) {
+    fixture.keeper_.OnAnswer(
+      hold.head_.id_, Answer(CallOutcome::NotDone, 2100), At(11600));
+  }
+  cr_assert_eq(fixture.keeper_.RunCount(), 1);
+}
+
+// Guards against a restarted side that reports no worker although an unhealthy
+// worker answers its port.
+Test(WorkerKeeper, PortOfAnUnhealthyWorkerDoesNotCountAsRefusing)
+{
+  WorkerKeeper keeper({ Millis(10000), Millis(500), 7 }, At(10000));
+  keeper.OnLeaderLink(At(10000));
+  for (std::int64_t now = 10000; now < 12000; now += 10) {
+    for (const HoldCall& hold : CallsOf<HoldCall>(keeper.TakeCalls(At(now)))) {
+      keeper.OnAnswer(
+        hold.head_.id_, Answer(CallOutcome::NotDone, now), At(now));
+    }
+    cr_assert_not(keeper.TakeReport(At(now)).has_value());
+  }
+}
+
+// Guards against a restarted side that reports no worker because it hears late
+// from an earlier incarnation.
+Test(WorkerKeeper, LateAnnouncementAfterARestartIsNoReportOfNoRuns)
+{
+  WorkerKeeper keeper({ Millis(10000), Millis(500), 7 }, At(10000));
+  keeper.OnLeaderLink(At(10000));
+  keeper.OnAnnounced(Announce("w0", 500, 1), At(10000));
+  for (const HoldCall& hold : CallsOf<HoldCall>(keeper.TakeCalls(At(10000)))) {
+    CallAnswer answer;
+    answer.outcome_ = CallOutcome::WrongIncarnation;
+    keeper.OnAnswer(hold.head_.id_, answer, At(10010));
+  }
+  cr_assert_not(keeper.TakeReport(At(10020)).has_value());
+}
