--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -124,7 +124,7 @@
   worker.echoMicros_ = aReport.clockMicros_;
   worker.reportedAt_ = aNow;
   worker.ordersSeen_ = aReport.ordersSeen_;
-  if (aReport.worker_.id_ != worker.facts_.id_) {
+  if (aReport.worker_.Incarnation() != worker.facts_.Incarnation()) {
     OnNewIncarnation(worker, aReport, aNow);
   }
   const bool protocolMayChange =
@@ -196,7 +196,8 @@
     LogEvent("worker-new-life",
              {},
              aWorker.node_,
-             aWorker.facts_.id_ + " was replaced by " + aReport.worker_.id_);
+             aWorker.facts_.Incarnation().Text() + " was replaced by " +
+               aReport.worker_.Incarnation().Text());
     DropAllRuns(aWorker, "its worker crashed", aNow);
   }
   aWorker.DropReservations();
--- a/Source/Process/Metrics.cxx
+++ b/Source/Process/Metrics.cxx
@@ -34,6 +34,7 @@
   { "series_overflows", "values counted under 'other' for lack of room" },
   { "backfill_pace_reductions",
     "reductions of a side's cap on the pace of backfill" },
+  { "worker_notices_ignored", "messages of workers that changed nothing" },
 } };
 
 constexpr std::array<MetricName, kGaugeCount> kGaugeNames{ {
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -39,10 +39,11 @@
   LogLinesDropped,
   SeriesOverflows,
   BackfillPaceReductions,
+  WorkerNoticesIgnored,
 };
 
 constexpr std::size_t kCounterCount =
-  static_cast<std::size_t>(Counter::BackfillPaceReductions) + 1;
+  static_cast<std::size_t>(Counter::WorkerNoticesIgnored) + 1;
 
 /** Gauges of a process, in the order of kGaugeNames. */
 enum class Gauge : std::uint8_t
--- a/Tests/Fleet/LocalPacingFleetTest.cxx
+++ b/Tests/Fleet/LocalPacingFleetTest.cxx
@@ -24,7 +24,7 @@
     worker_.lasting_ = { "serving" };
     worker_.taskTime_ = Millis(30000);
     worker_.latencyMs_ = 10;
-    world_.Host(0).startedAtMs_ = aWorkerStartedAtMs;
+    world_.Host(0).worker_.startedAtMs_ = aWorkerStartedAtMs;
     world_.Run(Millis(2000));
     JobDescription serving = MakeJob("serving", 1, 4000);
     serving.steps_.front().longRunning_ = true;
