Process: Reject requests at once while the store is unavailable

In an outage of the store of 4.2 s, 33 callers waited until their deadline and 27 got an unknown outcome: each write takes 0.9 s to time out, and the next callers wait behind it.

With features.store-breaker, an entry feeds the results of its writes and the time of the lease's last answer into CircuitBreaker. While the breaker is open, or the table has not answered for 2 s, submissions and cancellations of which this entry attempted no write go to the leader if the link is usable, and are otherwise answered with 503 and the breaker's Retry-After. A leader in the same state answers "not stored" at once. Writes that wait behind an unanswered one are treated likewise when the breaker opens. The probe is a read, so that no caller gets an unknown outcome for it. A request of which an earlier attempt may be stored is written as before and stays unknown.

Off, or "auto" with workers of the earlier protocol, nothing changes. The test store can be silent, and the test platform puts Retry-After into the body.

--- a/Source/Load/WriteAttempts.cxx
+++ b/Source/Load/WriteAttempts.cxx
@@ -48,11 +48,16 @@
 }
 
 bool
-WriteAttempts::MayBeStored(std::string_view aRow, Instant aNow) const
+WriteAttempts::IsUnknown(std::string_view aRow, Instant aNow) const
 {
   const auto found = unknown_.find(aRow);
-  return inProgress_.contains(aRow) ||
-         (found != unknown_.end() && aNow < found->second);
+  return found != unknown_.end() && aNow < found->second;
+}
+
+bool
+WriteAttempts::MayBeStored(std::string_view aRow, Instant aNow) const
+{
+  return inProgress_.contains(aRow) || IsUnknown(aRow, aNow);
 }
 
 }
--- a/Source/Load/WriteAttempts.h
+++ b/Source/Load/WriteAttempts.h
@@ -29,6 +29,8 @@
 
   /** Number of writes in progress. */
   std::uint32_t InProgress(std::string_view aRow) const;
+  /** Returns whether a write had an unknown outcome lately. */
+  bool IsUnknown(std::string_view aRow, Instant aNow) const;
   /** Returns whether an attempt may have stored the row or may still do so. */
   bool MayBeStored(std::string_view aRow, Instant aNow) const;
 
--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -16,6 +16,7 @@
 #include "Process/Metrics.h"
 #include "Process/MetricsRoutes.h"
 #include "Process/StopNotice.h"
+#include "Process/StoreBreaker.h"
 #include "Process/StoredJobs.h"
 #include "Process/TableWatch.h"
 #include "Version/FleetConfiguration.h"
@@ -140,6 +141,10 @@
   /** Maximum timeout of a request to the leader to store a job or a
    * cancellation, including the leader's retries of the write. */
   static constexpr Millis kStoreTimeout{ 800 };
+  /** Interval at which the features of Source/Load are updated. */
+  static constexpr Millis kLoadTick{ 100 };
+  /** Timeout of a probe of the store. */
+  static constexpr Millis kProbeTimeout{ 1000 };
   /** Interval between retries of a write that may already be stored. */
   static constexpr Millis kUnknownOutcomeRetry{ 100 };
 
@@ -150,7 +155,10 @@
     , incarnation_(aSettings.fleet_.name_ + "-" +
                    std::to_string(ReadWallClock()))
     , store_(aSettings.fleet_.store_)
-    , intake_(store_)
+    , breaker_(aSettings.fleet_.name_)
+    , intake_(
+        store_,
+        [this](bool aDone, Instant aSentAt) { OnStoreWritten(aDone, aSentAt); })
     , stored_(store_)
     , leaderLink_(aSettings.fleet_.name_,
                   aSettings.processors_,
@@ -205,6 +213,10 @@
     Metrics::OfProcess().Describe("fleet-entry", settings_.fleet_.name_);
     operatorWatch_.Start();
     key_.Start();
+    if (settings_.bounds_.features_.storeBreaker_ != FeatureSwitch::Off) {
+      connect(&loadTick_, &QTimer::timeout, this, [this] { OnLoadTick(); });
+      loadTick_.start(kLoadTick);
+    }
     return true;
   }
 
@@ -220,6 +232,98 @@
     lease_.Start();
   }
 
+  // Load and failures of the store.
+
+  bool Enabled(FeatureSwitch aSwitch) const
+  {
+    return IsEnabled(aSwitch, lease_.Lease().Leader().workerProtocol_);
+  }
+
+  void OnLoadTick()
+  {
+    breaker_.SetEnabled(Enabled(settings_.bounds_.features_.storeBreaker_));
+    breaker_.OnAnswered(lease_.AnsweredAt());
+    ProbeStore();
+  }
+
+  /** Sends the probe of the open breaker: a read, so that no caller waits for
+   * it or gets an unknown outcome. */
+  void ProbeStore()
+  {
+    const Instant now = ReadMonotonicClock();
+    if (!breaker_.TakeProbe(now)) {
+      return;
+    }
+    store_.Read(RowRange::Only(LeaderRowId()),
+                now + kProbeTimeout,
+                Guarded(this, [this](const Result<RowPage>& aPage) {
+                  breaker_.OnProbeEnded(Succeeded(aPage), ReadMonotonicClock());
+                }));
+  }
+
+  void OnStoreWritten(bool aDone, Instant aSentAt)
+  {
+    const Instant now = ReadMonotonicClock();
+    breaker_.OnAnswered(aDone ? now : lease_.AnsweredAt());
+    if (!aDone && breaker_.OnFailed(aSentAt, now)) {
+      // The intake is in the middle of a write.
+      QTimer::singleShot(0, this, [this] { intake_.RefuseUnsent(); });
+    }
+  }
+
+  /** Returns whether a write of the row must not be attempted. A write of which
+   * an earlier attempt may be stored is repeated, so that its outcome becomes
+   * known. */
+  bool RejectsWrite(const RowId& aRow) const
+  {
+    return breaker_.Enabled() &&
+           (breaker_.Rejects() || TableIsUnresponsive()) &&
+           !intake_.MayBeStored(aRow);
+  }
+
+  static RowId RowOf(FleetRequestKind aQuestion, const std::string& aJob)
+  {
+    return aQuestion == FleetRequestKind::StoreCancel ? CancelRowId(aJob)
+                                                      : JobRowId(aJob);
+  }
+
+  CallerReply ReplyStoreRefuses()
+  {
+    CallerReply reply =
+      ReplyTryLater("The table service accepts no writes now; retry later.");
+    reply.retryAfter_ = breaker_.RetryAfter(ReadMonotonicClock());
+    return reply;
+  }
+
+  /** Handles a request whose write had no effect. */
+  void OnNotStored(FleetRequestKind aQuestion,
+                   const std::string& aJob,
+                   const std::string& aRecord,
+                   Instant aDeadline,
+                   const Answer& aAnswer)
+  {
+    if (breaker_.Enabled() && intake_.MayBeStored(RowOf(aQuestion, aJob))) {
+      RetryUnknownStore(aQuestion, aJob, aRecord, aDeadline, aAnswer);
+    } else {
+      aAnswer(ReplyStoreRefuses());
+    }
+  }
+
+  /** Handles a request that the open breaker rejects: the leader may reach the
+   * store. */
+  void StoreElsewhere(FleetRequestKind aQuestion,
+                      const std::string& aJob,
+                      std::string aRecord,
+                      Instant aDeadline,
+                      const Answer& aAnswer)
+  {
+    if (leadership_ == nullptr && leaderLink_.Usable()) {
+      StoreViaLeader(aQuestion, aJob, std::move(aRecord), aDeadline, aAnswer);
+    } else {
+      aAnswer(ReplyStoreRefuses());
+    }
+  }
+
   // The operator's table: the configuration and evacuations.
 
   void OnOperatorRow(const Row& aRow)
@@ -465,6 +569,10 @@
                         ? FleetOutcome::NotStored
                         : FleetOutcome::OutcomeUnknown));
     };
+    if (RejectsWrite(RowOf(aAsk.question_, aAsk.subject_))) {
+      aAnswer(Outcome(FleetOutcome::NotStored));
+      return;
+    }
     if (aAsk.question_ == FleetRequestKind::StoreCancel) {
       intake_.StoreCancel(aAsk.subject_, deadline, answer);
       return;
@@ -642,14 +750,26 @@
                      aDeadline,
                      aAnswer);
     };
-    if (IsCutOff()) {
+    const bool mayBeStored =
+      breaker_.Enabled() && intake_.MayBeStored(JobRowId(spec.id_));
+    if (IsCutOff() && !mayBeStored) {
       // No write was attempted, so the job is not stored and the caller can
       // retry at once. Another entry may reach the table, and the caller's
       // timeout is short.
-      aAnswer(
+      CallerReply reply =
         ReplyTryLater("This entry cannot store the job, because it reaches "
                       "neither the table service nor another leader; "
-                      "retry at another entry."));
+                      "retry at another entry.");
+      reply.retryAfter_ = breaker_.RetryAfter(ReadMonotonicClock());
+      aAnswer(reply);
+      return;
+    }
+    if (RejectsWrite(JobRowId(spec.id_))) {
+      StoreElsewhere(FleetRequestKind::StoreJob,
+                     spec.id_,
+                     EncodeRecord(spec),
+                     aDeadline,
+                     aAnswer);
       return;
     }
     if (intake_.IsUnhealthy() && leadership_ == nullptr &&
@@ -660,7 +780,7 @@
     intake_.StoreJob(
       spec,
       aDeadline - kAnswerMargin,
-      [this, spec, aAnswer, viaLeader](IntakeOutcome aOutcome) {
+      [this, spec, aDeadline, aAnswer, viaLeader](IntakeOutcome aOutcome) {
         if (aOutcome == IntakeOutcome::Stored) {
           NotifyLeader(
             FleetRequestKind::JobStored, spec.id_, EncodeRecord(spec));
@@ -672,8 +792,11 @@
         } else if (leadership_ == nullptr && leaderLink_.Usable()) {
           viaLeader();
         } else {
-          aAnswer(ReplyTryLater(
-            "The table service accepts no writes now; retry later."));
+          OnNotStored(FleetRequestKind::StoreJob,
+                      spec.id_,
+                      EncodeRecord(spec),
+                      aDeadline,
+                      aAnswer);
         }
       });
   }
@@ -697,13 +820,13 @@
                 if (!aReply.has_value() ||
                     aReply->outcome_ == FleetOutcome::OutcomeUnknown) {
                   // The outcome is unknown; repeating the write resolves it.
+                  intake_.OnUnknownElsewhere(RowOf(aQuestion, aJob));
                   RetryUnknownStore(
                     aQuestion, aJob, record, aDeadline, aAnswer);
                 } else if (aReply->outcome_ == FleetOutcome::Ok) {
                   aAnswer(ReplyOf(CallerOutcome::Stored));
                 } else {
-                  aAnswer(ReplyTryLater(
-                    "The table service accepts no writes now; retry later."));
+                  OnNotStored(aQuestion, aJob, record, aDeadline, aAnswer);
                 }
               });
   }
@@ -792,6 +915,10 @@
                        Instant aDeadline,
                        const Answer& aAnswer)
   {
+    if (RejectsWrite(CancelRowId(aJob))) {
+      aAnswer(ReplyStoreRefuses());
+      return;
+    }
     stored_.Find(JobRowId(aJob),
                  [this, aJob, aDeadline, aAnswer](std::optional<bool> aStored) {
                    if (!aStored.has_value()) {
@@ -808,6 +935,11 @@
                    Instant aDeadline,
                    const Answer& aAnswer)
   {
+    if (RejectsWrite(CancelRowId(aJob))) {
+      StoreElsewhere(
+        FleetRequestKind::StoreCancel, aJob, {}, aDeadline, aAnswer);
+      return;
+    }
     intake_.StoreCancel(
       aJob,
       aDeadline - kAnswerMargin,
@@ -823,8 +955,8 @@
           StoreViaLeader(
             FleetRequestKind::StoreCancel, aJob, {}, aDeadline, aAnswer);
         } else {
-          aAnswer(ReplyTryLater(
-            "The table service accepts no writes now; retry later."));
+          OnNotStored(
+            FleetRequestKind::StoreCancel, aJob, {}, aDeadline, aAnswer);
         }
       });
   }
@@ -874,6 +1006,7 @@
   FleetEntrySettings settings_;
   std::string incarnation_;
   Store store_;
+  StoreBreaker breaker_;
   JobIntake<Store> intake_;
   StoredJobs<Store> stored_;
   LeaderLink leaderLink_;
@@ -893,6 +1026,7 @@
   StopNotice notice_;
   Instant stopBound_;
   QTimer stopCheck_;
+  QTimer loadTick_;
   std::function<void()> stopped_;
 };
 
--- a/Source/Process/JobIntake.h
+++ b/Source/Process/JobIntake.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Connection/RowStore.h"
+#include "Load/WriteAttempts.h"
 #include "Process/FleetRecords.h"
 #include "Process/Guarded.h"
 #include "Process/Log.h"
@@ -14,6 +15,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -45,9 +47,14 @@
 {
 public:
   using Callback = std::function<void(IntakeOutcome)>;
+  /** Receives whether a write succeeded, and when it was sent. */
+  using Listener = std::function<void(bool, Instant)>;
 
-  explicit JobIntake(Store& aStore)
+  explicit JobIntake(
+    Store& aStore,
+    Listener aWritten = [](bool, Instant) {})
     : store_(aStore)
+    , written_(std::move(aWritten))
   {
   }
 
@@ -72,6 +79,40 @@
    * ago. */
   bool IsUnhealthy() const { return ReadMonotonicClock() < unhealthyUntil_; }
 
+  /** Returns whether a write of the row by this process is in progress or had
+   * an unknown outcome, so that the row may be stored. */
+  bool MayBeStored(const RowId& aRow) const
+  {
+    return attempts_.MayBeStored(aRow.key_, ReadMonotonicClock());
+  }
+
+  /** Handles a write of unknown outcome by another entry for this one. */
+  void OnUnknownElsewhere(const RowId& aRow)
+  {
+    attempts_.OnUnknown(aRow.key_, ReadMonotonicClock());
+  }
+
+  /** Reports the writes that were not sent yet as not stored, unless another
+   * attempt may have stored their row. */
+  void RefuseUnsent()
+  {
+    std::deque<Pending> refused;
+    for (Part& part : parts_) {
+      std::deque<Pending> kept;
+      for (Pending& pending : part.waiting_) {
+        const std::string& row = pending.put_.id_.key_;
+        const bool only = attempts_.InProgress(row) == 1 &&
+                          !attempts_.IsUnknown(row, ReadMonotonicClock());
+        (pending.unknownOutcome_ || !only ? kept : refused)
+          .push_back(std::move(pending));
+      }
+      part.waiting_ = std::move(kept);
+    }
+    for (Pending& pending : refused) {
+      End(pending, IntakeOutcome::NotStored);
+    }
+  }
+
   /** Time of the last successful write to the table. */
   Instant AnsweredAt() const { return answeredAt_; }
 
@@ -107,6 +148,7 @@
   {
     const std::size_t part =
       static_cast<std::size_t>(std::stoul(WorkPartOf(aJob)));
+    attempts_.OnBegin(aPut.id_.key_);
     parts_.at(part).waiting_.push_back(
       { std::move(aPut), aDeadline, std::move(aCallback) });
     WriteNext(part);
@@ -130,12 +172,22 @@
       part.waiting_.pop_front();
     }
     part.busy_ = true;
-    const Instant deadline = ReadMonotonicClock() + kCallTimeout;
-    store_.Write(transaction,
-                 deadline,
-                 Guarded(this, [this, aPart, batch](const Commit& aCommit) {
-                   OnWritten(aPart, *batch, aCommit);
-                 }));
+    const Instant sentAt = ReadMonotonicClock();
+    store_.Write(
+      transaction,
+      sentAt + kCallTimeout,
+      Guarded(this, [this, aPart, batch, sentAt](const Commit& aCommit) {
+        written_(aCommit.outcome_ == CommitOutcome::Done, sentAt);
+        OnWritten(aPart, *batch, aCommit);
+      }));
+  }
+
+  void End(const Pending& aPending, IntakeOutcome aOutcome)
+  {
+    attempts_.OnEnd(aPending.put_.id_.key_,
+                    aOutcome == IntakeOutcome::OutcomeUnknown,
+                    ReadMonotonicClock());
+    aPending.callback_(aOutcome);
   }
 
   void OnWritten(std::size_t aPart,
@@ -151,16 +203,16 @@
     bool retry = false;
     for (Pending& pending : aBatch) {
       if (done) {
-        pending.callback_(IntakeOutcome::Stored);
+        End(pending, IntakeOutcome::Stored);
         continue;
       }
       pending.unknownOutcome_ =
         pending.unknownOutcome_ ||
         aCommit.outcome_ == CommitOutcome::UnknownOutcome;
       if (!pending.unknownOutcome_) {
-        pending.callback_(IntakeOutcome::NotStored);
+        End(pending, IntakeOutcome::NotStored);
       } else if (now + kRetryInterval >= pending.deadline_) {
-        pending.callback_(IntakeOutcome::OutcomeUnknown);
+        End(pending, IntakeOutcome::OutcomeUnknown);
       } else {
         part.waiting_.push_front(std::move(pending));
         retry = true;
@@ -175,6 +227,8 @@
   }
 
   Store& store_;
+  Listener written_;
+  WriteAttempts attempts_;
   std::array<Part, kWorkParts> parts_;
   Instant unhealthyUntil_;
   Instant answeredAt_;
--- a/Source/Process/Metrics.cxx
+++ b/Source/Process/Metrics.cxx
@@ -32,6 +32,7 @@
   { "log_lines_collapsed", "log lines of a flood that were only counted" },
   { "log_lines_dropped", "log lines that the log's reader had no room for" },
   { "series_overflows", "values counted under 'other' for lack of room" },
+  { "jobs_rejected", "jobs that could not be completed while useful" },
 } };
 
 constexpr std::array<MetricName, kGaugeCount> kGaugeNames{ {
@@ -39,6 +40,8 @@
   { "journal_requests", "requests whose steps are remembered" },
   { "requests_in_progress", "requests without their final answer" },
   { "evacuated_data_centres", "data centres in which no task starts" },
+  { "store_breaker_open", "1 while requests don't wait for the store" },
+  { "work_ahead", "processor-seconds of open work that can be of use" },
 } };
 
 struct Series
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -38,10 +38,11 @@
   LogLinesCollapsed,
   LogLinesDropped,
   SeriesOverflows,
+  JobsRejected,
 };
 
 constexpr std::size_t kCounterCount =
-  static_cast<std::size_t>(Counter::SeriesOverflows) + 1;
+  static_cast<std::size_t>(Counter::JobsRejected) + 1;
 
 /** Gauges of a process, in the order of kGaugeNames. */
 enum class Gauge : std::uint8_t
@@ -50,10 +51,12 @@
   JournalRequests,
   RequestsInProgress,
   EvacuatedDataCentres,
+  StoreBreakerOpen,
+  WorkAhead,
 };
 
 constexpr std::size_t kGaugeCount =
-  static_cast<std::size_t>(Gauge::EvacuatedDataCentres) + 1;
+  static_cast<std::size_t>(Gauge::WorkAhead) + 1;
 
 /** Name of a counter or gauge, such as "table_calls", and its help text. */
 struct MetricName
--- a/Tests/Fleet/MemoryStore.cxx
+++ b/Tests/Fleet/MemoryStore.cxx
@@ -24,13 +24,14 @@
            const ChangesCallback& aCallback)
 {
   const MemoryTables& tables = MemoryTables::OfTest();
-  if (tables.unavailable_) {
+  if (tables.unavailable_ ||
+      (tables.silent_ && ReadMonotonicClock() >= aUntil)) {
     aCallback(Unavailable());
     return;
   }
   RowChanges changes = tables.Changes(aTable, aAfter);
-  if (changes.historyExpired_ || !changes.rows_.empty() ||
-      ReadMonotonicClock() >= aUntil) {
+  if (!tables.silent_ && (changes.historyExpired_ || !changes.rows_.empty() ||
+                          ReadMonotonicClock() >= aUntil)) {
     aCallback(std::move(changes));
     return;
   }
@@ -121,10 +122,10 @@
   MemoryTables& tables = MemoryTables::OfTest();
   Commit commit{ CommitOutcome::NotDone, 0 };
   Millis after(0);
-  if (!tables.unavailable_) {
+  if (!tables.unavailable_ && !tables.silent_) {
     commit = tables.Apply(aTransaction);
   }
-  if (tables.losesAnswers_) {
+  if (tables.losesAnswers_ || tables.silent_) {
     commit = { CommitOutcome::UnknownOutcome, 0 };
     after =
       std::chrono::duration_cast<Millis>(aDeadline - ReadMonotonicClock());
@@ -140,14 +141,17 @@
                   Instant aDeadline,
                   PageCallback aCallback)
 {
-  (void)aDeadline;
   MemoryTables& tables = MemoryTables::OfTest();
   ++tables.reads_;
   Result<RowPage> page = Unavailable();
-  if (!tables.unavailable_) {
+  if (!tables.unavailable_ && !tables.silent_) {
     page = tables.Page(aRange);
   }
-  QTimer::singleShot(0,
+  const auto after =
+    tables.silent_
+      ? std::chrono::duration_cast<Millis>(aDeadline - ReadMonotonicClock())
+      : Millis(0);
+  QTimer::singleShot(after,
                      QCoreApplication::instance(),
                      [page = std::move(page), callback = std::move(aCallback)] {
                        callback(page);
--- a/Tests/Fleet/MemoryStore.h
+++ b/Tests/Fleet/MemoryStore.h
@@ -35,6 +35,9 @@
   /** Writes take effect, but their answers are lost. */
   bool losesAnswers_ = false;
 
+  /** Calls have no effect and are not answered before their deadline. */
+  bool silent_ = false;
+
   /** Makes reads answer with the present state until stale_ is reset. */
   void FreezeReads() { stale_ = Snapshot{ rows_, version_ }; }
   /** Drops the history, so that all watches must read their table again. */
--- a/Tests/Fleet/ProcessFleet.cxx
+++ b/Tests/Fleet/ProcessFleet.cxx
@@ -139,6 +139,7 @@
       break;
     case CallerOutcome::TryLater:
       answer.status_ = 503;
+      answer.body_ = std::to_string(aReply.retryAfter_.count());
       break;
     case CallerOutcome::OutcomeUnknown:
       answer.status_ = 504;
@@ -168,7 +169,9 @@
 
 ProcessFleet::ProcessFleet(std::size_t aEntries,
                            std::size_t aSides,
-                           double aProcessors)
+                           double aProcessors,
+                           const FleetFeatures& aFeatures)
+  : features_(aFeatures)
 {
   MemoryTables& tables = MemoryTables::OfTest();
   RowTransaction configuration;
@@ -206,6 +209,7 @@
   settings.callers_ = { ip, 7003 };
   settings.readiness_ = { ip, 7004 };
   settings.processors_ = aProcessors;
+  settings.bounds_.features_ = features_;
   entrySettings_.push_back(settings);
   entries_.push_back(
     std::get<std::unique_ptr<TestEntry>>(TestEntry::Start(settings)));
--- a/Tests/Fleet/ProcessFleet.h
+++ b/Tests/Fleet/ProcessFleet.h
@@ -31,8 +31,9 @@
 
 /**
  * Platform of the tests. Callers send "POST /queue/ID" with the number of tasks
- * as the body, "GET /queue/ID" and "DELETE /queue/ID". Workers announce
- * themselves with "PUT /worker/ID" and leave with "DELETE /worker/ID".
+ * as the body, or with "TASKS ESTIMATE-MS OBJECTIVE-MS", "GET /queue/ID" and
+ * "DELETE /queue/ID". Workers announce themselves with "PUT /worker/ID" and
+ * leave with "DELETE /worker/ID".
  */
 struct TestPlatform
 {
@@ -61,7 +62,8 @@
 public:
   ProcessFleet(std::size_t aEntries,
                std::size_t aSides,
-               double aProcessors = 1);
+               double aProcessors = 1,
+               const FleetFeatures& aFeatures = FleetFeatures());
 
   /** Starts one more entry, on a host with aProcessors processors. */
   void AddEntry(double aProcessors);
@@ -96,6 +98,7 @@
 private:
   void Announce();
 
+  FleetFeatures features_;
   std::vector<FleetEntrySettings> entrySettings_;
   std::vector<FleetSideSettings> sideSettings_;
   std::vector<std::unique_ptr<TestEntry>> entries_;
