Process: Reject jobs that cannot be completed while they are of use

In a burst, all jobs are accepted although some of them end too late to be of use, and Retry-After is the constant 1 s.

With features.admission, the leader builds a LoadDigest at most every 100 ms from the jobs that can still be of use and fit on a worker. The rate is learned from completed tasks while others wait, and not while starts are withheld or old work waits for sides. Entries request the digest every 300 ms with Load and decide with JobAdmission. Before a 429 the leader is asked and the job's row is read; a job that is known, that may be stored by an attempt of this entry, or whose state can't be found out, is not rejected. CallerOutcome::Rejected is answered with 429 and Retry-After. The request is sent by FleetEntry::RequestDigest() until the heartbeat of the link carries it.

--- a/Source/Process/CallerCall.cxx
+++ b/Source/Process/CallerCall.cxx
@@ -41,6 +41,7 @@
     case CallerOutcome::NoSuchQueue:
     case CallerOutcome::BadRequest:
     case CallerOutcome::TryLater:
+    case CallerOutcome::Rejected:
       return Verdict::DidNotRun;
   }
   return Verdict::MayHaveRun;
--- a/Source/Process/CallerCall.h
+++ b/Source/Process/CallerCall.h
@@ -73,6 +73,9 @@
   BadRequest,
   /** The request had no effect; the caller may retry later. */
   TryLater,
+  /** The request had no effect, because the job cannot be completed while its
+   * result is useful; the caller may retry later. */
+  Rejected,
   /** Unknown outcome: the request may have taken effect. */
   OutcomeUnknown,
 };
@@ -83,7 +86,7 @@
   JobState state_ = JobState::Pending;
   std::uint64_t waiting_ = 0;
   std::string why_;
-  /** Delay before a retry, for TryLater. */
+  /** Delay before a retry, for TryLater and Rejected. */
   Millis retryAfter_{ 1000 };
 };
 
--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -2,6 +2,7 @@
 
 #include "Connection/HttpFront.h"
 #include "Connection/RowStore.h"
+#include "Process/AdmissionControl.h"
 #include "Process/CallerCall.h"
 #include "Process/ConsistentStore.h"
 #include "Process/FleetLeader.h"
@@ -143,6 +144,9 @@
   static constexpr Millis kStoreTimeout{ 800 };
   /** Interval at which the features of Source/Load are updated. */
   static constexpr Millis kLoadTick{ 100 };
+  /** Interval at which an entry requests the load digest of the leader. */
+  static constexpr Millis kDigestInterval{ 300 };
+  static constexpr Millis kDigestTimeout{ 1000 };
   /** Timeout of a probe of the store. */
   static constexpr Millis kProbeTimeout{ 1000 };
   /** Interval between retries of a write that may already be stored. */
@@ -213,7 +217,9 @@
     Metrics::OfProcess().Describe("fleet-entry", settings_.fleet_.name_);
     operatorWatch_.Start();
     key_.Start();
-    if (settings_.bounds_.features_.storeBreaker_ != FeatureSwitch::Off) {
+    const FleetFeatures& features = settings_.bounds_.features_;
+    if (features.storeBreaker_ != FeatureSwitch::Off ||
+        features.admission_ != FeatureSwitch::Off) {
       connect(&loadTick_, &QTimer::timeout, this, [this] { OnLoadTick(); });
       loadTick_.start(kLoadTick);
     }
@@ -244,6 +250,85 @@
     breaker_.SetEnabled(Enabled(settings_.bounds_.features_.storeBreaker_));
     breaker_.OnAnswered(lease_.AnsweredAt());
     ProbeStore();
+    admission_.SetEnabled(Enabled(settings_.bounds_.features_.admission_));
+    admission_.OnLeader(lease_.Lease().Epoch(), ReadMonotonicClock());
+    RequestDigest();
+  }
+
+  /** Requests the load digest from the leader, which may be this entry. */
+  void RequestDigest()
+  {
+    const Instant now = ReadMonotonicClock();
+    if (!admission_.Enabled() || digestRequested_ || now < nextDigestAt_) {
+      return;
+    }
+    nextDigestAt_ = now + kDigestInterval;
+    digestRequested_ = true;
+    AskLeader(FleetRequestKind::Load,
+              admission_.KnownVersion(),
+              {},
+              kDigestTimeout,
+              [this, now](const std::optional<FleetResponseMessage>& aReply) {
+                digestRequested_ = false;
+                admission_.OnAnswer(aReply, now, ReadMonotonicClock());
+              });
+  }
+
+  FleetResponseMessage LoadAnswer(const std::string& aKnownVersion)
+  {
+    if (!IsLeading()) {
+      return Outcome(FleetOutcome::NotLeading);
+    }
+    FleetScheduler& scheduler = leadership_->Scheduler();
+    scheduler.SetEntryCount(static_cast<std::uint32_t>(peers_.size() + 1));
+    return AdmissionControl::MakeAnswer(scheduler.Digest(), aKnownVersion);
+  }
+
+  /**
+   * Rejects a job unless an earlier attempt may have stored it through any
+   * entry. If that cannot be found out, the job is written again.
+   */
+  void RejectUnlessKnown(const JobDescription& aSpec,
+                         const CompletionEstimate& aEstimate,
+                         Instant aDeadline,
+                         const Answer& aAnswer)
+  {
+    AskLeader(FleetRequestKind::State,
+              aSpec.id_,
+              {},
+              kAskTimeout,
+              [this, aSpec, aEstimate, aDeadline, aAnswer](
+                const std::optional<FleetResponseMessage>& aReply) {
+                if (aReply.has_value() &&
+                    aReply->outcome_ == FleetOutcome::Ok) {
+                  aAnswer(ReplyOf(CallerOutcome::Stored));
+                } else if (aReply.has_value() &&
+                           aReply->outcome_ == FleetOutcome::Unknown) {
+                  RejectUnlessStored(aSpec, aEstimate, aDeadline, aAnswer);
+                } else {
+                  Submit(aSpec, aDeadline, aAnswer);
+                }
+              });
+  }
+
+  void RejectUnlessStored(const JobDescription& aSpec,
+                          const CompletionEstimate& aEstimate,
+                          Instant aDeadline,
+                          const Answer& aAnswer)
+  {
+    const RowId row = JobRowId(aSpec.id_);
+    stored_.Find(
+      row,
+      [this, row, aSpec, aEstimate, aDeadline, aAnswer](
+        std::optional<bool> aStored) {
+        if (aStored.value_or(false)) {
+          aAnswer(ReplyOf(CallerOutcome::Stored));
+        } else if (!aStored.has_value() || intake_.MayBeStored(row)) {
+          Submit(aSpec, aDeadline, aAnswer);
+        } else {
+          aAnswer(admission_.Reject(aSpec, aEstimate, ReadMonotonicClock()));
+        }
+      });
   }
 
   /** Sends the probe of the open breaker: a read, so that no caller waits for
@@ -519,8 +604,7 @@
                   : Outcome(FleetOutcome::NotLeading));
         return;
       case FleetRequestKind::Load:
-        aAnswer(
-          Outcome(IsLeading() ? FleetOutcome::Ok : FleetOutcome::NotLeading));
+        aAnswer(LoadAnswer(aAsk.subject_));
         return;
       case FleetRequestKind::StoreJob:
       case FleetRequestKind::StoreCancel:
@@ -742,17 +826,9 @@
 
   void Serve(const SubmitJob& aCall, Instant aDeadline, const Answer& aAnswer)
   {
-    const JobDescription spec = aCall.spec_;
-    const auto viaLeader = [this, spec, aDeadline, aAnswer] {
-      StoreViaLeader(FleetRequestKind::StoreJob,
-                     spec.id_,
-                     EncodeRecord(spec),
-                     aDeadline,
-                     aAnswer);
-    };
-    const bool mayBeStored =
-      breaker_.Enabled() && intake_.MayBeStored(JobRowId(spec.id_));
-    if (IsCutOff() && !mayBeStored) {
+    const JobDescription& spec = aCall.spec_;
+    const bool mayBeStored = intake_.MayBeStored(JobRowId(spec.id_));
+    if (IsCutOff() && !(breaker_.Enabled() && mayBeStored)) {
       // No write was attempted, so the job is not stored and the caller can
       // retry at once. Another entry may reach the table, and the caller's
       // timeout is short.
@@ -772,6 +848,29 @@
                      aAnswer);
       return;
     }
+    const std::optional<CompletionEstimate> estimate =
+      admission_.Check(spec, ReadMonotonicClock());
+    if (estimate.has_value() && !mayBeStored) {
+      RejectUnlessKnown(spec, *estimate, aDeadline, aAnswer);
+      return;
+    }
+    Submit(spec, aDeadline, aAnswer);
+  }
+
+  /** Stores an admitted job. */
+  void Submit(const JobDescription& aSpec,
+              Instant aDeadline,
+              const Answer& aAnswer)
+  {
+    admission_.OnAccepted(aSpec, ReadMonotonicClock());
+    const JobDescription spec = aSpec;
+    const auto viaLeader = [this, spec, aDeadline, aAnswer] {
+      StoreViaLeader(FleetRequestKind::StoreJob,
+                     spec.id_,
+                     EncodeRecord(spec),
+                     aDeadline,
+                     aAnswer);
+    };
     if (intake_.IsUnhealthy() && leadership_ == nullptr &&
         leaderLink_.Usable()) {
       viaLeader();
@@ -1007,6 +1106,10 @@
   std::string incarnation_;
   Store store_;
   StoreBreaker breaker_;
+  AdmissionControl admission_;
+  /** A request for the load digest has no answer yet. */
+  bool digestRequested_ = false;
+  Instant nextDigestAt_;
   JobIntake<Store> intake_;
   StoredJobs<Store> stored_;
   LeaderLink leaderLink_;
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "Connection/FleetMessages.h"
+#include "Load/CompletionRate.h"
 #include "Load/FeatureSwitch.h"
+#include "Load/LoadDigest.h"
 #include "Process/BackfillInterference.h"
 #include "Process/FleetJob.h"
 #include "Process/FleetTimings.h"
@@ -194,6 +196,12 @@
   bool Loaded() const { return loaded_; }
   std::size_t JobCount() const { return jobs_.size(); }
   std::size_t ReadyCount() const;
+  /** Load of the fleet; empty while no feature that needs it is enabled. */
+  const LoadDigest& Digest() const { return digest_; }
+  /** Sets the number of entries that accept jobs. */
+  void SetEntryCount(std::uint32_t aEntries) { entryCount_ = aEntries; }
+  /** Learned rates of completion, in processor-ms of expected work per ms. */
+  const CompletionRate& Completions() const { return completions_; }
   /** Number of scans of all workers for a step under this leader. */
   std::uint64_t WorkerScans() const { return workerScans_; }
   const std::map<std::string, FleetWorker>& Workers() const { return workers_; }
@@ -502,6 +510,32 @@
                         const FleetTask& aTask,
                         Instant aNow);
 
+  // Load.
+  using LoadKey = std::pair<std::string, std::int64_t>;
+  struct OpenLoad
+  {
+    double work_ = 0;
+    /** Tasks wait for capacity that any worker could offer. */
+    bool waiting_ = false;
+  };
+  bool MeasuresLoad() const;
+  /** Updates the learned rates and the digest; rate-limited. */
+  void UpdateLoad(Instant aNow);
+  void AddLoad(const JobEntry& aEntry,
+               std::map<LoadKey, OpenLoad>& aLoads,
+               Instant aNow) const;
+  /** Work of one task of the step, in processor-ms. */
+  double TaskWork(const FleetJob& aJob, const FleetStep& aStep) const;
+  /** Whether an idle worker of the service could run a task of the step. */
+  bool FitsAnyWorker(std::string_view aService, const StepSpec& aStep) const;
+  static bool WaitsForCapacity(const FleetJob& aJob,
+                               const FleetStep& aStep,
+                               Instant aNow);
+  void LearnCompletion(const FleetJob& aJob,
+                       const FleetStep& aStep,
+                       const TaskRun& aRun,
+                       Instant aNow);
+
   // Maintenance of runs.
   void OrderStop(const std::string& aNode,
                  const std::string& aTask,
@@ -607,6 +641,12 @@
   WorkerHealth health_;
   BackfillInterference interference_;
   DurationModel durations_;
+  CompletionRate completions_;
+  LoadDigest digest_;
+  std::uint32_t entryCount_ = 1;
+  Instant nextDigestAt_;
+  /** Services and priorities with a backlog. */
+  std::set<LoadKey> backlogs_;
   WorkerReservations reservations_;
   LongRunningLimit longRunningAdmission_;
   PlacementMisses misses_;
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -72,6 +72,7 @@
   if (MayStart(aNow)) {
     PlaceReady(aNow);
   }
+  UpdateLoad(aNow);
   std::vector<SideOrders> due;
   for (auto& [node, worker] : workers_) {
     if (!worker.linked_ || !worker.synced_) {
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -288,6 +288,7 @@
   FleetJob& job = *aPlace.entry_->job_;
   health_.OnSuccess(aWorker.node_, aName.job_);
   if (const TaskRun* run = FindRun(task, aWorker.node_, aEnd.run_)) {
+    LearnCompletion(job, *aPlace.step_, *run, aNow);
     LearnDuration(aWorker, job, *aPlace.step_, *run, aNow);
   }
   RemoveRun(aPlace, aWorker.node_, aEnd.run_, aNow);
--- a/Source/Process/JobOrder.cxx
+++ b/Source/Process/JobOrder.cxx
@@ -5,14 +5,6 @@
 
 namespace cactusrail {
 
-namespace {
-
-/** Multiple of a job's objective up to which a late result is useful, as
- * defined by the users' platform. */
-constexpr std::int64_t kUsefulFactor = 3;
-
-}
-
 double
 ChainMillis(std::span<const StepSpec> aSteps, std::span<const double> aMillis)
 {
--- a/Source/Process/JobOrder.h
+++ b/Source/Process/JobOrder.h
@@ -8,6 +8,10 @@
 
 namespace cactusrail {
 
+/** Multiple of a job's objective up to which a late result is useful, as
+ * defined by the users' platform. */
+constexpr std::int64_t kUsefulFactor = 3;
+
 /** Class of a job by the use of its result to the caller, in scheduling
  * order. */
 enum class JobOutlook : std::uint8_t
--- a/Source/Version/DurationModel.cxx
+++ b/Source/Version/DurationModel.cxx
@@ -65,6 +65,17 @@
     std::log(static_cast<double>(aEstimateMs)), std::log(aDurationMs), aWeight);
 }
 
+std::vector<DurationModel::Relation>
+DurationModel::Relations() const
+{
+  std::vector<Relation> relations;
+  for (const auto& [queue, line] : regressions_) {
+    const double intercept = line.Predict(0);
+    relations.push_back({ queue, intercept, line.Predict(1) - intercept });
+  }
+  return relations;
+}
+
 double
 DurationModel::ExpectedMillis(std::string_view aQueue,
                               std::int64_t aEstimateMs) const
--- a/Source/Version/DurationModel.h
+++ b/Source/Version/DurationModel.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cactusrail {
 
@@ -34,6 +35,16 @@
   double ExpectedMillis(std::string_view aQueue,
                         std::int64_t aEstimateMs) const;
 
+  /** Learned relation of a queue: ln(duration) = intercept + slope *
+   * ln(estimate), both in ms. */
+  struct Relation
+  {
+    std::string queue_;
+    double intercept_ = 0;
+    double slope_ = 1;
+  };
+  std::vector<Relation> Relations() const;
+
 private:
   /** Weighted linear regression over logarithms, with sums around the means. */
   struct LogRegression
--- a/Tests/Fleet/ProcessFleet.cxx
+++ b/Tests/Fleet/ProcessFleet.cxx
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <map>
+#include <sstream>
 #include <utility>
 
 namespace cactusrail {
@@ -33,6 +34,24 @@
          std::to_string(1 + process / 200 % 200) + "." + std::to_string(aNode);
 }
 
+/** Decodes "TASKS" or "TASKS ESTIMATE-MS OBJECTIVE-MS". */
+JobDescription
+DecodeJob(const std::string& aId, const std::string& aBody)
+{
+  std::istringstream body(aBody);
+  std::uint32_t tasks = 1;
+  body >> tasks;
+  JobDescription job = MakeJob(aId, tasks, 1000);
+  std::int64_t estimateMs = 0;
+  std::int64_t objectiveMs = 0;
+  if (body >> estimateMs >> objectiveMs) {
+    job.steps_.front().estimateMs_ = estimateMs;
+    job.latencyObjectiveMs_ = objectiveMs;
+    job.acceptedAtMs_ = ReadWallClock() / 1000;
+  }
+  return job;
+}
+
 FleetSettings
 CommonOf(const std::string& aName, const std::string& aIp)
 {
@@ -109,8 +128,7 @@
   } else if (aExchange.Method() == "DELETE") {
     call.what_ = CancelJob{ id };
   } else {
-    const auto tasks = static_cast<std::uint32_t>(std::stoul(aExchange.Body()));
-    call.what_ = SubmitJob{ MakeJob(id, tasks, 1000) };
+    call.what_ = SubmitJob{ DecodeJob(id, aExchange.Body()) };
   }
   return call;
 }
@@ -141,6 +159,10 @@
       answer.status_ = 503;
       answer.body_ = std::to_string(aReply.retryAfter_.count());
       break;
+    case CallerOutcome::Rejected:
+      answer.status_ = 429;
+      answer.body_ = std::to_string(aReply.retryAfter_.count());
+      break;
     case CallerOutcome::OutcomeUnknown:
       answer.status_ = 504;
       break;
