--- a/Source/Process/Metrics.cxx
+++ b/Source/Process/Metrics.cxx
@@ -35,6 +35,7 @@
   { "backfill_pace_reductions",
     "reductions of a side's cap on the pace of backfill" },
   { "worker_notices_ignored", "messages of workers that changed nothing" },
+  { "jobs_rejected", "jobs that could not be completed while useful" },
 } };
 
 constexpr std::array<MetricName, kGaugeCount> kGaugeNames{ {
@@ -48,6 +49,8 @@
     "processor-ms of it that belong to the callers' largest group" },
   { "backfill_pace_cap",
     "a side's cap on the pace of backfill in percent; 100 for no cap" },
+  { "store_breaker_open", "1 while requests don't wait for the store" },
+  { "work_ahead", "processor-seconds of open work that can be of use" },
 } };
 
 struct Series
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -40,10 +40,11 @@
   SeriesOverflows,
   BackfillPaceReductions,
   WorkerNoticesIgnored,
+  JobsRejected,
 };
 
 constexpr std::size_t kCounterCount =
-  static_cast<std::size_t>(Counter::WorkerNoticesIgnored) + 1;
+  static_cast<std::size_t>(Counter::JobsRejected) + 1;
 
 /** Gauges of a process, in the order of kGaugeNames. */
 enum class Gauge : std::uint8_t
@@ -56,10 +57,12 @@
   GroupWork,
   LargestGroupWork,
   BackfillPaceCap,
+  StoreBreakerOpen,
+  WorkAhead,
 };
 
 constexpr std::size_t kGaugeCount =
-  static_cast<std::size_t>(Gauge::BackfillPaceCap) + 1;
+  static_cast<std::size_t>(Gauge::WorkAhead) + 1;
 
 /** Name of a counter or gauge, such as "table_calls", and its help text. */
 struct MetricName
