Connection: Accept the heartbeat request

The decoder rejected requests above StoreCancel, so the first heartbeat (Load) ended the link to the leader: a trial with two entries logged leader-link-lost every 300 ms. The bound is the last kind of request again.

--- a/Source/Connection/Codec.cxx
+++ b/Source/Connection/Codec.cxx
@@ -57,7 +57,7 @@
     return ReportsUnknown(*change);
   }
   if (const auto* ask = std::get_if<FleetRequestMessage>(&aMessage)) {
-    return ask->question_ > FleetRequestKind::StoreCancel;
+    return ask->question_ > FleetRequestKind::Load;
   }
   if (const auto* answer = std::get_if<FleetResponseMessage>(&aMessage)) {
     return answer->outcome_ > FleetOutcome::TakeOver;
