--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -156,6 +156,9 @@
   JobEntry& entry = jobs_[aSpec.id_];
   entry.job_ = std::make_unique<FleetJob>(aSpec, firstRun_);
   entry.fromEarlierLeader_ = !loaded_;
+  // The age of the view decides, not the time: a job stored before the lease
+  // ended may be read later, and the former leader may have started it.
+  entry.knownToFormerLeader_ = tableAsOf_ < formerLeaseEnd_;
   if (earlyCancels_.erase(aSpec.id_) > 0) {
     FinishJob(entry, JobState::Cancelled);
     return;
@@ -367,6 +370,7 @@
     worker.node_ = aNode;
     worker.grantedAt_ = aNow;
     worker.lostAt_ = aNow;
+    worker.mayRunOldWork_ = loaded_ && aNow < formerLeaseEnd_;
   }
   worker.registered_ = true;
   return isNew;
@@ -405,11 +409,19 @@
 void
 FleetScheduler::AbandonUnreachable(Instant aNow)
 {
+  if (aNow >= onlyLeaderUntil_) {
+    return;
+  }
   for (auto& [node, worker] : workers_) {
     if (worker.linked_ && worker.synced_) {
       continue;
     }
-    const bool over = aNow - worker.grantedAt_ > kAuthority + kAuthoritySlack;
+    // A former leader may have renewed the authority of a side that has not
+    // reported until its lease ended.
+    const Instant granted = worker.mayRunOldWork_
+                              ? std::max(worker.grantedAt_, formerLeaseEnd_)
+                              : worker.grantedAt_;
+    const bool over = aNow - granted > kAuthority + kAuthoritySlack;
     if (!over || (!worker.mayRunOldWork_ && worker.held_.empty())) {
       continue;
     }
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -104,7 +104,9 @@
  *   which the side keeps no runs.
  * - A new leader starts no task that might be running: jobs stored before its
  *   leadership wait until each known side has reported or kAuthority has
- *   passed.
+ *   passed. If the lease of the former leader may still be valid, that leader
+ *   starts tasks until the lease ends: jobs stored until then wait as well, and
+ *   kAuthority counts from then on. See docs/design/early-takeover.md.
  * - The end of a run is acknowledged to the worker, which then discards it,
  *   only after all changes of its job so far are stored, whether they result
  *   from this end or make it irrelevant. If the leader dies earlier, the worker
@@ -133,6 +135,12 @@
   void OnCancelStored(const std::string& aJob, Instant aNow);
   /** All jobs and cancellations stored before aAsOf are known here. */
   void OnTableCurrent(Instant aAsOf) { tableAsOf_ = aAsOf; }
+  /** A former leader may send orders until aLeaseEnd; called before OnLoaded().
+   */
+  void OnFormerLeader(Instant aLeaseEnd) { formerLeaseEnd_ = aLeaseEnd; }
+  /** No other entry leads before aUntil. Afterwards another leader may renew
+   * the authority of sides that this one cannot reach, so none is given up. */
+  void OnOnlyLeaderUntil(Instant aUntil) { onlyLeaderUntil_ = aUntil; }
   /** Replaces the known evacuations. Runs in an evacuated data centre continue,
    * but nothing starts there. */
   void OnEvacuations(const EvacuationView& aView);
@@ -206,6 +214,9 @@
      * Stored before this leader took over; waits while DefersOldWork() is true.
      */
     bool fromEarlierLeader_ = false;
+    /** A former leader whose lease is still valid may know the job; waits as
+     * well. */
+    bool knownToFormerLeader_ = false;
     /** State that is stored in the table. */
     JobState storedState_ = JobState::Pending;
     /** State in the batch that is being stored. */
@@ -269,6 +280,20 @@
   void ResolveJob(JobEntry& aEntry);
 
   // Reports.
+  /**
+   * Whether a report must not be applied yet because it has runs or ends of
+   * jobs that are unknown here only because the view of the table is too old.
+   *
+   * A former leader whose lease is still valid starts jobs that this leader has
+   * not read yet. Their runs would be stopped as unknown and their ends would
+   * be acknowledged, and the tasks would start again.
+   */
+  bool WaitsForTable(const FleetWorker& aWorker,
+                     const FleetReport& aReport) const;
+  void ApplyWaitingReports(Instant aNow);
+  void ApplyReport(FleetWorker& aWorker,
+                   const FleetReport& aReport,
+                   Instant aNow);
   std::size_t StartsInFlight(const FleetWorker& aWorker);
   void OnNewIncarnation(FleetWorker& aWorker,
                         const FleetReport& aReport,
@@ -593,6 +618,11 @@
   std::set<std::string> storing_;
   bool loaded_ = false;
   Instant loadedAt_;
+  /** End of the lease of a former leader that may still send orders; zero if
+   * there is none. */
+  Instant formerLeaseEnd_;
+  /** See OnOnlyLeaderUntil(). */
+  Instant onlyLeaderUntil_ = Instant::max();
   /** All changes stored before this time are known. */
   Instant tableAsOf_;
   EvacuationView evacuations_;
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -68,6 +68,7 @@
 {
   wallMs_ = aWallMs;
   BeginDueJobs(aNow, aWallMs);
+  ApplyWaitingReports(aNow);
   AbandonUnreachable(aNow);
   if (MayStart(aNow)) {
     PlaceReady(aNow);
@@ -129,7 +130,8 @@
       placed.push_back(key);
       continue;
     }
-    if (found->second.fromEarlierLeader_ && deferOldWork) {
+    if (deferOldWork && (found->second.fromEarlierLeader_ ||
+                         found->second.knownToFormerLeader_)) {
       continue;
     }
     // An earlier leader, whose clock was ahead, may have begun the occurrence.
--- a/Source/Process/FleetSchedulerReports.cxx
+++ b/Source/Process/FleetSchedulerReports.cxx
@@ -68,6 +68,7 @@
   FleetWorker& worker = found->second;
   worker.linked_ = true;
   worker.synced_ = false;
+  worker.waitingReports_.clear();
   worker.ordersSent_ = 0;
   orders_.erase(aNode);
   // Orders may be lost with the last link. The first report lists the starts
@@ -99,6 +100,7 @@
   }
   worker.linked_ = false;
   worker.synced_ = false;
+  worker.waitingReports_.clear();
   worker.highFrequency_ = false;
   orders_.erase(aNode);
   if (!worker.registered_ && worker.held_.empty()) {
@@ -116,6 +118,58 @@
     return;
   }
   FleetWorker& worker = found->second;
+  worker.firstReportAt_ = worker.firstReportAt_.value_or(aNow);
+  if (WaitsForTable(worker, aReport)) {
+    worker.waitingReports_.push_back(aReport);
+    return;
+  }
+  ApplyReport(worker, aReport, aNow);
+}
+
+bool
+FleetScheduler::WaitsForTable(const FleetWorker& aWorker,
+                              const FleetReport& aReport) const
+{
+  if (!aWorker.waitingReports_.empty()) {
+    return true;
+  }
+  if (formerLeaseEnd_ == Instant() || tableAsOf_ >= *aWorker.firstReportAt_) {
+    return false;
+  }
+  const auto isUnknown = [this](const auto& aItem) {
+    const auto name = TaskKey::Parse(aItem.task_);
+    return name.has_value() && !jobs_.contains(name->job_);
+  };
+  return std::any_of(aReport.runs_.begin(), aReport.runs_.end(), isUnknown) ||
+         std::any_of(aReport.ends_.begin(), aReport.ends_.end(), isUnknown);
+}
+
+void
+FleetScheduler::ApplyWaitingReports(Instant aNow)
+{
+  for (auto& [node, worker] : workers_) {
+    if (worker.waitingReports_.empty() || tableAsOf_ < *worker.firstReportAt_) {
+      continue;
+    }
+    LogEvent("reports-waited",
+             {},
+             node,
+             std::to_string(worker.waitingReports_.size()) +
+               " reports with runs of jobs that had not been read");
+    for (const FleetReport& report :
+         std::exchange(worker.waitingReports_, {})) {
+      ApplyReport(worker, report, aNow);
+    }
+  }
+}
+
+void
+FleetScheduler::ApplyReport(FleetWorker& aWorker,
+                            const FleetReport& aReport,
+                            Instant aNow)
+{
+  FleetWorker& worker = aWorker;
+  const std::string& aNode = worker.node_;
   const bool first = !worker.synced_;
   const std::size_t startsInFlight = first ? StartsInFlight(worker) : 0;
   worker.echoMicros_ = aReport.clockMicros_;
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -68,6 +68,12 @@
   /** Work of a previous leader may still run there, as the worker has not
    * reported to this leader yet. */
   bool mayRunOldWork_ = false;
+  /** Time of the first report to this leader; the side accepts no orders of
+   * former leaders from then on. */
+  std::optional<Instant> firstReportAt_;
+  /** Reports with runs of unknown jobs, which wait until the view of the table
+   * is as new as the first report; see FleetScheduler::WaitsForTable(). */
+  std::vector<FleetReport> waitingReports_;
   /** The last report showed neither a worker nor runs. */
   bool left_ = false;
   /** Side's clock in its last report; echoed with the orders. */
--- a/Tests/Fleet/FleetWorld.cxx
+++ b/Tests/Fleet/FleetWorld.cxx
@@ -313,11 +313,17 @@
   epoch_ = aEpoch;
   LoseWrite();
   scheduler_ = std::make_unique<FleetScheduler>(aEpoch, bounds_, WallMs());
+  if (former_.has_value()) {
+    scheduler_->OnFormerLeader(former_->leaseEnd_);
+  }
   for (const auto& [id, job] : jobs_) {
     scheduler_->OnJobStored(job, now_);
   }
+  unseenJobs_.clear();
   leaderLost_ = false;
-  sentOrders_.clear();
+  if (!former_.has_value()) {
+    sentOrders_.clear();
+  }
   for (const auto& [at, id] : cancelled_) {
     scheduler_->OnCancelStored(id, now_);
   }
@@ -326,8 +332,10 @@
     scheduler_->OnProgressLoaded(id, progress, now_);
   }
   for (HostFake& host : hosts_) {
-    scheduler_->OnSideRegistered(host.node_, now_);
-    host.linked_ = false;
+    if (host.registered_) {
+      scheduler_->OnSideRegistered(host.node_, now_);
+    }
+    host.linked_ = host.linked_ && host.linkedToFormer_;
   }
   scheduler_->OnTableCurrent(now_);
   scheduler_->OnEvacuations({ evacuated_, now_ });
@@ -341,6 +349,67 @@
   StartLeader(epoch_ + 1);
 }
 
+void
+FleetWorld::TakeOver(Millis aLeaseLeft)
+{
+  former_.emplace(FormerLeaderFake{ .epoch_ = epoch_,
+                                    .scheduler_ = std::move(scheduler_),
+                                    .leaseEnd_ = now_ + aLeaseLeft });
+  former_->scheduler_->OnOnlyLeaderUntil(now_);
+  // The former leader's view of the table is current from now on.
+  for (const auto& [at, id] : unseenJobs_) {
+    former_->scheduler_->OnJobStored(jobs_.at(id), now_);
+  }
+  for (HostFake& host : hosts_) {
+    host.linkedToFormer_ = host.linked_;
+  }
+  ChangeLeader();
+}
+
+void
+FleetWorld::Deregister(std::size_t aHost)
+{
+  HostFake& host = hosts_.at(aHost);
+  LoseLink(host);
+  host.registered_ = false;
+  scheduler_->OnSideRemoved(host.node_);
+}
+
+void
+FleetWorld::Register(std::size_t aHost)
+{
+  HostFake& host = hosts_.at(aHost);
+  host.registered_ = true;
+  host.acceptsFrom_ = sidesReadLease_ ? epoch_ : host.acceptsFrom_;
+  scheduler_->OnSideRegistered(host.node_, now_);
+  if (former_.has_value()) {
+    former_->scheduler_->OnSideRegistered(host.node_, now_);
+  }
+}
+
+void
+FleetWorld::CutFromFormer(std::size_t aHost, bool aCut)
+{
+  HostFake& host = hosts_.at(aHost);
+  host.cutFromFormer_ = aCut;
+  if (aCut && host.linkedToFormer_) {
+    LoseLink(host);
+  }
+}
+
+bool
+FleetWorld::FormerReaches(const HostFake& aHost) const
+{
+  return former_.has_value() && aHost.registered_ && !aHost.cutFromFormer_ &&
+         former_->epoch_ >= aHost.acceptsFrom_;
+}
+
+FleetScheduler&
+FleetWorld::SchedulerOf(const HostFake& aHost)
+{
+  return aHost.linkedToFormer_ ? *former_->scheduler_ : *scheduler_;
+}
+
 void
 FleetWorld::Apply(const ProgressBatch& aBatch)
 {
@@ -369,7 +438,7 @@
   leaderLost_ = true;
   LoseWrite();
   for (HostFake& host : hosts_) {
-    host.linked_ = false;
+    host.linked_ = host.linked_ && host.linkedToFormer_;
   }
 }
 
@@ -387,6 +456,7 @@
   settings.fence_ = host.worker_.fence_ + 1;
   settings.stopTimeout_ = Millis(500);
   host.keeper_ = std::make_unique<WorkerKeeper>(settings, now_);
+  host.acceptsFrom_ = sidesReadLease_ ? epoch_ : 0;
   LoseLink(host);
 }
 
@@ -395,7 +465,8 @@
 {
   if (aHost.linked_) {
     aHost.linked_ = false;
-    scheduler_->OnLinkLost(aHost.node_, now_);
+    SchedulerOf(aHost).OnLinkLost(aHost.node_, now_);
+    aHost.linkedToFormer_ = false;
   }
 }
 
@@ -410,7 +481,7 @@
 {
   HostFake& host = hosts_.at(aHost);
   host.cut_ = aCut;
-  if (aCut) {
+  if (aCut && !host.linkedToFormer_) {
     LoseLink(host);
   }
 }
@@ -419,8 +490,20 @@
 FleetWorld::Submit(const JobDescription& aJob)
 {
   jobs_.emplace(aJob.id_, aJob);
-  if (!leaderLost_) {
-    scheduler_->OnJobStored(aJob, now_);
+  if (former_.has_value() && now_ < former_->leaseEnd_) {
+    former_->scheduler_->OnJobStored(aJob, now_);
+  }
+  unseenJobs_.emplace_back(now_, aJob.id_);
+  DeliverJobs();
+}
+
+void
+FleetWorld::DeliverJobs()
+{
+  while (!leaderLost_ && !unseenJobs_.empty() &&
+         unseenJobs_.front().first + jobLag_ <= now_) {
+    scheduler_->OnJobStored(jobs_.at(unseenJobs_.front().second), now_);
+    unseenJobs_.pop_front();
   }
 }
 
@@ -560,16 +643,9 @@
     aHost.keeper_->OnAnswer(id, aHost.worker_.Take(call, now_), now_);
   }
   CheckStarts(aHost.worker_);
-  if (aHost.cut_ || leaderLost_) {
-    return;
-  }
+  ChooseLink(aHost);
   if (!aHost.linked_) {
-    aHost.linked_ = true;
-    aHost.up_ = false;
-    ++aHost.link_;
-    aHost.encoder_.Reset();
-    aHost.decoder_ = ReportDecoder();
-    aHost.keeper_->OnLeaderLink(now_);
+    return;
   }
   if (auto report = aHost.keeper_->TakeReport(now_)) {
     const auto host = static_cast<std::size_t>(&aHost - hosts_.data());
@@ -581,6 +657,30 @@
   DeliverReports();
 }
 
+/** Links the host to the leader, or to the former leader if only that one
+ * reaches it. The side accepts no lower epoch than it has met or read. */
+void
+FleetWorld::ChooseLink(HostFake& aHost)
+{
+  const bool reached = !aHost.cut_ && !leaderLost_ && aHost.registered_;
+  if (aHost.linked_ && aHost.linkedToFormer_ &&
+      (reached || !FormerReaches(aHost))) {
+    LoseLink(aHost);
+  }
+  if (aHost.linked_ || (!reached && !FormerReaches(aHost))) {
+    return;
+  }
+  aHost.linked_ = true;
+  aHost.linkedToFormer_ = !reached;
+  aHost.acceptsFrom_ =
+    std::max(aHost.acceptsFrom_, reached ? epoch_ : former_->epoch_);
+  aHost.up_ = false;
+  ++aHost.link_;
+  aHost.encoder_.Reset();
+  aHost.decoder_ = ReportDecoder();
+  aHost.keeper_->OnLeaderLink(now_);
+}
+
 /**
  * As in FleetLeader, the scheduler considers a link up from its first report
  * on.
@@ -588,11 +688,17 @@
 void
 FleetWorld::DeliverReports()
 {
-  while (now_ >= leaderContinuesAt_ && !sentReports_.empty() &&
-         sentReports_.front().arrivesAt_ <= now_) {
-    const SentReport sent = std::move(sentReports_.front());
-    sentReports_.pop_front();
-    HostFake& host = hosts_.at(sent.host_);
+  std::size_t next = 0;
+  while (next < sentReports_.size() && sentReports_[next].arrivesAt_ <= now_) {
+    HostFake& host = hosts_.at(sentReports_[next].host_);
+    if (now_ <
+        (host.linkedToFormer_ ? former_->continuesAt_ : leaderContinuesAt_)) {
+      ++next;
+      continue;
+    }
+    const SentReport sent = std::move(sentReports_[next]);
+    sentReports_.erase(sentReports_.begin() +
+                       static_cast<std::ptrdiff_t>(next));
     if (!host.linked_ || sent.link_ != host.link_) {
       continue;
     }
@@ -608,9 +714,9 @@
     }
     if (!host.up_) {
       host.up_ = true;
-      scheduler_->OnLinkUp(host.node_, now_);
+      SchedulerOf(host).OnLinkUp(host.node_, now_);
     }
-    scheduler_->OnReport(host.node_, *report, now_);
+    SchedulerOf(host).OnReport(host.node_, *report, now_);
   }
 }
 
@@ -618,19 +724,13 @@
 FleetWorld::StepLeader()
 {
   const std::int64_t wall = WallMs();
+  DeliverJobs();
   DeliverCancellations();
   if (!storeUnavailable_) {
-    scheduler_->OnTableCurrent(now_ - leaderLag_);
+    scheduler_->OnTableCurrent(now_ - std::max(leaderLag_, jobLag_));
     DeliverEvacuations();
   }
-  for (SideOrders& orders : scheduler_->TakeOrders(now_, wall)) {
-    const auto host = std::find_if(
-      hosts_.begin(), hosts_.end(), [&orders](const HostFake& aHost) {
-        return aHost.node_ == orders.node_;
-      });
-    sentOrders_.push_back(
-      { now_ + orderDelay_, host->link_, std::move(orders) });
-  }
+  Send(scheduler_->TakeOrders(now_, wall));
   DeliverOrders();
   for (FleetEvent& event : scheduler_->TakeEvents()) {
     if (event.event_ == "end-waits") {
@@ -656,6 +756,43 @@
   }
 }
 
+void
+FleetWorld::Send(std::vector<SideOrders> aOrders)
+{
+  for (SideOrders& orders : aOrders) {
+    const auto host = std::find_if(
+      hosts_.begin(), hosts_.end(), [&orders](const HostFake& aHost) {
+        return aHost.node_ == orders.node_;
+      });
+    sentOrders_.push_back(
+      { now_ + orderDelay_, host->link_, std::move(orders) });
+  }
+}
+
+/** The former leader stores nothing: its writes fail since the new leader wrote
+ * the head row. */
+void
+FleetWorld::StepFormer()
+{
+  if (now_ >= former_->leaseEnd_ + orderDelay_) {
+    for (HostFake& host : hosts_) {
+      if (host.linkedToFormer_) {
+        LoseLink(host);
+      }
+    }
+    former_.reset();
+    return;
+  }
+  if (now_ >= former_->continuesAt_ && now_ < former_->leaseEnd_) {
+    former_->continuesAt_ = now_ + former_->pause_;
+    if (!former_->cutFromStore_) {
+      former_->scheduler_->OnTableCurrent(now_);
+    }
+    Send(former_->scheduler_->TakeOrders(now_, WallMs()));
+  }
+  DeliverOrders();
+}
+
 void
 FleetWorld::DeliverOrders()
 {
@@ -752,6 +889,9 @@
   for (HostFake& host : hosts_) {
     StepHost(host);
   }
+  if (former_.has_value()) {
+    StepFormer();
+  }
   if (!leaderLost_ && now_ >= leaderContinuesAt_) {
     StepLeader();
   }
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -118,6 +118,14 @@
   std::vector<std::string> labels_ = {};
   bool linked_ = false;
   bool cut_ = false;
+  /** Whether the former leader cannot reach the host. */
+  bool cutFromFormer_ = false;
+  /** Whether the link is to the former leader. */
+  bool linkedToFormer_ = false;
+  /** Whether the side's row is in the table. */
+  bool registered_ = true;
+  /** Lowest epoch of leaders that the side accepts. */
+  std::uint64_t acceptsFrom_ = 0;
   std::uint64_t sequence_ = 0;
   /** Number of the current link. Messages of earlier links are lost. */
   std::uint64_t link_ = 0;
@@ -127,6 +135,19 @@
   ReportDecoder decoder_ = {};
 };
 
+/** A replaced leader that sends orders until its lease ends. */
+struct FormerLeaderFake
+{
+  std::uint64_t epoch_ = 0;
+  std::unique_ptr<FleetScheduler> scheduler_ = {};
+  Instant leaseEnd_ = {};
+  /** The leader is suspended until then. */
+  Instant continuesAt_ = {};
+  /** Pause after each step of a slow leader. */
+  Millis pause_{ 0 };
+  bool cutFromStore_ = false;
+};
+
 /**
  * A leader's scheduler and hosts on one virtual clock, with messages that take
  * no time by default. The store can be unavailable; changes are not stored
@@ -147,6 +168,16 @@
   void Evacuate(const std::string& aDataCentre, bool aEvacuated);
   /** Replaces the leader by a new one at once. */
   void ChangeLeader();
+  /** Replaces the leader by a new one at once, and lets the former one send
+   * orders for aLeaseLeft. */
+  void TakeOver(Millis aLeaseLeft);
+  /** The leader replaced by TakeOver(); nullptr after the end of its lease. */
+  FormerLeaderFake* Former() { return former_ ? &*former_ : nullptr; }
+  /** Removes or writes the row of a side, which is alive. */
+  void Deregister(std::size_t aHost);
+  void Register(std::size_t aHost);
+  /** Cuts or restores the connection between the former leader and the host. */
+  void CutFromFormer(std::size_t aHost, bool aCut);
   /** Removes the leader until ChangeLeader() starts a new one. */
   void LoseLeader();
   /** Suspends the leader. Until it continues, messages to it and orders in
@@ -209,6 +240,12 @@
   /** Delay after which the leader sees a cancellation or an evacuation in the
    * table. */
   Millis leaderLag_{ 0 };
+  /** Delay after which the leader sees a job in the table; the former leader is
+   * notified of it at once. */
+  Millis jobLag_{ 0 };
+  /** Sides read the lease after they have written their row, and accept no
+   * lower epoch. */
+  bool sidesReadLease_ = true;
   /** Delivery time of orders to their side. */
   Millis orderDelay_{ 0 };
   /** Delivery time of reports to the leader. */
@@ -235,6 +272,12 @@
   };
 
   void Step();
+  void ChooseLink(HostFake& aHost);
+  void StepFormer();
+  void DeliverJobs();
+  bool FormerReaches(const HostFake& aHost) const;
+  FleetScheduler& SchedulerOf(const HostFake& aHost);
+  void Send(std::vector<SideOrders> aOrders);
   void StepHost(HostFake& aHost);
   void StepLeader();
   void DeliverCancellations();
@@ -254,7 +297,11 @@
   FleetBounds bounds_;
   std::uint64_t epoch_ = 1;
   std::unique_ptr<FleetScheduler> scheduler_;
+  std::optional<FormerLeaderFake> former_;
   std::vector<HostFake> hosts_;
+  /** Jobs that the leader has not seen, with the times at which they were
+   * stored. */
+  std::deque<std::pair<Instant, std::string>> unseenJobs_;
   std::map<std::string, JobDescription> jobs_;
   std::map<std::string, JobProgress> progress_;
   /** Cancellations with the times at which they were stored. */
--- a/Tests/Fleet/LeaderLossRandomTest.cxx
+++ b/Tests/Fleet/LeaderLossRandomTest.cxx
@@ -1,12 +1,11 @@
 #include "FleetWorld.h"
+#include "Seeds.h"
 
 #include <criterion/criterion.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <random>
 #include <string>
-#include <utility>
 
 using namespace cactusrail;
 
@@ -213,28 +212,12 @@
   int incarnation_ = 1;
 };
 
-/** Seeds of a run by hand: CACTUSRAIL_SEEDS=FIRST-LAST, with --verbose. */
-std::pair<unsigned, unsigned>
-Seeds()
-{
-  const char* given = std::getenv("CACTUSRAIL_SEEDS");
-  if (given == nullptr) {
-    return { 1, kSeeds };
-  }
-  char* end = nullptr;
-  const auto first = static_cast<unsigned>(std::strtoul(given, &end, 10));
-  const auto last = *end == '-'
-                      ? static_cast<unsigned>(std::strtoul(end + 1, &end, 10))
-                      : first;
-  return { first, last };
-}
-
 void
 RunTrials(JobKinds aKinds)
 {
   std::size_t waits = 0;
   std::size_t losses = 0;
-  const auto [first, last] = Seeds();
+  const auto [first, last] = SeedsOrUpTo(kSeeds);
   cr_assert_leq(first, last);
   for (unsigned seed = first; seed <= last; ++seed) {
     Trial trial(seed, aKinds);
