LeaderLease: Replace a lost leader before its lease expires

Without a leader nothing starts, and after the loss of a host that took 5.2 to 5.9 s. With features.early-takeover followers read the lease every 250 ms, send heartbeats every 300 ms and take over on evidence. The lease row carries how long former leaders may still lead, so that a leader which replaces an early one at once inherits the wait. Hosts with a known bandwidth below 25 Mbit/s take over later, and a leader yields to a host that is not worse in the other respect.

--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -159,7 +159,9 @@
              { aSettings.fleet_.name_,
                incarnation_,
                aSettings.fleet_.links_.Text(),
-               aSettings.processors_ },
+               aSettings.processors_,
+               aSettings.linkMbps_,
+               aSettings.bounds_.features_.earlyTakeover_ },
              [this] { OnLeaseChanged(); })
     , key_(store_, [this] { OnKey(); })
     , operatorWatch_(
@@ -197,6 +199,16 @@
         LogChange("leader-yields", { { "version", std::to_string(aVersion) } });
         lease_.OnYield(aVersion);
       });
+    connect(&leaderLink_, &LeaderLink::Answered, this, [this] {
+      lease_.OnLeaderAnswer();
+    });
+    connect(&leaderLink_, &LeaderLink::NotOpened, this, [this] {
+      lease_.OnLeaderLinkNotOpened();
+    });
+    leaderLink_.SetHeartbeat([this] { return HeartbeatSubject(); },
+                             [this](const FleetResponseMessage& aAnswer) {
+                               OnHeartbeatAnswer(aAnswer);
+                             });
     auto metrics = ListenForMetrics(settings_.fleet_.metrics_);
     if (const auto* failure = std::get_if<Failure>(&metrics)) {
       return *failure;
@@ -284,6 +296,7 @@
     if (lease.Holds() && leadership_ == nullptr && !stopping_ &&
         lease.IsLeader(ReadMonotonicClock())) {
       leadershipEpoch_ = lease.Epoch();
+      RecordTakeover();
       leadership_ = std::make_unique<FleetLeader<Store>>(
         store_,
         lease,
@@ -306,6 +319,41 @@
                        listener_ != nullptr;
     leaderLink_.SetLeader(other ? leader.address_ : std::string(),
                           other ? leader.incarnation_ : std::string());
+    leaderLink_.EnableHeartbeat(other && lease.EarlyTakeoverEnabled());
+  }
+
+  /** Returns the subject of the heartbeats sent to the leader; see
+   * FleetRequestKind::Load. */
+  std::string HeartbeatSubject() const { return {}; }
+
+  /** Handles the answer to a heartbeat. */
+  void OnHeartbeatAnswer(const FleetResponseMessage&) {}
+
+  void RecordTakeover() const
+  {
+    const LeaderLease& lease = lease_.Lease();
+    Metrics::OfProcess().Count(CounterOf(lease.Takeover()));
+    const auto without = std::chrono::duration_cast<Millis>(
+      ReadMonotonicClock() - lease.FormerLeaderSeenAt());
+    Metrics::OfProcess().Set(Gauge::LeaderlessMs,
+                             static_cast<std::uint64_t>(without.count()));
+  }
+
+  static Counter CounterOf(LeaseTakeover aKind)
+  {
+    switch (aKind) {
+      case LeaseTakeover::Free:
+        return Counter::TakeoversFree;
+      case LeaseTakeover::Expired:
+        return Counter::TakeoversExpired;
+      case LeaseTakeover::Yielded:
+        return Counter::TakeoversYielded;
+      case LeaseTakeover::OwnAddress:
+        return Counter::TakeoversOwnAddress;
+      case LeaseTakeover::Early:
+        break;
+    }
+    return Counter::TakeoversEarly;
   }
 
   void EndLeadership()
@@ -348,9 +396,11 @@
   void OnPeerHello(SideLink* aLink, const FleetHelloMessage& aHello)
   {
     const double processors = aHello.milliProcessors_ / 1000.0;
-    if (leadership_ != nullptr && lease_.Lease().ShouldYieldTo(processors)) {
+    if (leadership_ != nullptr &&
+        lease_.Lease().ShouldYieldTo(processors, aHello.linkMbps_)) {
       YieldTo(aLink,
-              "the other entry runs on a host with more processors: " +
+              "the other entry runs on a host with more processors or a faster "
+              "link: " +
                 aHello.node_);
     }
   }
--- a/Source/Process/FleetLeader.h
+++ b/Source/Process/FleetLeader.h
@@ -91,7 +91,17 @@
 
   void Start()
   {
-    LogChange("leading", { { "epoch", std::to_string(epoch_) } });
+    const Instant now = ReadMonotonicClock();
+    const Instant formerEnd = lease_.FormerLeaseEnd();
+    const auto left =
+      std::chrono::duration_cast<Millis>(std::max(formerEnd, now) - now);
+    LogChange("leading",
+              { { "epoch", std::to_string(epoch_) },
+                { "kind", std::string(LeaseTakeoverText(lease_.Takeover())) },
+                { "formerLeaseMs", std::to_string(left.count()) } });
+    if (formerEnd > now) {
+      scheduler_.OnFormerLeader(formerEnd);
+    }
     writer_.Fence([this] { work_.Start(); }, [this] { leadershipLost_(); });
   }
 
@@ -416,6 +426,7 @@
       return;
     }
     scheduler_.OnTableCurrent(work_.CurrentAsOf());
+    scheduler_.OnOnlyLeaderUntil(lease_.OnlyLeaderUntil());
     scheduler_.OnEvacuations(readEvacuations_());
     for (SideOrders& orders :
          scheduler_.TakeOrders(now, ReadWallClock() / 1000)) {
--- a/Source/Process/FleetTimings.h
+++ b/Source/Process/FleetTimings.h
@@ -29,6 +29,15 @@
 /** Interval at which the other entries check the lease. */
 constexpr Millis kLeaderCheckPeriod{ 700 };
 
+/**
+ * Interval at which the other entries check the lease while a lost leader is
+ * replaced before its lease expires; see LeaderEvidence.
+ */
+constexpr Millis kEarlyLeaderCheckPeriod{ 250 };
+
+/** Interval between heartbeats of the link to the leader. */
+constexpr Millis kHeartbeatInterval{ 300 };
+
 /**
  * Largest clock difference between two hosts over one lease. A follower waits
  * this much longer than the lease is valid for the leader. Twice a drift of 2 %
--- a/Source/Process/LeaderLease.cxx
+++ b/Source/Process/LeaderLease.cxx
@@ -21,26 +21,86 @@
 /** Minimum ratio of processors for a handover. Moving the leadership stops all
  * placement for about 0.2 s. */
 constexpr double kMinHandoverRatio = 2;
+/** Bandwidth that is sufficient for a leader, which exchanges reports and
+ * orders with every side. */
+constexpr double kSufficientMbps = 25;
+/** Largest clock difference between two hosts over
+ * LeaderEvidence::kRowUnchanged, with a drift of 2 % each. */
+constexpr Millis kEvidenceSlack{ 50 };
 /** Smallest step past a deadline. */
 constexpr Millis kPastExpiry{ 1 };
 /** Delay before a leader that yielded renews, which lets the other entry take
  * over. */
 constexpr Millis kYieldDelay{ 1500 };
 
-}
-
+/** Returns the delay of a host that has aHas of the aSufficient that a leader
+ * needs. */
 Millis
-LeaderLease::AcquisitionDelay(double aProcessors)
+DelayOf(double aHas, double aSufficient)
 {
-  const double times = kSufficientProcessors / std::max(aProcessors, 0.01) - 1;
+  const double times = aSufficient / std::max(aHas, 0.01) - 1;
   const auto delay = std::chrono::duration_cast<Millis>(std::max(times, 0.0) *
                                                         kAcquisitionDelayStep);
   return std::min(delay, kMaxAcquisitionDelay);
 }
 
+/** A bandwidth that is not known counts as sufficient. */
+double
+LinkOf(double aLinkMbps)
+{
+  return aLinkMbps > 0 ? aLinkMbps : kSufficientMbps;
+}
+
+/** Returns whether a value below aSufficient is exceeded by the ratio that is
+ * worth a handover. */
+bool
+IsMuchBetter(double aOther, double aOwn, double aSufficient)
+{
+  return aOwn < aSufficient && aOther >= kMinHandoverRatio * aOwn;
+}
+
+bool
+IsWorse(double aOther, double aOwn, double aSufficient)
+{
+  return std::min(aOther, aSufficient) < std::min(aOwn, aSufficient);
+}
+
+Millis
+RoundedUp(Micros aTime)
+{
+  return std::chrono::ceil<Millis>(std::max(aTime, Micros(0)));
+}
+
+}
+
+std::string_view
+LeaseTakeoverText(LeaseTakeover aKind)
+{
+  switch (aKind) {
+    case LeaseTakeover::Free:
+      return "free";
+    case LeaseTakeover::Expired:
+      return "expired";
+    case LeaseTakeover::Yielded:
+      return "yielded";
+    case LeaseTakeover::OwnAddress:
+      return "own-address";
+    case LeaseTakeover::Early:
+      return "early";
+  }
+  return "unknown";
+}
+
+Millis
+LeaderLease::AcquisitionDelay(double aProcessors, double aLinkMbps)
+{
+  return std::max(DelayOf(aProcessors, kSufficientProcessors),
+                  DelayOf(LinkOf(aLinkMbps), kSufficientMbps));
+}
+
 LeaderLease::LeaderLease(Identity aSelf)
   : self_(std::move(aSelf))
-  , acquisitionDelay_(AcquisitionDelay(self_.processors_))
+  , acquisitionDelay_(AcquisitionDelay(self_.processors_, self_.linkMbps_))
 {
 }
 
@@ -76,6 +136,8 @@
 {
   busy_ = true;
   sentAt_ = aNow;
+  wanted_.formerLeaseMs_ =
+    static_cast<std::uint32_t>(RoundedUp(formerLeaseEnd_ - aNow).count());
   return LeaseStep::Write;
 }
 
@@ -93,21 +155,43 @@
 
 bool
 LeaderLease::IsFree(Instant aNow) const
+{
+  return TakeoverReason(aNow).has_value();
+}
+
+std::optional<LeaseTakeover>
+LeaderLease::TakeoverReason(Instant aNow) const
 {
   const LeaderRecord& leader = row_.record_;
   if (row_.version_ == 0 || leader.node_.empty()) {
-    return aNow - unchangedSince_ >= acquisitionDelay_;
+    return aNow - unchangedSince_ >= acquisitionDelay_
+             ? std::optional(LeaseTakeover::Free)
+             : std::nullopt;
   }
   // The holder listened at the address that this process listens at now, so the
   // holder no longer runs.
   if (leader.address_ == self_.address_ &&
       leader.incarnation_ != self_.incarnation_) {
-    return true;
+    return LeaseTakeover::OwnAddress;
   }
   if (row_.version_ == yieldedVersion_) {
-    return true;
+    return LeaseTakeover::Yielded;
+  }
+  if (aNow > ExpiresAt()) {
+    return LeaseTakeover::Expired;
+  }
+  if (EarlyTakeoverEnabled() && !IsOwn(leader) &&
+      evidence_.IsLost(aNow, acquisitionDelay_)) {
+    return LeaseTakeover::Early;
   }
-  return aNow > ExpiresAt();
+  return std::nullopt;
+}
+
+bool
+LeaderLease::EarlyTakeoverEnabled() const
+{
+  return rowKnown_ &&
+         IsEnabled(self_.earlyTakeover_, row_.record_.workerProtocol_);
 }
 
 Instant
@@ -118,10 +202,28 @@
 }
 
 bool
-LeaderLease::ShouldYieldTo(double aProcessors) const
+LeaderLease::ShouldYieldTo(double aProcessors, double aLinkMbps) const
 {
-  return holds_ && !stepDown_ && self_.processors_ < kSufficientProcessors &&
-         aProcessors >= kMinHandoverRatio * self_.processors_;
+  const double link = LinkOf(aLinkMbps);
+  const double ownLink = LinkOf(self_.linkMbps_);
+  const bool processors =
+    IsMuchBetter(aProcessors, self_.processors_, kSufficientProcessors) &&
+    !IsWorse(link, ownLink, kSufficientMbps);
+  const bool bandwidth =
+    aLinkMbps > 0 && IsMuchBetter(link, ownLink, kSufficientMbps) &&
+    !IsWorse(aProcessors, self_.processors_, kSufficientProcessors);
+  return holds_ && !stepDown_ && (processors || bandwidth);
+}
+
+Instant
+LeaderLease::OnlyLeaderUntil() const
+{
+  // Followers may have read a protocol whose write has not been answered yet.
+  const WorkerProtocol wanted =
+    workerProtocol_.value_or(row_.record_.workerProtocol_);
+  return EarlyTakeoverEnabled() || IsEnabled(self_.earlyTakeover_, wanted)
+           ? renewedAt_ + (LeaderEvidence::kRowUnchanged - kEvidenceSlack)
+           : Instant::max();
 }
 
 LeaseStep
@@ -131,16 +233,32 @@
     steppedDown_ = true;
     return LeaseStep::Nothing;
   }
-  if (!IsFree(aNow)) {
-    busy_ = true;
-    sentAt_ = aNow;
-    return LeaseStep::Read;
+  if (const auto reason = TakeoverReason(aNow)) {
+    return TakeOver(*reason, aNow);
+  }
+  busy_ = true;
+  sentAt_ = aNow;
+  return LeaseStep::Read;
+}
+
+LeaseStep
+LeaderLease::TakeOver(LeaseTakeover aKind, Instant aNow)
+{
+  takeover_ = aKind;
+  formerLeaderSeenAt_ = std::max(unchangedSince_, evidence_.LastSign());
+  formerLeaseEnd_ = aNow;
+  if (aKind == LeaseTakeover::Early) {
+    formerLeaseEnd_ = unchangedSince_ + (kLeaderLease + kLeaderLeaseSlack);
+  }
+  if (row_.record_.formerLeaseMs_ > 0) {
+    formerLeaseEnd_ =
+      std::max(formerLeaseEnd_,
+               unchangedSince_ +
+                 (Millis(row_.record_.formerLeaseMs_) + kLeaderLeaseSlack));
   }
-  wanted_ = { row_.record_.epoch_ + 1,
-              self_.node_,
-              self_.incarnation_,
-              self_.address_,
-              row_.record_.workerProtocol_ };
+  wanted_ = { row_.record_.epoch_ + 1,      self_.node_,
+              self_.incarnation_,           self_.address_,
+              row_.record_.workerProtocol_, 0 };
   workerProtocol_.reset();
   return Write(aNow);
 }
@@ -151,6 +269,11 @@
   busy_ = false;
   outcomeUnknown_ = false;
   const bool changed = !rowKnown_ || row_.version_ != aRow.version_;
+  if (!rowKnown_ || row_.record_.epoch_ != aRow.record_.epoch_ ||
+      row_.record_.incarnation_ != aRow.record_.incarnation_) {
+    evidence_.OnLeader(aNow);
+  }
+  evidence_.OnRowRead(aRow.version_, aSentAt, aNow);
   rowKnown_ = true;
   row_ = aRow;
   if (changed) {
@@ -170,18 +293,31 @@
   // The next read of a lease that is not renewed takes place as soon as the
   // lease expires instead of up to kLeaderCheckPeriod later, because the fleet
   // starts nothing without a leader.
-  nextAt_ = own || IsFree(aNow)
-              ? aNow
-              : std::min(aNow + kLeaderCheckPeriod, ExpiresAt() + kPastExpiry);
+  nextAt_ = own || IsFree(aNow) ? aNow : NextCheck(aNow);
   if (row_.record_.node_.empty()) {
     nextAt_ = std::max(aNow, unchangedSince_ + acquisitionDelay_);
   }
 }
 
+Instant
+LeaderLease::NextCheck(Instant aNow) const
+{
+  const Instant next =
+    std::min(aNow + (EarlyTakeoverEnabled() ? kEarlyLeaderCheckPeriod
+                                            : kLeaderCheckPeriod),
+             ExpiresAt() + kPastExpiry);
+  // The read that can complete the evidence takes place as soon as it can.
+  const Instant complete =
+    unchangedSince_ + (LeaderEvidence::kRowUnchanged + acquisitionDelay_);
+  return EarlyTakeoverEnabled() && complete > aNow ? std::min(next, complete)
+                                                   : next;
+}
+
 void
 LeaderLease::OnReadFailed(Instant aNow)
 {
   busy_ = false;
+  evidence_.OnRowReadFailed();
   nextAt_ = aNow + kRetry;
 }
 
@@ -198,6 +334,7 @@
     steppedDown_ = true;
     return;
   }
+  renewedAt_ = sentAt_;
   deadline_ = sentAt_ + kLeaderLease;
   nextAt_ = stepDown_ ? aNow : sentAt_ + kLeaderRenewal;
 }
--- a/Source/Process/LeaderLease.h
+++ b/Source/Process/LeaderLease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Load/FeatureSwitch.h"
+#include "Load/LeaderEvidence.h"
 #include "Process/FleetTimings.h"
 #include "Version/Instant.h"
 
@@ -9,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cactusrail {
 
@@ -27,11 +29,16 @@
    * "auto". A new leader keeps the value of the former one until workers have
    * reported. */
   WorkerProtocol workerProtocol_ = WorkerProtocol::IdOnly;
+  /** Remaining time, when the row was written, until the leaders before this
+   * epoch must have stopped; see LeaderLease::FormerLeaseEnd(). A leader that
+   * replaces this one at once, because it stepped down, yielded or restarted,
+   * inherits the wait. */
+  std::uint32_t formerLeaseMs_ = 0;
 
   template<class Archive>
   void serialize(Archive& ar)
   {
-    ar(epoch_, node_, incarnation_, address_, workerProtocol_);
+    ar(epoch_, node_, incarnation_, address_, workerProtocol_, formerLeaseMs_);
   }
 };
 
@@ -54,6 +61,22 @@
   Write,
 };
 
+/** Why an entry may become the leader. */
+enum class LeaseTakeover : std::uint8_t
+{
+  /** There was no leader, or the last one stepped down. */
+  Free,
+  Expired,
+  Yielded,
+  /** The row named an earlier incarnation of this process. */
+  OwnAddress,
+  /** There was evidence that the leader is lost before its lease expired. */
+  Early,
+};
+
+std::string_view
+LeaseTakeoverText(LeaseTakeover aKind);
+
 /**
  * State machine of the leader lease: a table row that the leader rewrites
  * periodically.
@@ -67,21 +90,26 @@
  * that, and its write is conditional on that version. The clock includes
  * suspended time, so a leader that was frozen finds its lease expired on
  * resume.
+ *
+ * With early takeover, a follower that has evidence of the loss of the leader
+ * takes over before that. The former leader may then send orders until
+ * FormerLeaseEnd(); FleetScheduler and the sides guard against these.
  */
 class LeaderLease
 {
 public:
   /**
    * Returns the delay before a process on a host with aProcessors processors
-   * may acquire a free lease.
+   * and a link of aLinkMbps Mbit/s (0 if it is not known) may acquire a free
+   * lease. The larger of the two delays applies.
    *
    * Makes larger hosts win when all entries find a free lease at the same time,
-   * for example when all of them start: hosts with half a processor or more do
-   * not wait. After the loss of a leader the larger host may still lose,
-   * because the entries observe the last renewal up to kLeaderCheckPeriod
-   * apart; see ShouldYieldTo().
+   * for example when all of them start: hosts with half a processor or more and
+   * no slow link do not wait. After the loss of a leader the larger host may
+   * still lose, because the entries observe the last renewal up to
+   * kLeaderCheckPeriod apart; see ShouldYieldTo().
    */
-  static Millis AcquisitionDelay(double aProcessors);
+  static Millis AcquisitionDelay(double aProcessors, double aLinkMbps);
 
   struct Identity
   {
@@ -90,6 +118,9 @@
     std::string address_;
     /** Number of processors of the host, or the share of one processor. */
     double processors_ = 1;
+    /** Bandwidth of the host, in Mbit/s; 0 if it is not known. */
+    double linkMbps_ = 0;
+    FeatureSwitch earlyTakeover_ = FeatureSwitch::Off;
   };
 
   explicit LeaderLease(Identity aSelf);
@@ -138,12 +169,42 @@
 
   /**
    * Returns whether this process, as the leader, should yield to an entry that
-   * reaches the table and runs on a host with aProcessors processors.
+   * reaches the table and runs on a host with aProcessors processors and a link
+   * of aLinkMbps Mbit/s (0 if it is not known).
+   *
+   * A leader on a host with too small a share of a processor or too slow a link
+   * falls seconds behind. The other host must not be worse in the other
+   * respect.
+   */
+  bool ShouldYieldTo(double aProcessors, double aLinkMbps) const;
+
+  /** Handles a message of the leader on the link to it. */
+  void OnLeaderAnswer(Instant aNow) { evidence_.OnLinkAnswer(aNow); }
+  /** Handles a failed attempt to open the link to the leader. */
+  void OnLeaderLinkNotOpened() { evidence_.OnLinkNotOpened(); }
+  /** Returns whether the setting and the protocol in the row enable the
+   * replacement of a lost leader before its lease expires. */
+  bool EarlyTakeoverEnabled() const;
+  const LeaderEvidence& Evidence() const { return evidence_; }
+
+  /** Returns why the last write to become the leader was made. */
+  LeaseTakeover Takeover() const { return takeover_; }
+  /**
+   * Returns the time by which all leaders before this epoch must have stopped:
+   * the time of the takeover, unless the lease that it replaced, or one before
+   * that, may still be valid.
+   */
+  Instant FormerLeaseEnd() const { return formerLeaseEnd_; }
+  /**
+   * Returns the time until which no other entry can have replaced this leader.
    *
-   * A leader on a host with too small a share of a processor falls seconds
-   * behind.
+   * A follower replaces a leader early only after the row has not changed for
+   * LeaderEvidence::kRowUnchanged, which counts from its observation of a
+   * renewal that was sent before.
    */
-  bool ShouldYieldTo(double aProcessors) const;
+  Instant OnlyLeaderUntil() const;
+  /** Returns the last sign of life of the leader that was replaced. */
+  Instant FormerLeaderSeenAt() const { return formerLeaderSeenAt_; }
 
   /** Sets the value of LeaderRecord::workerProtocol_ that the next renewal
    * writes. */
@@ -173,6 +234,10 @@
   LeaseStep Write(Instant aNow);
   bool IsOwn(const LeaderRecord& aRecord) const;
   bool IsFree(Instant aNow) const;
+  /** Returns why this process may take over now; none if it may not. */
+  std::optional<LeaseTakeover> TakeoverReason(Instant aNow) const;
+  LeaseStep TakeOver(LeaseTakeover aKind, Instant aNow);
+  Instant NextCheck(Instant aNow) const;
   /** Returns when this process may treat the observed lease as expired, unless
    * the lease is renewed. */
   Instant ExpiresAt() const;
@@ -192,10 +257,16 @@
   bool outcomeUnknown_ = false;
   bool stepDown_ = false;
   bool steppedDown_ = false;
+  LeaderEvidence evidence_;
+  LeaseTakeover takeover_ = LeaseTakeover::Free;
+  Instant formerLeaseEnd_;
+  Instant formerLeaderSeenAt_;
   /** Row version that the leader yielded; 0 if none. */
   std::uint64_t yieldedVersion_ = 0;
   Instant sentAt_;
   Instant nextAt_;
+  /** Send time of the last successful write of this leader. */
+  Instant renewedAt_;
   /** End of the leadership of this process unless it renews the lease. */
   Instant deadline_;
 };
--- a/Source/Process/LeaderLink.cxx
+++ b/Source/Process/LeaderLink.cxx
@@ -1,10 +1,9 @@
 #include "Process/LeaderLink.h"
 
+#include "Process/FleetTimings.h"
 #include "Process/Log.h"
 #include "Process/SocketAddress.h"
 
-#include <QTimer>
-
 #include <utility>
 
 namespace cactusrail {
@@ -13,6 +12,8 @@
 
 constexpr std::uint32_t kMaxUnanswered = 2;
 constexpr Millis kRetry{ 200 };
+/** Timeout of a heartbeat; late answers still count as a sign of life. */
+constexpr Millis kHeartbeatTimeout{ 1000 };
 
 }
 
@@ -21,6 +22,7 @@
   , milliProcessors_(static_cast<std::uint32_t>(1000 * aProcessors))
   , linkMbps_(static_cast<std::uint32_t>(aLinkMbps))
 {
+  connect(&heartbeat_, &QTimer::timeout, this, [this] { SendHeartbeat(); });
 }
 
 LeaderLink::~LeaderLink()
@@ -45,6 +47,44 @@
   Link();
 }
 
+void
+LeaderLink::SetHeartbeat(
+  std::function<std::string()> aSubject,
+  std::function<void(const FleetResponseMessage&)> aOnAnswer)
+{
+  heartbeatSubject_ = std::move(aSubject);
+  onHeartbeatAnswer_ = std::move(aOnAnswer);
+}
+
+void
+LeaderLink::EnableHeartbeat(bool aEnabled)
+{
+  if (!aEnabled) {
+    heartbeat_.stop();
+  } else if (!heartbeat_.isActive()) {
+    heartbeat_.start(kHeartbeatInterval);
+    SendHeartbeat();
+  }
+}
+
+void
+LeaderLink::SendHeartbeat()
+{
+  if (address_.empty()) {
+    return;
+  }
+  FleetRequestMessage ask;
+  ask.question_ = FleetRequestKind::Load;
+  ask.subject_ = heartbeatSubject_ ? heartbeatSubject_() : std::string();
+  Ask(std::move(ask),
+      kHeartbeatTimeout,
+      [this](const std::optional<FleetResponseMessage>& aAnswer) {
+        if (aAnswer.has_value() && onHeartbeatAnswer_) {
+          onHeartbeatAnswer_(*aAnswer);
+        }
+      });
+}
+
 bool
 LeaderLink::Usable() const
 {
@@ -88,9 +128,15 @@
           &SideLink::Received,
           this,
           [this](const WireMessage& aMessage) { OnMessage(aMessage); });
-  connect(link_, &SideLink::Lost, this, [this](bool, const QString& aReason) {
-    OnLost(aReason);
-  });
+  connect(link_,
+          &SideLink::Lost,
+          this,
+          [this](bool aNeverConnected, const QString& aReason) {
+            if (aNeverConnected) {
+              Q_EMIT NotOpened();
+            }
+            OnLost(aReason);
+          });
   link_->Send(
     FleetHelloMessage{ node_, false, 0, milliProcessors_, linkMbps_ });
   return link_;
@@ -114,6 +160,7 @@
     return;
   }
   unanswered_ = 0;
+  Q_EMIT Answered();
   if (answer->outcome_ == FleetOutcome::TakeOver) {
     Q_EMIT LeaderYields(answer->value_);
     return;
--- a/Source/Process/LeaderLink.h
+++ b/Source/Process/LeaderLink.h
@@ -6,6 +6,7 @@
 
 #include <QObject>
 #include <QPointer>
+#include <QTimer>
 
 #include <cstdint>
 #include <functional>
@@ -43,15 +44,29 @@
   /** Sends a request that expects no answer. */
   void Notify(FleetRequestMessage aAsk);
 
+  /**
+   * Sets the subject of heartbeats and the handler of their answers; the
+   * handler is not called for heartbeats without an answer.
+   */
+  void SetHeartbeat(std::function<std::string()> aSubject,
+                    std::function<void(const FleetResponseMessage&)> aOnAnswer);
+  /** Sends a heartbeat every kHeartbeatInterval while aEnabled. */
+  void EnableHeartbeat(bool aEnabled);
+
   /** Returns whether the link is open and no request has timed out since the
    * last answer. */
   bool Usable() const;
 
 Q_SIGNALS:
+  /** A message of the leader has arrived. */
+  void Answered();
+  /** An attempt to open the link has failed. */
+  void NotOpened();
   /** The leader has yielded aVersion of its row to this entry. */
   void LeaderYields(quint64 aVersion);
 
 private:
+  void SendHeartbeat();
   SideLink* Link();
   void OnMessage(const WireMessage& aMessage);
   void OnLost(const QString& aReason);
@@ -68,6 +83,9 @@
   std::uint64_t nextAsk_ = 1;
   std::uint32_t unanswered_ = 0;
   Instant retryAt_;
+  QTimer heartbeat_;
+  std::function<std::string()> heartbeatSubject_;
+  std::function<void(const FleetResponseMessage&)> onHeartbeatAnswer_;
 };
 
 }
--- a/Source/Process/LeaseRunner.h
+++ b/Source/Process/LeaseRunner.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 #include <utility>
 
 namespace cactusrail {
@@ -60,6 +61,11 @@
     lease_.SetWorkerProtocol(aProtocol);
   }
 
+  /** See LeaderLease::OnLeaderAnswer(). */
+  void OnLeaderAnswer() { lease_.OnLeaderAnswer(ReadMonotonicClock()); }
+  /** See LeaderLease::OnLeaderLinkNotOpened(). */
+  void OnLeaderLinkNotOpened() { lease_.OnLeaderLinkNotOpened(); }
+
   const LeaderLease& Lease() const { return lease_; }
 
   /** Returns when the table last answered. While the table answers, it is
@@ -69,6 +75,8 @@
 private:
   /** Interval at which the lease is checked for a step that is due. */
   static constexpr Millis kTick{ 100 };
+  /** The same while the lease is read every kEarlyLeaderCheckPeriod. */
+  static constexpr Millis kEarlyTick{ 50 };
   /** Shorter than the remaining time of a lease after two failed renewals. */
   static constexpr Millis kCallTimeout{ 1000 };
 
@@ -76,6 +84,10 @@
   void Step()
   {
     const Instant now = ReadMonotonicClock();
+    const Millis tick = lease_.EarlyTakeoverEnabled() ? kEarlyTick : kTick;
+    if (timer_.isActive() && timer_.intervalAsDuration() != tick) {
+      timer_.start(tick);
+    }
     switch (lease_.Next(now)) {
       case LeaseStep::Nothing:
         return;
@@ -126,8 +138,23 @@
     Step();
   }
 
+  void LogSuspicion(Instant aNow) const
+  {
+    const LeaderEvidence& evidence = lease_.Evidence();
+    LogChange(
+      "leader-suspected",
+      { { "leader", lease_.Leader().node_ },
+        { "epoch", std::to_string(lease_.Epoch()) },
+        { "rowUnchangedMs",
+          std::to_string(evidence.RowAge().value_or(Millis(0)).count()) },
+        { "answerMsAgo", std::to_string(evidence.LinkAge(aNow).count()) } });
+  }
+
   void Write(Instant aSentAt)
   {
+    if (!lease_.Holds() && lease_.Takeover() == LeaseTakeover::Early) {
+      LogSuspicion(aSentAt);
+    }
     RowTransaction transaction;
     transaction.conditions_.push_back({ LeaderRowId(), lease_.RowVersion() });
     transaction.puts_.push_back(
--- a/Source/Process/Metrics.cxx
+++ b/Source/Process/Metrics.cxx
@@ -32,6 +32,12 @@
   { "log_lines_collapsed", "log lines of a flood that were only counted" },
   { "log_lines_dropped", "log lines that the log's reader had no room for" },
   { "series_overflows", "values counted under 'other' for lack of room" },
+  { "takeovers_free", "leaderships begun without a leader" },
+  { "takeovers_expired", "leaderships begun after an expired lease" },
+  { "takeovers_yielded", "leaderships begun after the leader yielded" },
+  { "takeovers_own_address", "leaderships resumed by a restarted process" },
+  { "takeovers_early",
+    "leaderships begun before a lost leader's lease expired" },
 } };
 
 constexpr std::array<MetricName, kGaugeCount> kGaugeNames{ {
@@ -39,6 +45,8 @@
   { "journal_requests", "requests whose steps are remembered" },
   { "requests_in_progress", "requests without their final answer" },
   { "evacuated_data_centres", "data centres in which no task starts" },
+  { "leaderless_ms",
+    "time without a leader before the last leadership of this entry" },
 } };
 
 struct Series
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -38,10 +38,15 @@
   LogLinesCollapsed,
   LogLinesDropped,
   SeriesOverflows,
+  TakeoversFree,
+  TakeoversExpired,
+  TakeoversYielded,
+  TakeoversOwnAddress,
+  TakeoversEarly,
 };
 
 constexpr std::size_t kCounterCount =
-  static_cast<std::size_t>(Counter::SeriesOverflows) + 1;
+  static_cast<std::size_t>(Counter::TakeoversEarly) + 1;
 
 /** Gauges of a process, in the order of kGaugeNames. */
 enum class Gauge : std::uint8_t
@@ -50,10 +55,11 @@
   JournalRequests,
   RequestsInProgress,
   EvacuatedDataCentres,
+  LeaderlessMs,
 };
 
 constexpr std::size_t kGaugeCount =
-  static_cast<std::size_t>(Gauge::EvacuatedDataCentres) + 1;
+  static_cast<std::size_t>(Gauge::LeaderlessMs) + 1;
 
 /** Name of a counter or gauge, such as "table_calls", and its help text. */
 struct MetricName
--- a/Tests/Fleet/LeaderLeaseTest.cxx
+++ b/Tests/Fleet/LeaderLeaseTest.cxx
@@ -256,3 +256,207 @@
   cr_assert(first.IsLeader(At(5000)));
   cr_assert_eq(first.Epoch(), 1);
 }
+
+namespace {
+
+LeaderLease
+MakeEarlyLease(const std::string& aNode, FeatureSwitch aSwitch)
+{
+  LeaderLease::Identity self{ aNode, aNode + "-1", aNode + ":1" };
+  self.earlyTakeover_ = aSwitch;
+  return LeaderLease(self);
+}
+
+/** Leader "a" renews and answers until 3000; follower "b" observes that. */
+struct Pair
+{
+  Table table_;
+  LeaderLease first_;
+  LeaderLease second_;
+
+  explicit Pair(FeatureSwitch aSwitch)
+    : first_(MakeEarlyLease("a", aSwitch))
+    , second_(MakeEarlyLease("b", aSwitch))
+  {
+    Renew(1000, 3000);
+  }
+
+  void Renew(std::int64_t aFrom, std::int64_t aTo)
+  {
+    for (std::int64_t now = aFrom; now < aTo; now += 50) {
+      RunSteps(first_, table_, now, now + 50);
+      RunSteps(second_, table_, now, now + 50);
+      second_.OnLeaderAnswer(At(now));
+    }
+  }
+
+  /** Runs the follower alone and returns when it leads. */
+  std::int64_t TimeOfTakeover()
+  {
+    std::int64_t now = 3000;
+    for (; now < 20000 && !second_.IsLeader(At(now)); now += 50) {
+      RunSteps(second_, table_, now, now + 50);
+    }
+    return now;
+  }
+};
+
+}
+
+// Guards against 5.5 s without a leader after the loss of its host.
+Test(LeaderLease, LostLeaderIsReplacedEarly)
+{
+  Pair pair(FeatureSwitch::On);
+  const std::int64_t at = pair.TimeOfTakeover();
+  cr_expect_leq(at, 4500);
+  cr_expect_eq(pair.second_.Takeover(), LeaseTakeover::Early);
+  // The former leader may lead until its lease ends.
+  cr_expect(pair.first_.IsLeader(At(at)));
+  cr_expect_not(pair.first_.IsLeader(pair.second_.FormerLeaseEnd()));
+}
+
+// Guards against a former lease that counts from the takeover or ends with it:
+// FormerLeaseEnd() bounds the leadership of a former leader that is alive and
+// cut off from the table, whenever that happens.
+Test(LeaderLease, FormerLeaderStopsByFormerLeaseEnd)
+{
+  for (std::int64_t cut = 3000; cut < 3700; cut += 50) {
+    Pair pair(FeatureSwitch::On);
+    pair.Renew(3000, cut);
+    for (std::int64_t now = cut; now < 6000; now += 50) {
+      RunSteps(pair.second_, pair.table_, now, now + 50);
+      if (pair.first_.Next(At(now)) != LeaseStep::Nothing) {
+        pair.first_.OnNotWritten(At(now));
+      }
+    }
+    cr_assert(pair.second_.IsLeader(At(6000)));
+    cr_expect(pair.first_.IsLeader(At(6000)));
+    cr_expect_not(pair.first_.IsLeader(pair.second_.FormerLeaseEnd()));
+    // The follower reads every 250 ms.
+    cr_expect(pair.second_.FormerLeaseEnd() <= At(cut + 250 + 5660));
+  }
+}
+
+// Guards against a changed behavior of fleets that do not use the feature.
+Test(LeaderLease, LeaseExpiresBeforeTakeoverWithoutTheFeature)
+{
+  for (const FeatureSwitch off : { FeatureSwitch::Off, FeatureSwitch::Auto }) {
+    Pair pair(off);
+    cr_expect_geq(pair.TimeOfTakeover(), 8000);
+    cr_expect_eq(pair.second_.Takeover(), LeaseTakeover::Expired);
+  }
+}
+
+// Guards against a feature set to "auto" that stays off with workers that
+// announce their start time.
+Test(LeaderLease, ProtocolInTheRowEnablesEarlyTakeover)
+{
+  Pair pair(FeatureSwitch::Auto);
+  cr_expect_not(pair.second_.EarlyTakeoverEnabled());
+  pair.first_.SetWorkerProtocol(WorkerProtocol::WithStartTime);
+  pair.Renew(3000, 5000);
+  cr_expect(pair.second_.EarlyTakeoverEnabled());
+}
+
+// Guards against a takeover from a leader whose renewals are only delayed: its
+// late renewal makes the write fail, and the evidence starts anew.
+Test(LeaderLease, RenewalDefeatsEarlyTakeover)
+{
+  Pair pair(FeatureSwitch::On);
+  std::int64_t now = 3000;
+  while (pair.second_.Next(At(now)) != LeaseStep::Write) {
+    pair.second_.OnRead(pair.table_.row_, At(now), At(now));
+    now += 50;
+  }
+  RunSteps(pair.first_, pair.table_, now, now + 50);
+  cr_expect_not(pair.table_.Write(pair.second_, At(now)));
+  RunSteps(pair.second_, pair.table_, now, now + 600);
+  cr_expect_not(pair.second_.Holds());
+  cr_expect_eq(pair.table_.row_.record_.node_, "a");
+}
+
+// Guards against a leader that starts old work although the leader before the
+// last one may still lead: the last one took over early, and then stepped down,
+// yielded or restarted within that lease.
+Test(LeaderLease, FormerLeaseIsInherited)
+{
+  for (const std::string how : { "steps down", "yields", "restarts" }) {
+    Pair pair(FeatureSwitch::On);
+    const std::int64_t at = pair.TimeOfTakeover();
+    const Instant end = pair.second_.FormerLeaseEnd();
+    LeaderLease third = MakeEarlyLease("c", FeatureSwitch::On);
+    if (how == "restarts") {
+      third = LeaderLease({ "b", "b-2", "b:1" });
+    }
+    RunSteps(third, pair.table_, at + 50, at + 100);
+    if (how == "steps down") {
+      pair.second_.StepDown();
+      RunSteps(pair.second_, pair.table_, at + 100, at + 200);
+    } else if (how == "yields") {
+      pair.second_.Yield(At(at + 100));
+      third.OnYield(pair.second_.RowVersion(), At(at + 100));
+    }
+    RunSteps(third, pair.table_, at + 200, at + 1000);
+    cr_assert(third.IsLeader(At(at + 1000)), "%s", how.c_str());
+    cr_expect(third.FormerLeaseEnd() >= end, "%s", how.c_str());
+  }
+}
+
+// Guards against a leader that relies on being the only one after another entry
+// can have replaced it.
+Test(LeaderLease, LeaderKnowsHowLongItIsTheOnlyOne)
+{
+  Pair pair(FeatureSwitch::On);
+  const std::int64_t at = pair.TimeOfTakeover();
+  cr_expect_not(pair.first_.OnlyLeaderUntil() > At(at));
+  cr_expect(pair.first_.OnlyLeaderUntil() > At(3000 + 500));
+  Pair off(FeatureSwitch::Auto);
+  cr_expect(off.first_.OnlyLeaderUntil() == Instant::max());
+}
+
+// Guards against a wait for former leaders that have stopped.
+Test(LeaderLease, FormerLeaseEndsWithTheTakeoverOfAFreeLease)
+{
+  Table table;
+  LeaderLease first = MakeLease("a");
+  RunSteps(first, table, 1000, 2000);
+  first.StepDown();
+  RunSteps(first, table, 2000, 2200);
+  LeaderLease second = MakeLease("b");
+  RunSteps(second, table, 2200, 3500);
+  cr_assert(second.IsLeader(At(3500)));
+  cr_expect(second.FormerLeaseEnd() <= At(3500));
+  cr_expect_eq(table.row_.record_.formerLeaseMs_, 0);
+}
+
+// Guards against a leader on a slow link where another entry has a fast one,
+// and against other delays of hosts with an eighth of a processor.
+Test(LeaderLease, SlowLinkDelaysAcquisition)
+{
+  const Millis small = LeaderLease::AcquisitionDelay(0.12, 0);
+  cr_expect_eq(small.count(), 475);
+  cr_expect(LeaderLease::AcquisitionDelay(0.12, 10) == small);
+  cr_expect(LeaderLease::AcquisitionDelay(0.12, 20) == small);
+  cr_expect_eq(LeaderLease::AcquisitionDelay(0.5, 0).count(), 0);
+  cr_expect_eq(LeaderLease::AcquisitionDelay(0.5, 200).count(), 0);
+  cr_expect_eq(LeaderLease::AcquisitionDelay(0.5, 10).count(), 225);
+}
+
+// Guards against a handover to a host that is worse in the other respect, which
+// would hand the leadership back.
+Test(LeaderLease, LeaderYieldsOnlyToAHostThatIsNotWorse)
+{
+  const auto yields = [](double aProcessors, double aMbps, auto aOther) {
+    Table table;
+    LeaderLease lease({ "a", "a-1", "a:1", aProcessors, aMbps });
+    RunSteps(lease, table, 1000, 3000);
+    return lease.ShouldYieldTo(aOther.first, aOther.second);
+  };
+  cr_expect(yields(0.12, 10, std::pair(0.5, 200.0)));
+  cr_expect(yields(0.5, 10, std::pair(0.5, 200.0)), "bandwidth alone");
+  cr_expect(yields(0.12, 0, std::pair(0.5, 0.0)), "bandwidth not known");
+  cr_expect_not(yields(0.12, 20, std::pair(0.5, 10.0)), "slower link");
+  cr_expect_not(yields(0.5, 10, std::pair(0.12, 200.0)), "fewer processors");
+  cr_expect_not(yields(0.5, 10, std::pair(0.5, 0.0)), "bandwidth not known");
+  cr_expect_not(yields(0.5, 200, std::pair(2.0, 1000.0)), "sufficient");
+}
