FleetSide: Accept leaders only after reading the lease

A restarted side forgets the epoch and would accept a former leader. It now writes its row, reads the lease with an answer at least as new, and accepts only epochs from there on. A side without a leader rewrites its row only if the row is gone, as each write withholds the acceptance of leaders.

The worker client of ProcessFleet answered a side after its end, which crashed OutdatedLeaseIsNotUsed; answers now end with the client.

--- a/Source/Process/FleetSide.h
+++ b/Source/Process/FleetSide.h
@@ -8,6 +8,7 @@
 #include "Process/FleetSettings.h"
 #include "Process/Guarded.h"
 #include "Process/KeyKeeper.h"
+#include "Process/LeaderLease.h"
 #include "Process/LinkListener.h"
 #include "Process/Log.h"
 #include "Process/Metrics.h"
@@ -230,6 +231,38 @@
     }
   }
 
+  /**
+   * Registers again a side that no leader contacts, if its row was removed or
+   * replaced.
+   *
+   * Each write of the row withholds the acceptance of leaders until the store
+   * answers. A row that is still there is therefore left as it is, so that a
+   * leader can return during an outage of the store.
+   */
+  void RegisterAgain()
+  {
+    if (settings_.features_.earlyTakeover_ == FeatureSwitch::Off) {
+      Register();
+      return;
+    }
+    if (registering_ || rechecking_ || !epochToAccept_.has_value()) {
+      return;
+    }
+    rechecking_ = true;
+    registeredAt_ = ReadMonotonicClock();
+    store_.Read(RowRange::Only(MemberRowId(settings_.fleet_.name_)),
+                registeredAt_ + kRegisterTimeout,
+                Guarded(this, [this](Result<RowPage> aPage) {
+                  rechecking_ = false;
+                  const auto* page = std::get_if<RowPage>(&aPage);
+                  if (page != nullptr && page->version_ >= memberVersion_ &&
+                      (page->rows_.empty() ||
+                       page->rows_.front().version_ != memberVersion_)) {
+                    Register();
+                  }
+                }));
+  }
+
   /** Writes the row by which leaders find this side. */
   void Register()
   {
@@ -237,6 +270,7 @@
       return;
     }
     registering_ = true;
+    WithholdAcceptance();
     registeredAt_ = ReadMonotonicClock();
     RowTransaction transaction;
     const MemberRecord record{ settings_.fleet_.links_.Text(), incarnation_ };
@@ -248,6 +282,7 @@
                    registering_ = false;
                    if (aCommit.outcome_ == CommitOutcome::Done) {
                      memberVersion_ = aCommit.version_;
+                     ReadLease();
                    }
                    if (aCommit.outcome_ != CommitOutcome::Done) {
                      QTimer::singleShot(
@@ -256,6 +291,80 @@
                  }));
   }
 
+  /** Accepts no leader until ReadLease() has succeeded. */
+  void WithholdAcceptance()
+  {
+    if (settings_.features_.earlyTakeover_ != FeatureSwitch::Off) {
+      epochToAccept_.reset();
+      DropLink();
+    }
+  }
+
+  /**
+   * Reads the lease after the row of this side was written, and from then on
+   * accepts leaders of at least the epoch read.
+   *
+   * A new leader waits for each side whose row it has read. A side whose row it
+   * has not read wrote that row after the takeover, so this read shows the new
+   * epoch, and the side accepts no orders of the former leader. The read must
+   * be at least as new as the row, because a replica may lag behind.
+   */
+  void ReadLease()
+  {
+    if (settings_.features_.earlyTakeover_ == FeatureSwitch::Off ||
+        registering_ || epochToAccept_.has_value()) {
+      return;
+    }
+    const std::uint64_t written = memberVersion_;
+    store_.Read(RowRange::Only(LeaderRowId()),
+                ReadMonotonicClock() + kRegisterTimeout,
+                Guarded(this, [this, written](Result<RowPage> aPage) {
+                  OnLease(std::move(aPage), written);
+                }));
+  }
+
+  void OnLease(Result<RowPage> aPage, std::uint64_t aWritten)
+  {
+    const auto* page = std::get_if<RowPage>(&aPage);
+    // A row written again since this read was sent has its own read.
+    if (aWritten != memberVersion_ || registering_) {
+      return;
+    }
+    const std::optional<std::uint64_t> epoch =
+      page == nullptr || page->version_ < aWritten ? std::nullopt
+                                                   : EpochOf(*page);
+    if (!epoch.has_value()) {
+      QTimer::singleShot(kRegisterRetry, this, [this] { ReadLease(); });
+      return;
+    }
+    epochToAccept_ = *epoch;
+    LogChange("accepts-leaders", { { "fromEpoch", std::to_string(*epoch) } });
+  }
+
+  /** Returns the epoch in the lease row, 0 without a row; none if the row is
+   * unreadable. */
+  static std::optional<std::uint64_t> EpochOf(const RowPage& aPage)
+  {
+    if (aPage.rows_.empty()) {
+      return 0;
+    }
+    const Result<LeaderRecord> record =
+      DecodeRecord<LeaderRecord>(aPage.rows_.front().value_);
+    if (const auto* failure = std::get_if<Failure>(&record)) {
+      LogProblem("lease-unreadable", { { "reason", failure->message_ } });
+      return std::nullopt;
+    }
+    return std::get<LeaderRecord>(record).epoch_;
+  }
+
+  /** Returns whether leaders of aEpoch may be accepted as far as the lease row
+   * is known. */
+  bool MayAccept(std::uint64_t aEpoch) const
+  {
+    return settings_.features_.earlyTakeover_ == FeatureSwitch::Off ||
+           (epochToAccept_.has_value() && aEpoch >= *epochToAccept_);
+  }
+
   /**
    * Removes the row of this side, which has no worker and no runs.
    *
@@ -324,7 +433,7 @@
   void OnHello(SideLink* aLink, const FleetHelloMessage& aHello, Instant aNow)
   {
     if (!aHello.isLeader_ || aHello.epoch_ < keeper_.Epoch() ||
-        aHello.epoch_ < linkEpoch_) {
+        aHello.epoch_ < linkEpoch_ || !MayAccept(aHello.epoch_)) {
       aLink->Close();
       return;
     }
@@ -360,7 +469,7 @@
     if (registeredAt_ != Instant() && link_.isNull() &&
         now - lastReceivedAt_ > kOrphanedSideTimeout &&
         now - registeredAt_ > kOrphanedSideTimeout) {
-      Register();
+      RegisterAgain();
     }
     Pump();
   }
@@ -421,6 +530,12 @@
   Instant lastReceivedAt_;
   Instant registeredAt_;
   bool registering_ = false;
+  /** RegisterAgain() reads the row of this side. */
+  bool rechecking_ = false;
+  /** Lowest epoch of leaders that this side accepts; none until the lease was
+   * read after the row of this side was written. Not used with early takeover
+   * switched off. */
+  std::optional<std::uint64_t> epochToAccept_;
   /** Whether the table has a row of an earlier incarnation; std::nullopt until
    * the table has been read. */
   std::optional<bool> hasEarlierRow_;
--- a/Tests/Fleet/ProcessFleet.cxx
+++ b/Tests/Fleet/ProcessFleet.cxx
@@ -66,9 +66,9 @@
   const CallAnswer answer = At(address_).Take(aCall, ReadMonotonicClock());
   constexpr Millis kLatency{ 5 };
   QTimer::singleShot(
-    kLatency,
-    QCoreApplication::instance(),
-    [answer, callback = std::move(aCallback)] { callback(answer); });
+    kLatency, &context_, [answer, callback = std::move(aCallback)] {
+      callback(answer);
+    });
 }
 
 Result<FleetConfiguration>
@@ -168,7 +168,9 @@
 
 ProcessFleet::ProcessFleet(std::size_t aEntries,
                            std::size_t aSides,
-                           double aProcessors)
+                           double aProcessors,
+                           FleetFeatures aFeatures)
+  : features_(aFeatures)
 {
   MemoryTables& tables = MemoryTables::OfTest();
   RowTransaction configuration;
@@ -185,6 +187,7 @@
     settings.worker_ = { ip, 7005 };
     settings.maxLease_ = Millis(10000);
     settings.stopTimeout_ = Millis(100);
+    settings.features_ = features_;
     sideSettings_.push_back(settings);
     WorkerClientFake::At(settings.worker_.Text()).stopTime_ = Millis(50);
     sides_.push_back(std::get<std::unique_ptr<TestSide>>(
@@ -206,6 +209,7 @@
   settings.callers_ = { ip, 7003 };
   settings.readiness_ = { ip, 7004 };
   settings.processors_ = aProcessors;
+  settings.bounds_.features_ = features_;
   entrySettings_.push_back(settings);
   entries_.push_back(
     std::get<std::unique_ptr<TestEntry>>(TestEntry::Start(settings)));
@@ -290,6 +294,12 @@
   });
 }
 
+void
+ProcessFleet::KillEntry(std::size_t aEntry)
+{
+  entries_.at(aEntry).reset();
+}
+
 void
 ProcessFleet::StopEntry(std::size_t aEntry)
 {
--- a/Tests/Fleet/ProcessFleet.h
+++ b/Tests/Fleet/ProcessFleet.h
@@ -27,6 +27,8 @@
 
 private:
   std::string address_;
+  /** Drops the answers that are due after the end of the client. */
+  QObject context_;
 };
 
 /**
@@ -61,7 +63,8 @@
 public:
   ProcessFleet(std::size_t aEntries,
                std::size_t aSides,
-               double aProcessors = 1);
+               double aProcessors = 1,
+               FleetFeatures aFeatures = {});
 
   /** Starts one more entry, on a host with aProcessors processors. */
   void AddEntry(double aProcessors);
@@ -76,6 +79,8 @@
                 const std::string& aMethod,
                 const std::string& aPath,
                 const std::string& aBody = {});
+  /** Ends an entry without a planned stop, as SIGKILL does. */
+  void KillEntry(std::size_t aEntry);
   /** Stops an entry as SIGTERM does and waits until it has stopped. */
   void StopEntry(std::size_t aEntry);
   /** Stops a side and waits until it has stopped. */
@@ -96,6 +101,7 @@
 private:
   void Announce();
 
+  FleetFeatures features_;
   std::vector<FleetEntrySettings> entrySettings_;
   std::vector<FleetSideSettings> sideSettings_;
   std::vector<std::unique_ptr<TestEntry>> entries_;
