--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -144,9 +144,8 @@
   static constexpr Millis kStoreTimeout{ 800 };
   /** Interval at which the features of Source/Load are updated. */
   static constexpr Millis kLoadTick{ 100 };
-  /** Interval at which an entry requests the load digest of the leader. */
+  /** Interval at which the leading entry updates its load digest. */
   static constexpr Millis kDigestInterval{ 300 };
-  static constexpr Millis kDigestTimeout{ 1000 };
   /** Timeout of a probe of the store. */
   static constexpr Millis kProbeTimeout{ 1000 };
   /** Interval between retries of a write that may already be stored. */
@@ -171,7 +170,9 @@
              { aSettings.fleet_.name_,
                incarnation_,
                aSettings.fleet_.links_.Text(),
-               aSettings.processors_ },
+               aSettings.processors_,
+               aSettings.linkMbps_,
+               aSettings.bounds_.features_.earlyTakeover_ },
              [this] { OnLeaseChanged(); })
     , key_(store_, [this] { OnKey(); })
     , operatorWatch_(
@@ -209,6 +210,17 @@
         LogChange("leader-yields", { { "version", std::to_string(aVersion) } });
         lease_.OnYield(aVersion);
       });
+    connect(&leaderLink_, &LeaderLink::Answered, this, [this] {
+      lease_.OnLeaderAnswer();
+    });
+    connect(&leaderLink_, &LeaderLink::NotOpened, this, [this] {
+      lease_.OnLeaderLinkNotOpened();
+    });
+    leaderLink_.SetHeartbeat(
+      [this] { return HeartbeatSubject(); },
+      [this](const FleetResponseMessage& aAnswer, Instant aSentAt) {
+        admission_.OnAnswer(aAnswer, aSentAt, ReadMonotonicClock());
+      });
     auto metrics = ListenForMetrics(settings_.fleet_.metrics_);
     if (const auto* failure = std::get_if<Failure>(&metrics)) {
       return *failure;
@@ -252,26 +264,19 @@
     ProbeStore();
     admission_.SetEnabled(Enabled(settings_.bounds_.features_.admission_));
     admission_.OnLeader(lease_.Lease().Epoch(), ReadMonotonicClock());
-    RequestDigest();
+    UpdateOwnDigest();
   }
 
-  /** Requests the load digest from the leader, which may be this entry. */
-  void RequestDigest()
+  /** Updates the load digest of the leading entry. The other entries get theirs
+   * in the answers to their heartbeats. */
+  void UpdateOwnDigest()
   {
     const Instant now = ReadMonotonicClock();
-    if (!admission_.Enabled() || digestRequested_ || now < nextDigestAt_) {
+    if (!admission_.Enabled() || !IsLeading() || now < nextDigestAt_) {
       return;
     }
     nextDigestAt_ = now + kDigestInterval;
-    digestRequested_ = true;
-    AskLeader(FleetRequestKind::Load,
-              admission_.KnownVersion(),
-              {},
-              kDigestTimeout,
-              [this, now](const std::optional<FleetResponseMessage>& aReply) {
-                digestRequested_ = false;
-                admission_.OnAnswer(aReply, now, ReadMonotonicClock());
-              });
+    admission_.OnAnswer(LoadAnswer(admission_.KnownVersion()), now, now);
   }
 
   FleetResponseMessage LoadAnswer(const std::string& aKnownVersion)
@@ -279,6 +284,9 @@
     if (!IsLeading()) {
       return Outcome(FleetOutcome::NotLeading);
     }
+    if (!Enabled(settings_.bounds_.features_.admission_)) {
+      return Outcome(FleetOutcome::Ok);
+    }
     FleetScheduler& scheduler = leadership_->Scheduler();
     scheduler.SetEntryCount(static_cast<std::uint32_t>(peers_.size() + 1));
     return AdmissionControl::MakeAnswer(scheduler.Digest(), aKnownVersion);
@@ -473,6 +481,7 @@
     if (lease.Holds() && leadership_ == nullptr && !stopping_ &&
         lease.IsLeader(ReadMonotonicClock())) {
       leadershipEpoch_ = lease.Epoch();
+      RecordTakeover();
       leadership_ = std::make_unique<FleetLeader<Store>>(
         store_,
         lease,
@@ -495,6 +504,43 @@
                        listener_ != nullptr;
     leaderLink_.SetLeader(other ? leader.address_ : std::string(),
                           other ? leader.incarnation_ : std::string());
+    leaderLink_.EnableHeartbeat(
+      other && (lease.EarlyTakeoverEnabled() ||
+                Enabled(settings_.bounds_.features_.admission_)));
+  }
+
+  /** Returns the subject of the heartbeats sent to the leader; see
+   * FleetRequestKind::Load. */
+  std::string HeartbeatSubject() const
+  {
+    return admission_.Enabled() ? admission_.KnownVersion() : std::string();
+  }
+
+  void RecordTakeover() const
+  {
+    const LeaderLease& lease = lease_.Lease();
+    Metrics::OfProcess().Count(CounterOf(lease.Takeover()));
+    const auto without = std::chrono::duration_cast<Millis>(
+      ReadMonotonicClock() - lease.FormerLeaderSeenAt());
+    Metrics::OfProcess().Set(Gauge::LeaderlessMs,
+                             static_cast<std::uint64_t>(without.count()));
+  }
+
+  static Counter CounterOf(LeaseTakeover aKind)
+  {
+    switch (aKind) {
+      case LeaseTakeover::Free:
+        return Counter::TakeoversFree;
+      case LeaseTakeover::Expired:
+        return Counter::TakeoversExpired;
+      case LeaseTakeover::Yielded:
+        return Counter::TakeoversYielded;
+      case LeaseTakeover::OwnAddress:
+        return Counter::TakeoversOwnAddress;
+      case LeaseTakeover::Early:
+        break;
+    }
+    return Counter::TakeoversEarly;
   }
 
   void EndLeadership()
@@ -537,9 +583,11 @@
   void OnPeerHello(SideLink* aLink, const FleetHelloMessage& aHello)
   {
     const double processors = aHello.milliProcessors_ / 1000.0;
-    if (leadership_ != nullptr && lease_.Lease().ShouldYieldTo(processors)) {
+    if (leadership_ != nullptr &&
+        lease_.Lease().ShouldYieldTo(processors, aHello.linkMbps_)) {
       YieldTo(aLink,
-              "the other entry runs on a host with more processors: " +
+              "the other entry runs on a host with more processors or a faster "
+              "link: " +
                 aHello.node_);
     }
   }
@@ -1108,8 +1156,6 @@
   Store store_;
   StoreBreaker breaker_;
   AdmissionControl admission_;
-  /** A request for the load digest has no answer yet. */
-  bool digestRequested_ = false;
   Instant nextDigestAt_;
   JobIntake<Store> intake_;
   StoredJobs<Store> stored_;
--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -158,6 +158,9 @@
   entry.fromEarlierLeader_ = !loaded_;
   overload_.open_.insert(aSpec.id_);
   overload_.changed_ = true;
+  // The age of the view decides, not the time: a job stored before the lease
+  // ended may be read later, and the former leader may have started it.
+  entry.knownToFormerLeader_ = tableAsOf_ < formerLeaseEnd_;
   if (earlyCancels_.erase(aSpec.id_) > 0) {
     FinishJob(entry, JobState::Cancelled);
     return;
@@ -371,6 +374,7 @@
     worker.node_ = aNode;
     worker.grantedAt_ = aNow;
     worker.lostAt_ = aNow;
+    worker.mayRunOldWork_ = loaded_ && aNow < formerLeaseEnd_;
   }
   worker.registered_ = true;
   return isNew;
@@ -409,11 +413,19 @@
 void
 FleetScheduler::AbandonUnreachable(Instant aNow)
 {
+  if (aNow >= onlyLeaderUntil_) {
+    return;
+  }
   for (auto& [node, worker] : workers_) {
     if (worker.linked_ && worker.synced_) {
       continue;
     }
-    const bool over = aNow - worker.grantedAt_ > kAuthority + kAuthoritySlack;
+    // A former leader may have renewed the authority of a side that has not
+    // reported until its lease ended.
+    const Instant granted = worker.mayRunOldWork_
+                              ? std::max(worker.grantedAt_, formerLeaseEnd_)
+                              : worker.grantedAt_;
+    const bool over = aNow - granted > kAuthority + kAuthoritySlack;
     if (!over || (!worker.mayRunOldWork_ && worker.held_.empty())) {
       continue;
     }
--- a/Source/Process/Metrics.cxx
+++ b/Source/Process/Metrics.cxx
@@ -36,6 +36,12 @@
     "reductions of a side's cap on the pace of backfill" },
   { "worker_notices_ignored", "messages of workers that changed nothing" },
   { "jobs_rejected", "jobs that could not be completed while useful" },
+  { "takeovers_free", "leaderships begun without a leader" },
+  { "takeovers_expired", "leaderships begun after an expired lease" },
+  { "takeovers_yielded", "leaderships begun after the leader yielded" },
+  { "takeovers_own_address", "leaderships resumed by a restarted process" },
+  { "takeovers_early",
+    "leaderships begun before a lost leader's lease expired" },
 } };
 
 constexpr std::array<MetricName, kGaugeCount> kGaugeNames{ {
@@ -51,6 +57,8 @@
     "a side's cap on the pace of backfill in percent; 100 for no cap" },
   { "store_breaker_open", "1 while requests don't wait for the store" },
   { "work_ahead", "processor-seconds of open work that can be of use" },
+  { "leaderless_ms",
+    "time without a leader before the last leadership of this entry" },
 } };
 
 struct Series
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -41,10 +41,15 @@
   BackfillPaceReductions,
   WorkerNoticesIgnored,
   JobsRejected,
+  TakeoversFree,
+  TakeoversExpired,
+  TakeoversYielded,
+  TakeoversOwnAddress,
+  TakeoversEarly,
 };
 
 constexpr std::size_t kCounterCount =
-  static_cast<std::size_t>(Counter::JobsRejected) + 1;
+  static_cast<std::size_t>(Counter::TakeoversEarly) + 1;
 
 /** Gauges of a process, in the order of kGaugeNames. */
 enum class Gauge : std::uint8_t
@@ -59,10 +64,11 @@
   BackfillPaceCap,
   StoreBreakerOpen,
   WorkAhead,
+  LeaderlessMs,
 };
 
 constexpr std::size_t kGaugeCount =
-  static_cast<std::size_t>(Gauge::WorkAhead) + 1;
+  static_cast<std::size_t>(Gauge::LeaderlessMs) + 1;
 
 /** Name of a counter or gauge, such as "table_calls", and its help text. */
 struct MetricName
--- a/Tests/Fleet/ProcessFleet.cxx
+++ b/Tests/Fleet/ProcessFleet.cxx
@@ -85,9 +85,9 @@
   const CallAnswer answer = At(address_).Take(aCall, ReadMonotonicClock());
   constexpr Millis kLatency{ 5 };
   QTimer::singleShot(
-    kLatency,
-    QCoreApplication::instance(),
-    [answer, callback = std::move(aCallback)] { callback(answer); });
+    kLatency, &context_, [answer, callback = std::move(aCallback)] {
+      callback(answer);
+    });
 }
 
 Result<FleetConfiguration>
@@ -210,6 +210,7 @@
     settings.worker_ = { ip, 7005 };
     settings.maxLease_ = Millis(10000);
     settings.stopTimeout_ = Millis(100);
+    settings.features_ = features_;
     sideSettings_.push_back(settings);
     WorkerClientFake::At(settings.worker_.Text()).stopTime_ = Millis(50);
     sides_.push_back(std::get<std::unique_ptr<TestSide>>(
@@ -317,6 +318,12 @@
   });
 }
 
+void
+ProcessFleet::KillEntry(std::size_t aEntry)
+{
+  entries_.at(aEntry).reset();
+}
+
 void
 ProcessFleet::StopEntry(std::size_t aEntry)
 {
--- a/Tests/Fleet/ProcessFleet.h
+++ b/Tests/Fleet/ProcessFleet.h
@@ -27,6 +27,8 @@
 
 private:
   std::string address_;
+  /** Drops the answers that are due after the end of the client. */
+  QObject context_;
 };
 
 /**
@@ -78,6 +80,8 @@
                 const std::string& aMethod,
                 const std::string& aPath,
                 const std::string& aBody = {});
+  /** Ends an entry without a planned stop, as SIGKILL does. */
+  void KillEntry(std::size_t aEntry);
   /** Stops an entry as SIGTERM does and waits until it has stopped. */
   void StopEntry(std::size_t aEntry);
   /** Stops a side and waits until it has stopped. */
