Scheduler: Order of work classes that passes the lint

clang-tidy reads the defaulted three-way comparison of WorkClass as a use of 0 for a pointer (modernize-use-nullptr). The class now defines operator<, which is all that the map of classes needs.

--- a/Source/Process/OverloadState.h
+++ b/Source/Process/OverloadState.h
@@ -4,12 +4,12 @@
 #include "Load/InTimeSelection.h"
 #include "Version/Instant.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace cactusrail {
@@ -21,7 +21,11 @@
   std::int64_t priority_ = 0;
   bool backfill_ = false;
 
-  auto operator<=>(const WorkClass&) const = default;
+  bool operator<(const WorkClass& aOther) const
+  {
+    return std::tie(service_, priority_, backfill_) <
+           std::tie(aOther.service_, aOther.priority_, aOther.backfill_);
+  }
 };
 
 /** Time during which more work of a class waits than can be completed in
