--- a/Source/Load/FeatureSwitch.h
+++ b/Source/Load/FeatureSwitch.h
@@ -63,8 +63,6 @@
   FeatureSwitch fairShares_ = FeatureSwitch::Off;
   /** Sides throttle backfill beside overloaded serving tasks. */
   FeatureSwitch localPacing_ = FeatureSwitch::Off;
-  /** Slow runs get a duplicate run where the step allows it. */
-  FeatureSwitch duplicates_ = FeatureSwitch::Off;
 };
 
 }
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -730,10 +730,10 @@
   std::optional<TakeoverSummary> takeover_;
   /** The log reports that old work waits for sides. */
   bool deferralLogged_ = false;
-  std::int64_t wallMs_ = 0;
   /** Sides pace backfill locally, and this leader follows the paces that they
    * report; see FleetFeatures::localPacing_. */
   bool localPacing_ = false;
+  std::int64_t wallMs_ = 0;
   WorkerHealth health_;
   BackfillInterference interference_;
   DurationModel durations_;
--- a/Source/Process/FleetSettings.cxx
+++ b/Source/Process/FleetSettings.cxx
@@ -48,7 +48,7 @@
     "info,warning" },
 } };
 
-constexpr std::array<SettingSpec, 18> kEntry{ {
+constexpr std::array<SettingSpec, 17> kEntry{ {
   RequiredSetting("fleet.callers",
                   SettingKind::Address,
                   "IP:PORT that callers' requests arrive at"),
@@ -128,8 +128,6 @@
                  "and job sizes"),
   FeatureSetting("features.local-pacing",
                  "sides throttle backfill beside overloaded serving tasks"),
-  FeatureSetting("features.duplicates",
-                 "start a duplicate of a slow run where its step allows it"),
 } };
 
 constexpr std::array<SettingSpec, 6> kSide{ {
@@ -264,7 +262,6 @@
   features.overloadOrder_ = ReadFeature(file, "features.overload-order");
   features.fairShares_ = ReadFeature(file, "features.fair-shares");
   features.localPacing_ = ReadFeature(file, "features.local-pacing");
-  features.duplicates_ = ReadFeature(file, "features.duplicates");
   return settings;
 }
 
