--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -68,14 +68,17 @@
   /** Work of a previous leader may still run there, as the worker has not
    * reported to this leader yet. */
   bool mayRunOldWork_ = false;
+  /** The last report showed neither a worker nor runs. */
+  bool left_ = false;
+  /** The side has the profiles of the runs on its worker, or they are part of
+   * its next orders. */
+  bool profilesSent_ = false;
   /** Time of the first report to this leader; the side accepts no orders of
    * former leaders from then on. */
   std::optional<Instant> firstReportAt_;
   /** Reports with runs of unknown jobs, which wait until the view of the table
    * is as new as the first report; see FleetScheduler::WaitsForTable(). */
   std::vector<FleetReport> waitingReports_;
-  /** The last report showed neither a worker nor runs. */
-  bool left_ = false;
   /** Side's clock in its last report; echoed with the orders. */
   std::uint64_t echoMicros_ = 0;
   /** Time at which that report was applied, by the leader's clock. */
@@ -84,9 +87,6 @@
   std::uint64_t ordersSent_ = 0;
   /** Sequence number of the last orders that the last report reflects. */
   std::uint64_t ordersSeen_ = 0;
-  /** The side has the profiles of the runs on its worker, or they are part of
-   * its next orders. */
-  bool profilesSent_ = false;
   /** Time at which the last orders were sent; orders renew the side's
    * authority. */
   Instant grantedAt_;
--- a/Tests/Fleet/FleetWorld.h
+++ b/Tests/Fleet/FleetWorld.h
@@ -282,26 +282,26 @@
   /** Time of the last start of a task on any worker; none if there was none. */
   std::optional<Instant> LastStart(const std::string& aTask) const;
 
-  bool storeUnavailable_ = false;
   /** Error of the leader's wall clock. */
   Millis clockOffset_{ 0 };
   /** Time that a write to the store takes. */
   Millis storeLatency_{ 0 };
+  bool storeUnavailable_ = false;
   /** Whether the write in flight is applied when its leader is lost. */
   bool lostWriteIsApplied_ = false;
   /** The members of a gang that are all running end at the same time. */
   bool gangsEndTogether_ = false;
   /** The members of an incomplete gang run until they are stopped. */
   bool incompleteGangsWait_ = false;
+  /** Sides read the lease after they have written their row, and accept no
+   * lower epoch. */
+  bool sidesReadLease_ = true;
   /** Delay after which the leader sees a cancellation or an evacuation in the
    * table. */
   Millis leaderLag_{ 0 };
   /** Delay after which the leader sees a job in the table; the former leader is
    * notified of it at once. */
   Millis jobLag_{ 0 };
-  /** Sides read the lease after they have written their row, and accept no
-   * lower epoch. */
-  bool sidesReadLease_ = true;
   /** Delivery time of orders to their side. */
   Millis orderDelay_{ 0 };
   /** Delivery time of reports to the leader. */
@@ -377,13 +377,13 @@
   std::deque<SentReport> sentReports_;
   std::vector<FleetEvent> events_;
   bool leaderLost_ = false;
+  bool capacityExceeded_ = false;
   /** End of SuspendLeader(); in the past unless the leader is suspended. */
   Instant leaderContinuesAt_;
   std::optional<ProgressBatch> writing_;
   /** Time at which the store has applied writing_. */
   Instant writtenAt_;
   std::size_t maxConcurrentRuns_ = 0;
-  bool capacityExceeded_ = false;
   /** Tasks of which a done end was acknowledged. */
   std::set<std::string> acknowledgedDone_;
   std::size_t startsAfterAcknowledgedEnd_ = 0;
