--- a/Tests/Fleet/OverloadOrderTest.cxx
+++ b/Tests/Fleet/OverloadOrderTest.cxx
@@ -431,7 +431,7 @@
     const auto begin = std::chrono::steady_clock::now();
     for (int i = 1; i <= kPasses; ++i) {
       scheduler.TakeOrders(load.world_.Now() + i * Millis(10),
-                           load.world_.WallMs() + i * 10);
+                           load.world_.WallMs() + 10L * i);
     }
     const std::chrono::duration<double, std::micro> took =
       std::chrono::steady_clock::now() - begin;
