--- a/Tests/Fleet/WorkerIncarnationTest.cxx
+++ b/Tests/Fleet/WorkerIncarnationTest.cxx
@@ -445,7 +445,7 @@
         fake.lateCallInterval_ = 1 + Draw(4);
         fake.lateness_ = Millis(50 + Draw(3000));
         world_.Run(Millis(Draw(100)));
-        fake.lateCallInterval_ = Draw(2) * 5;
+        fake.lateCallInterval_ = Draw(2) == 0 ? 0 : 5;
         break;
       case 9:
         fake.worker_.taskTime_ = Millis(200 + Draw(2000));
--- a/Tests/Load/CircuitBreakerTest.cxx
+++ b/Tests/Load/CircuitBreakerTest.cxx
@@ -61,7 +61,7 @@
 {
   CircuitBreaker breaker;
   for (int i = 0; i < 50; ++i) {
-    const std::int64_t start = 400 * i;
+    const std::int64_t start = 400L * i;
     breaker.OnFailure(At(start - 900), At(start));
     cr_assert_not(breaker.Rejects(), "round %d", i);
     breaker.OnSuccess(At(start + 200));
--- a/Tests/Load/InTimeSelectionTest.cxx
+++ b/Tests/Load/InTimeSelectionTest.cxx
@@ -126,6 +126,7 @@
   std::uniform_int_distribution<std::int64_t> work(10, 1000);
   for (int round = 0; round < 300; ++round) {
     std::vector<OpenWork> jobs;
+    jobs.reserve(9);
     for (int i = 0; i < 9; ++i) {
       jobs.push_back(
         Work("j", deadline(random), static_cast<double>(work(random))));
@@ -219,10 +220,12 @@
   std::uniform_int_distribution<std::int64_t> deadline(500, 5000);
   CallerShares shares;
   std::vector<std::string> names;
+  names.reserve(300);
   for (int i = 0; i < 300; ++i) {
     names.push_back("job" + std::to_string(i));
   }
   std::vector<OpenWork> jobs;
+  jobs.reserve(300);
   for (int i = 0; i < 300; ++i) {
     jobs.push_back(Work(names[i], deadline(random), 100 + i));
     jobs.back().wasDeferred_ = i % 2 == 0;
--- a/Tests/Load/JobAdmissionTest.cxx
+++ b/Tests/Load/JobAdmissionTest.cxx
@@ -74,8 +74,9 @@
   admission.OnLeader(1, At(0));
   std::multiset<std::pair<std::int64_t, int>> arrivals;
   double next = 0;
-  while (next < kEndMs / 2) {
-    const bool burst = next >= 10000 && next < 10000 + aBurst.count();
+  const auto burstEnd = static_cast<double>(10000 + aBurst.count());
+  while (next < static_cast<double>(kEndMs) / 2) {
+    const bool burst = next >= 10000 && next < burstEnd;
     arrivals.emplace(static_cast<std::int64_t>(next), 0);
     next += BatchJob().work_ / kRate / 0.36 / (burst ? aFactor : 1);
   }
