--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,8 +20,7 @@
     await fleet.open(2, [(["a", f"r1-{i}"], 16000) for i in range(3)], [("/batch/", 0, 2)])
     job = {"spec": '{"ms":[25000]}',
            "steps": [{"count": 3, "cpu": 6000, "memMb": 1000, "estimateMs": 25000}]}
-    if await fleet.post(0, "/batch/" + JOB, job) != 200:
-        raise f.NotRun("the submission was not accepted")
+    await fleet.accept("/batch/" + JOB, job)
 
     async def all_run():
         return len(fleet.starts(JOB)) >= 3
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -22,12 +22,12 @@
         await asyncio.sleep(4)
     urgent = {"spec": '{"ms":[500]}', "steps": [
         {"count": 1, "cpu": 1000, "memMb": 100, "estimateMs": 500, "requires": "b"}]}
-    await accepted(fleet, "/urgent/" + URGENT, urgent)
+    await fleet.accept("/urgent/" + URGENT, urgent)
     await asyncio.sleep(1)
     batch = {"spec": '{"ms":[1000]}',
              "steps": [{"count": 4, "cpu": 2000, "memMb": 100, "estimateMs": 1000}]}
     for job in BATCH:
-        await accepted(fleet, "/batch/" + job, batch)
+        await fleet.accept("/batch/" + job, batch)
     await asyncio.sleep(f.FINISH_S)
     lost = {job for job in BATCH if not any(r[3].startswith(job) for r in fleet.runs)}
     for _ in range(4):  # for 3 s: nothing runs, all runners but one are idle
@@ -43,9 +43,4 @@
     return bool(lost)
 
 
-async def accepted(fleet, path, job):
-    if await fleet.post(0, path, job) != 200:
-        raise f.NotRun("a submission was not accepted")
-
-
 f.run(FOLDER, case)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -21,7 +21,7 @@
     watch = {"spec": '{"ms":[1000000]}', "steps": [
         {"count": 1, "cpu": 60000, "memMb": 1000, "estimateMs": 1000, "requires": "b",
          "longRunning": True}]}
-    await accepted(fleet, "/watch/" + WATCH, watch)
+    await fleet.accept("/watch/" + WATCH, watch)
 
     async def watched():
         return any(runner.running for runner in fleet.runners)
@@ -34,7 +34,7 @@
         idle.faulty = True
     quote = {"spec": '{"ms":[1000]}', "steps": [
         {"count": 1, "cpu": 8000, "memMb": 1000, "estimateMs": 1000, "requires": "b"}]}
-    await accepted(fleet, "/quote/" + QUOTE, quote)
+    await fleet.accept("/quote/" + QUOTE, quote)
     await asyncio.sleep(GREY_S)
     idle.faulty = False
     fleet.record(f"{idle.name} is sound")
@@ -51,9 +51,4 @@
     return lost
 
 
-async def accepted(fleet, path, job):
-    if await fleet.post(0, path, job) != 200:
-        raise f.NotRun("a submission was not accepted")
-
-
 f.run(FOLDER, case)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -174,8 +174,7 @@
 class Store:
     """Linearizable rows, a change feed and transactions under conditions."""
 
-    def __init__(self, record):
-        self.record = record
+    def __init__(self):
         self.rows = {}
         self.version = 1
         self.history = []  # (version, time, row)
@@ -298,7 +297,7 @@
 
     count = 0
 
-    def __init__(self, record, name, port, control, labels, cpu, store_of_runs):
+    def __init__(self, record, name, port, control, labels, cpu, log):
         Runner.count += 1
         self.record = record
         self.name = name
@@ -321,7 +320,7 @@
         self.alive = True
         self.unhealthy = None  # a status for each order, while it is unhealthy
         self.faulty = False  # fails all that it starts
-        self.log = store_of_runs
+        self.log = log
         self.tasks = []
         self.next_beat = now()
         self.server = None
@@ -439,9 +438,8 @@
         if key[1] <= self.highest.get(key[0], 0):
             return 409, {**answer, "reason": "old"}
         loop = asyncio.get_running_loop()
-        faulty = self.faulty
-        self.running[key] = loop.create_task(
-            self.fail(key) if faulty else self.work(key, body["spec"]))
+        work = self.fail(key) if self.faulty else self.work(key, body["spec"])
+        self.running[key] = loop.create_task(work)
         self.begun[key] = now(), json.loads(body["spec"])["ms"][int(key[0].split(".")[2])]
         self.log.append(("start", now(), self.name, key[0], key[1], ""))
         self.record(f"runner {self.name} starts {key[0]} run {key[1]}")
@@ -558,7 +556,7 @@
         self.work = tempfile.TemporaryDirectory()
         self.folder = self.work.name
         self.deploy = tomllib.load(open(os.path.join(ROOT, "deploy/system.toml"), "rb"))
-        self.store = Store(self.record)
+        self.store = Store()
         self.runs = []  # starts and ends, as the runners saw them
         self.entries = []
         self.sides = []
@@ -655,6 +653,11 @@
         self.record(f"POST {path} at {self.entries[i].name}: {status or 'no answer'} {answer}")
         return status
 
+    async def accept(self, path, job):
+        """Hands a submission in at the first entry, which must accept it."""
+        if await self.post(0, path, job) != 200:
+            raise NotRun("a submission was not accepted")
+
     async def get(self, i, path, quiet=False):
         status, answer = await call(self.front(i), "GET", path)
         if not quiet:
