Tests: Give each attempt a name of its own in JobRejectionTest

It is wrong: it submitted one job "y" again and again until the second entry rejects it. If that entry accepts "y" first, as it may while its digest does not show the shortage yet, the job is known, a known job is never rejected, and the wait ends after a minute.

Each attempt is now another job, as in the loop for the first entry. As strict as before: the second entry must reject, the known job must be accepted, and beyond that the job that the second entry rejected must never run either.

--- a/Tests/Fleet/JobRejectionTest.cxx
+++ b/Tests/Fleet/JobRejectionTest.cxx
@@ -38,19 +38,31 @@
   return fleet;
 }
 
-/** Submits a long job and then short ones until one is rejected; returns its
- * number. */
-int
-OverloadUntilRejection(ProcessFleet& aFleet, std::size_t aEntry)
+/** Submits short jobs until one is rejected; returns its name. An accepted job
+ * is never rejected later, so each attempt has a name of its own. */
+std::string
+RejectedJob(ProcessFleet& aFleet,
+            std::size_t aEntry,
+            const std::string& aPrefix)
 {
-  cr_assert_eq(aFleet.Ask(aEntry, "POST", "long", kLongJob).status_, 200);
   int number = 0;
   cr_assert(aFleet.Wait([&] {
     ++number;
-    return aFleet.Ask(aEntry, "POST", "x" + std::to_string(number), kUrgentJob)
-             .status_ == 429;
-  }));
-  return number;
+    const std::string job = aPrefix + std::to_string(number);
+    return aFleet.Ask(aEntry, "POST", job, kUrgentJob).status_ == 429;
+  }),
+            "entry %zu rejects",
+            aEntry);
+  return aPrefix + std::to_string(number);
+}
+
+/** Submits a long job and then short ones until one is rejected; returns its
+ * name. */
+std::string
+OverloadUntilRejection(ProcessFleet& aFleet, std::size_t aEntry)
+{
+  cr_assert_eq(aFleet.Ask(aEntry, "POST", "long", kLongJob).status_, 200);
+  return RejectedJob(aFleet, aEntry, "x");
 }
 
 bool
@@ -72,13 +84,9 @@
 {
   const Application application;
   const auto fleet = StartFleet(2);
-  const int rejected = OverloadUntilRejection(*fleet, 1);
-  const std::string job = "x" + std::to_string(rejected);
+  const std::string job = OverloadUntilRejection(*fleet, 1);
   cr_assert_eq(fleet->Ask(1, "POST", "long", kUrgentJob).status_, 200);
-  cr_assert(fleet->Wait([&fleet] {
-    return fleet->Ask(0, "POST", "y", kUrgentJob).status_ == 429;
-  }),
-            "the other entry rejects, too");
+  const std::string other = RejectedJob(*fleet, 0, "y");
   const HttpReply reply = fleet->Ask(1, "POST", job, kUrgentJob);
   cr_assert_eq(reply.status_, 429);
   cr_assert_geq(std::stoi(reply.body_), 300);
@@ -88,8 +96,10 @@
     return fleet->Ask(1, "POST", "after", kUrgentJob).status_ == 200;
   }));
   cr_assert(fleet->Completes(1, "after"));
-  cr_assert_not(EverStarted(*fleet, job));
-  cr_assert_eq(fleet->Ask(0, "GET", job).status_, 410);
+  for (const std::string& rejected : { job, other }) {
+    cr_assert_not(EverStarted(*fleet, rejected));
+    cr_assert_eq(fleet->Ask(0, "GET", rejected).status_, 410);
+  }
 }
 
 // Guards against a rejection after an attempt with an unknown outcome: the
