Side: Keep the row unless the side knows that it has no worker

Cause: a side that stops removes its row if it has no worker, so that the next leader does not wait for it. Right after its start it has none because its worker has not announced itself yet. The row of its former incarnation had made it register at once, so it removed a row although runs were at work, and the leader that took over did not wait for them.

With the row in place the leader waits, which rules out that it does not wait for sides that it knows.

Change: the row is removed only if the side knows that its host has no worker and no runs: the port refuses, the worker has left, or the leases of earlier incarnations are over. It is the condition under which a side reports to the leader, so a removed row says no more than such a report would.

--- a/Source/Process/FleetSide.h
+++ b/Source/Process/FleetSide.h
@@ -87,11 +87,12 @@
    * survive a restart of the side. */
   void Stop(std::function<void()> aDone)
   {
+    const Instant now = ReadMonotonicClock();
     LogChange("stopping", { { "runs", std::to_string(keeper_.RunCount()) } });
     stopped_ = std::move(aDone);
-    stopBound_ = ReadMonotonicClock() + kStopBound;
-    keeper_.OnStopping(ReadMonotonicClock());
-    if (keeper_.WorkerId().empty() && keeper_.RunCount() == 0) {
+    stopBound_ = now + kStopBound;
+    keeper_.OnStopping(now);
+    if (keeper_.HasNoWorker(now)) {
       Deregister();
     }
     Pump();
--- a/Source/Process/WorkerKeeper.cxx
+++ b/Source/Process/WorkerKeeper.cxx
@@ -969,8 +969,7 @@
   if (!linked_ || stopping_) {
     return std::nullopt;
   }
-  const bool unknown =
-    (!runsKnown_ && aNow <= leasesExpireAt_) || aNow < earlierStopsEndAt_;
+  const bool unknown = RunsAreUnknown(aNow) || aNow < earlierStopsEndAt_;
   const Millis interval =
     deferredReportDue_ ? kDeferredReportInterval : kReportPeriod;
   if (unknown || (!reportDue_ && aNow - reportedAt_ < interval)) {
--- a/Source/Process/WorkerKeeper.h
+++ b/Source/Process/WorkerKeeper.h
@@ -217,6 +217,12 @@
   /** Returns the incarnation in use; its id is empty if there is none. */
   WorkerIncarnation Incarnation() const { return facts_.Incarnation(); }
   std::size_t RunCount() const { return runs_.size(); }
+  /** Returns whether the host is known to have neither a worker nor runs. A
+   * side that has just started does not know its worker yet. */
+  bool HasNoWorker(Instant aNow) const
+  {
+    return !RunsAreUnknown(aNow) && facts_.id_.empty() && runs_.empty();
+  }
   /** Returns when the authority over the worker's leases ends. */
   Instant AuthorityUntil() const { return authorityUntil_; }
   /** Returns the cap on the pace of backfill. */
@@ -301,6 +307,12 @@
     bool beforeStop_ = false;
   };
 
+  /** Whether the worker may have runs of earlier incarnations of the side that
+   * it has not listed yet. */
+  bool RunsAreUnknown(Instant aNow) const
+  {
+    return !runsKnown_ && aNow <= leasesExpireAt_;
+  }
   std::int64_t WorkerClock(Instant aNow) const;
   std::optional<std::int64_t> LeaseUntil(Millis aLease, Instant aNow);
   CallHeader Head(CallInFlight aCall, Millis aTimeout, Instant aNow);
--- a/Tests/Fleet/ProcessFleet.cxx
+++ b/Tests/Fleet/ProcessFleet.cxx
@@ -256,7 +256,7 @@
 ProcessFleet::Announce()
 {
   for (std::size_t i = 0; i < sides_.size(); ++i) {
-    if (left_.contains(i)) {
+    if (silent_.contains(i)) {
       continue;
     }
     HttpCall call;
@@ -352,7 +352,7 @@
 void
 ProcessFleet::LeavePermanently(std::size_t aSide)
 {
-  left_.insert(aSide);
+  SetAnnounces(aSide, false);
   Worker(aSide).gone_ = true;
   HttpCall call;
   call.method_ = "DELETE";
@@ -366,6 +366,16 @@
   Wait([this, aSide] { return sides_.at(aSide)->WorkerId().empty(); });
 }
 
+void
+ProcessFleet::SetAnnounces(std::size_t aSide, bool aAnnounces)
+{
+  if (aAnnounces) {
+    silent_.erase(aSide);
+  } else {
+    silent_.insert(aSide);
+  }
+}
+
 WorkerFake&
 ProcessFleet::Worker(std::size_t aSide)
 {
--- a/Tests/Fleet/ProcessFleet.h
+++ b/Tests/Fleet/ProcessFleet.h
@@ -91,6 +91,8 @@
   /** Makes the side's worker leave and exit, and waits until the side has
    * handled that. */
   void LeavePermanently(std::size_t aSide);
+  /** Makes the side's worker announce itself, or not. */
+  void SetAnnounces(std::size_t aSide, bool aAnnounces);
   WorkerFake& Worker(std::size_t aSide);
   std::string SideName(std::size_t aSide) const;
   std::string SideLinks(std::size_t aSide) const;
@@ -107,7 +109,8 @@
   std::vector<FleetSideSettings> sideSettings_;
   std::vector<std::unique_ptr<TestEntry>> entries_;
   std::vector<std::unique_ptr<TestSide>> sides_;
-  std::set<std::size_t> left_;
+  /** Workers that do not announce themselves. */
+  std::set<std::size_t> silent_;
   HttpCaller caller_;
   QTimer announcer_;
 };
--- a/Tests/Fleet/ProcessFleetTest.cxx
+++ b/Tests/Fleet/ProcessFleetTest.cxx
@@ -40,6 +40,21 @@
   return starts;
 }
 
+/** Returns the number of runs of all tasks of a job that are at work. */
+std::size_t
+RunsOfJob(ProcessFleet& aFleet, std::size_t aSides, const std::string& aJob)
+{
+  std::size_t runs = 0;
+  for (std::size_t i = 0; i < aSides; ++i) {
+    // Ends the runs whose lease has expired without a call from the side.
+    aFleet.Worker(i).Advance(ReadMonotonicClock());
+    for (const WorkerFake::Run& run : aFleet.Worker(i).runs_) {
+      runs += run.task_.starts_with(aJob + ".") ? 1 : 0;
+    }
+  }
+  return runs;
+}
+
 }
 
 Test(ProcessFleet, JobCompletesThroughEveryEntry)
@@ -168,6 +183,40 @@
   cr_assert(rows.contains(MemberRowId(fleet.SideName(1))));
 }
 
+// Guards against tasks that run twice: a side that is stopped again right after
+// its start does not know its worker yet and removes its row, and the next
+// leader does not wait for the runs beside it.
+Test(ProcessFleet, SideStoppedBeforeItKnowsItsWorkerKeepsItsRow)
+{
+  const Application application;
+  ProcessFleet fleet(2, 2);
+  WarmUp(fleet);
+  for (std::size_t side = 0; side < 2; ++side) {
+    fleet.Worker(side).taskTime_ = Millis(600000);
+  }
+  cr_assert_eq(fleet.Ask(0, "POST", "long", "4").status_, 200);
+  cr_assert(fleet.Wait([&fleet] { return RunsOfJob(fleet, 2, "long") == 4; }));
+  const std::size_t restarted = fleet.Worker(0).runs_.empty() ? 1 : 0;
+  const RowId id = MemberRowId(fleet.SideName(restarted));
+  const auto& rows = MemoryTables::OfTest().rows_;
+  const std::uint64_t former = rows.at(id).version_;
+
+  fleet.SetAnnounces(restarted, false);
+  fleet.StopSide(restarted);
+  fleet.StartSide(restarted);
+  cr_assert(fleet.Wait([&] { return rows.at(id).version_ != former; }));
+  fleet.StopSide(restarted);
+  cr_assert(rows.contains(id));
+
+  const std::size_t next = ProcessFleet::Leader() == "entry0" ? 1 : 0;
+  fleet.StopEntry(1 - next);
+  cr_assert(fleet.Wait([&fleet, next] {
+    return fleet.Ask(next, "POST", "after", "1").status_ == 200;
+  }));
+  cr_assert(fleet.Wait([&fleet] { return RunsOfJob(fleet, 2, "after") == 1; }));
+  cr_assert_leq(RunsOfJob(fleet, 2, "long"), 4);
+}
+
 // Guards against a leader on a host with an eighth of a processor, which falls
 // seconds behind, so that callers wait and watchers are not running. Such a
 // host may read an expired lease first, as each entry reads it every 0.7 s, and
