Entry: Store the cancellation of a job that is not there

Cause: an entry that finds no row of a job answered 410 to its cancellation and stored nothing. A write of the job may still be open then, at another entry that repeats it or in the store, and it takes effect afterwards.

Change: the cancellation is stored first, and 410 is answered once it is. The leader already cancels a job that arrives after its cancellation. A cancellation without a job is kept for the retention time of finished jobs; its row is then removed on the condition that the job is still not there.

Tests: ProcessFleet/CancelledJobThatIsStoredLateNeverRuns failed before: the task started.

--- a/Source/Process/FleetEntry.h
+++ b/Source/Process/FleetEntry.h
@@ -1054,14 +1054,21 @@
                 } else if (known) {
                   StoreCancel(job, aDeadline, aAnswer);
                 } else {
-                  CancelStoredJob(job, aDeadline, aAnswer);
+                  CancelUnknownJob(job, aDeadline, aAnswer);
                 }
               });
   }
 
-  void CancelStoredJob(const std::string& aJob,
-                       Instant aDeadline,
-                       const Answer& aAnswer)
+  /**
+   * Cancels a job that the leader does not know.
+   *
+   * A write of a job that is not stored may still be open, at another entry or
+   * in the store. The cancellation is therefore stored before the caller is
+   * told that there is no such job, and applies if the job is stored later.
+   */
+  void CancelUnknownJob(const std::string& aJob,
+                        Instant aDeadline,
+                        const Answer& aAnswer)
   {
     if (RejectsWrite(CancelRowId(aJob))) {
       aAnswer(ReplyStoreRefuses());
@@ -1071,11 +1078,15 @@
                  [this, aJob, aDeadline, aAnswer](std::optional<bool> aStored) {
                    if (!aStored.has_value()) {
                      aAnswer(ReplyTryLater(StoredJobs<Store>::kNoAnswer));
-                   } else if (!*aStored) {
-                     aAnswer(ReplyOf(CallerOutcome::NoSuchJob));
-                   } else {
-                     StoreCancel(aJob, aDeadline, aAnswer);
+                     return;
                    }
+                   const auto answer = [aAnswer, stored = *aStored](
+                                         const CallerReply& aReply) {
+                     const bool none =
+                       !stored && aReply.outcome_ == CallerOutcome::Stored;
+                     aAnswer(none ? ReplyOf(CallerOutcome::NoSuchJob) : aReply);
+                   };
+                   StoreCancel(aJob, aDeadline, answer);
                  });
   }
 
--- a/Source/Process/FleetLeader.h
+++ b/Source/Process/FleetLeader.h
@@ -478,31 +478,19 @@
   }
 
   /**
-   * Stores the interference model, removes expired jobs and the rows of
-   * removable sides, and logs the state of each worker.
+   * Stores the interference model, removes expired jobs, expired cancellations
+   * and the rows of removable sides, and logs the state of each worker.
    */
   void Sweep(Instant aNow)
   {
     WriteInterferenceModel(aNow);
     removedJobs_.DropOld(aNow);
-    std::map<std::string, std::vector<std::string>> byPart;
-    for (const std::string& id : scheduler_.Expired(ReadWallClock() / 1000)) {
-      byPart[WorkPartOf(id)].push_back(id);
+    for (const auto& ids :
+         Batches(scheduler_.Expired(ReadWallClock() / 1000))) {
+      RemoveExpiredJobs(ids, aNow);
     }
-    constexpr std::size_t kMaxJobsPerTransaction = 40;
-    for (auto& [part, found] : byPart) {
-      std::vector<std::string> ids = std::move(found);
-      ids.resize(std::min(ids.size(), kMaxJobsPerTransaction));
-      RowTransaction transaction;
-      for (const std::string& id : ids) {
-        transaction.removals_.push_back(JobRowId(id));
-        transaction.removals_.push_back(CancelRowId(id));
-      }
-      store_.Write(transaction,
-                   aNow + kRemoveTimeout,
-                   Guarded(this, [this, ids](const Commit& aCommit) {
-                     OnJobsRemoved(ids, aCommit);
-                   }));
+    for (const auto& ids : Batches(scheduler_.ExpiredEarlyCancels(aNow))) {
+      RemoveEarlyCancels(ids, aNow);
     }
     for (const std::string& node : scheduler_.RemovableSides(aNow)) {
       RemoveMember(node, aNow);
@@ -527,6 +515,69 @@
     }
   }
 
+  /** Splits jobs into one batch for each part of the work table, each small
+   * enough for one transaction. The next sweep handles the rest. */
+  static std::vector<std::vector<std::string>> Batches(
+    const std::vector<std::string>& aIds)
+  {
+    constexpr std::size_t kMaxJobsPerTransaction = 40;
+    std::map<std::string, std::vector<std::string>> byPart;
+    for (const std::string& id : aIds) {
+      std::vector<std::string>& batch = byPart[WorkPartOf(id)];
+      if (batch.size() < kMaxJobsPerTransaction) {
+        batch.push_back(id);
+      }
+    }
+    std::vector<std::vector<std::string>> batches;
+    for (auto& [part, batch] : byPart) {
+      batches.push_back(std::move(batch));
+    }
+    return batches;
+  }
+
+  void RemoveExpiredJobs(const std::vector<std::string>& aIds, Instant aNow)
+  {
+    RowTransaction transaction;
+    for (const std::string& id : aIds) {
+      transaction.removals_.push_back(JobRowId(id));
+      transaction.removals_.push_back(CancelRowId(id));
+    }
+    store_.Write(transaction,
+                 aNow + kRemoveTimeout,
+                 Guarded(this, [this, aIds](const Commit& aCommit) {
+                   OnJobsRemoved(aIds, aCommit);
+                 }));
+  }
+
+  /** Removes cancellations whose jobs are not stored. A job that was stored in
+   * the meantime keeps its cancellation. */
+  void RemoveEarlyCancels(const std::vector<std::string>& aIds, Instant aNow)
+  {
+    constexpr std::uint64_t kNoRow = 0;
+    RowTransaction transaction;
+    for (const std::string& id : aIds) {
+      transaction.conditions_.push_back({ JobRowId(id), kNoRow });
+      transaction.removals_.push_back(CancelRowId(id));
+    }
+    store_.Write(transaction,
+                 aNow + kRemoveTimeout,
+                 Guarded(this, [this, aIds](const Commit& aCommit) {
+                   OnEarlyCancelsRemoved(aIds, aCommit);
+                 }));
+  }
+
+  void OnEarlyCancelsRemoved(const std::vector<std::string>& aIds,
+                             const Commit& aCommit)
+  {
+    if (aCommit.outcome_ != CommitOutcome::Done) {
+      return; // The next sweep retries the removal.
+    }
+    for (const std::string& id : aIds) {
+      removedJobs_.Add(id, aCommit.version_, ReadMonotonicClock());
+      scheduler_.ForgetEarlyCancel(id);
+    }
+  }
+
   /** Handles the outcome of the removal of expired jobs: drops removed jobs
    * from the scheduler and queues the removal of their progress rows. */
   void OnJobsRemoved(const std::vector<std::string>& aIds,
--- a/Source/Process/FleetScheduler.cxx
+++ b/Source/Process/FleetScheduler.cxx
@@ -203,10 +203,9 @@
 void
 FleetScheduler::OnCancelStored(const std::string& aJob, Instant aNow)
 {
-  (void)aNow;
   const auto found = jobs_.find(aJob);
   if (found == jobs_.end()) {
-    earlyCancels_.insert(aJob);
+    earlyCancels_.try_emplace(aJob, aNow + bounds_.keepFinished_);
     return;
   }
   JobEntry& entry = found->second;
@@ -564,4 +563,22 @@
   overload_.open_.erase(aJob);
 }
 
+std::vector<std::string>
+FleetScheduler::ExpiredEarlyCancels(Instant aNow) const
+{
+  std::vector<std::string> expired;
+  for (const auto& [job, until] : earlyCancels_) {
+    if (aNow >= until) {
+      expired.push_back(job);
+    }
+  }
+  return expired;
+}
+
+void
+FleetScheduler::ForgetEarlyCancel(const std::string& aJob)
+{
+  earlyCancels_.erase(aJob);
+}
+
 }
--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -181,6 +181,10 @@
   /** Returns the jobs whose retention time is over. */
   std::vector<std::string> Expired(std::int64_t aWallMs) const;
   void Forget(const std::string& aJob);
+  /** Returns the jobs that were cancelled, but not stored within the retention
+   * time. */
+  std::vector<std::string> ExpiredEarlyCancels(Instant aNow) const;
+  void ForgetEarlyCancel(const std::string& aJob);
   /**
    * Returns the sides that have been unreachable for so long that nothing can
    * run on their workers.
@@ -701,8 +705,9 @@
   std::uint32_t firstRun_;
   FleetBounds bounds_;
   std::unordered_map<std::string, JobEntry> jobs_;
-  /** Cancellations whose job is not known yet. */
-  std::set<std::string> earlyCancels_;
+  /** Cancellations whose job is not known, with the times until which they are
+   * kept. */
+  std::map<std::string, Instant> earlyCancels_;
   std::set<ReadyKey> ready_;
   /** Due times of the next occurrences of timed jobs, in ms since 1970. */
   std::set<std::pair<std::int64_t, std::string>> due_;
--- a/Tests/Fleet/MemoryStore.cxx
+++ b/Tests/Fleet/MemoryStore.cxx
@@ -3,6 +3,7 @@
 #include <QCoreApplication>
 #include <QTimer>
 
+#include <algorithm>
 #include <utility>
 
 namespace cactusrail {
@@ -82,6 +83,24 @@
   return { CommitOutcome::Done, version_ };
 }
 
+bool
+MemoryTables::IsLate(const RowTransaction& aTransaction) const
+{
+  return lateRow_.has_value() && std::any_of(aTransaction.puts_.begin(),
+                                             aTransaction.puts_.end(),
+                                             [this](const RowPut& aPut) {
+                                               return aPut.id_ == *lateRow_;
+                                             });
+}
+
+void
+MemoryTables::ApplyLateWrites()
+{
+  for (const RowTransaction& transaction : std::exchange(lateWrites_, {})) {
+    Apply(transaction);
+  }
+}
+
 RowPage
 MemoryTables::Page(const RowRange& aRange) const
 {
@@ -122,10 +141,13 @@
   MemoryTables& tables = MemoryTables::OfTest();
   Commit commit{ CommitOutcome::NotDone, 0 };
   Millis after(0);
-  if (!tables.unavailable_ && !tables.silent_) {
+  const bool late = tables.IsLate(aTransaction);
+  if (late) {
+    tables.lateWrites_.push_back(aTransaction);
+  } else if (!tables.unavailable_ && !tables.silent_) {
     commit = tables.Apply(aTransaction);
   }
-  if (tables.losesAnswers_ || tables.silent_) {
+  if (tables.losesAnswers_ || tables.silent_ || late) {
     commit = { CommitOutcome::UnknownOutcome, 0 };
     after =
       std::chrono::duration_cast<Millis>(aDeadline - ReadMonotonicClock());
--- a/Tests/Fleet/MemoryStore.h
+++ b/Tests/Fleet/MemoryStore.h
@@ -38,11 +38,19 @@
   /** Calls have no effect and are not answered before their deadline. */
   bool silent_ = false;
 
+  /** Writes of this row are not answered, and take effect only once
+   * ApplyLateWrites() is called. */
+  std::optional<RowId> lateRow_;
+  std::vector<RowTransaction> lateWrites_;
+
   /** Makes reads answer with the present state until stale_ is reset. */
   void FreezeReads() { stale_ = Snapshot{ rows_, version_ }; }
   /** Drops the history, so that all watches must read their table again. */
   void ExpireHistory();
   Commit Apply(const RowTransaction& aTransaction);
+  /** Whether the transaction puts lateRow_. */
+  bool IsLate(const RowTransaction& aTransaction) const;
+  void ApplyLateWrites();
   RowPage Page(const RowRange& aRange) const;
   RowChanges Changes(const std::string& aTable, std::uint64_t aAfter) const;
 };
--- a/Tests/Fleet/ProcessFleet.cxx
+++ b/Tests/Fleet/ProcessFleet.cxx
@@ -192,8 +192,10 @@
 ProcessFleet::ProcessFleet(std::size_t aEntries,
                            std::size_t aSides,
                            double aProcessors,
-                           const FleetFeatures& aFeatures)
+                           const FleetFeatures& aFeatures,
+                           Millis aKeepFinished)
   : features_(aFeatures)
+  , keepFinished_(aKeepFinished)
 {
   MemoryTables& tables = MemoryTables::OfTest();
   RowTransaction configuration;
@@ -234,6 +236,7 @@
   settings.readiness_ = { ip, 7004 };
   settings.processors_ = aProcessors;
   settings.bounds_.features_ = features_;
+  settings.bounds_.keepFinished_ = keepFinished_;
   entrySettings_.push_back(settings);
   entries_.push_back(
     std::get<std::unique_ptr<TestEntry>>(TestEntry::Start(settings)));
--- a/Tests/Fleet/ProcessFleet.h
+++ b/Tests/Fleet/ProcessFleet.h
@@ -65,7 +65,8 @@
   ProcessFleet(std::size_t aEntries,
                std::size_t aSides,
                double aProcessors = 1,
-               const FleetFeatures& aFeatures = FleetFeatures());
+               const FleetFeatures& aFeatures = FleetFeatures(),
+               Millis aKeepFinished = FleetBounds().keepFinished_);
 
   /** Starts one more entry, on a host with aProcessors processors. */
   void AddEntry(double aProcessors);
@@ -105,6 +106,8 @@
   void Announce();
 
   FleetFeatures features_;
+  /** See FleetBounds::keepFinished_. */
+  Millis keepFinished_;
   std::vector<FleetEntrySettings> entrySettings_;
   std::vector<FleetSideSettings> sideSettings_;
   std::vector<std::unique_ptr<TestEntry>> entries_;
--- a/Tests/Fleet/ProcessFleetTest.cxx
+++ b/Tests/Fleet/ProcessFleetTest.cxx
@@ -168,6 +168,46 @@
   cr_assert_eq(StartsOf(fleet, 1, "doubt.0.0.0"), 1);
 }
 
+// Guards against a cancelled job that runs: its write is still open when the
+// cancellation is acknowledged, and takes effect later.
+Test(ProcessFleet, CancelledJobThatIsStoredLateNeverRuns)
+{
+  const Application application;
+  ProcessFleet fleet(2, 1);
+  WarmUp(fleet);
+  MemoryTables& tables = MemoryTables::OfTest();
+  tables.lateRow_ = JobRowId("late");
+  cr_assert_eq(fleet.Ask(0, "POST", "late", "1").status_, 504);
+  tables.lateRow_.reset();
+  cr_assert_eq(fleet.Ask(1, "GET", "late").status_, 410);
+  cr_assert_eq(fleet.Ask(1, "DELETE", "late").status_, 410);
+  tables.ApplyLateWrites();
+  cr_assert(tables.rows_.contains(JobRowId("late")));
+  cr_assert_eq(fleet.Ask(0, "POST", "after", "1").status_, 200);
+  cr_assert(fleet.Completes(0, "after"));
+  cr_assert_eq(StartsOf(fleet, 1, "late.0.0.0"), 0);
+  for (std::size_t entry = 0; entry < 2; ++entry) {
+    cr_assert_eq(fleet.Ask(entry, "GET", "late").body_, "cancelled");
+  }
+}
+
+// Guards against cancellations of jobs that never come, which would stay in the
+// table and in the leader's memory for good.
+Test(ProcessFleet, CancellationWithoutAJobIsRemovedAfterTheRetentionTime)
+{
+  const Application application;
+  ProcessFleet fleet(1, 1, 1, FleetFeatures(), Millis(1));
+  WarmUp(fleet);
+  cr_assert_eq(fleet.Ask(0, "DELETE", "never").status_, 410);
+  const auto& rows = MemoryTables::OfTest().rows_;
+  cr_assert(rows.contains(CancelRowId("never")));
+  cr_assert(
+    fleet.Wait([&rows] { return !rows.contains(CancelRowId("never")); }));
+  cr_assert_eq(fleet.Ask(0, "POST", "never", "1").status_, 200);
+  cr_assert(
+    fleet.Wait([&fleet] { return StartsOf(fleet, 1, "never.0.0.0") == 1; }));
+}
+
 // Guards against a stale row of a side that was stopped after its worker left.
 // With such a row the next leader defers all older work until that side can
 // have no lease any more.
