Scheduler: Withhold from lower priorities only what an urgent task can use

Cause: a placement pass skipped all work of lower priorities after the first step that found no worker. That protects capacity which preemption is about to free, but it did not ask whether any worker could run the step, or whether the work behind it could use others.

Change: a step that finds no worker withholds from lower priorities the workers on which it fits once the runs that it may preempt have ended, and no others. A gang withholds and preempts only if all its members fit so.

Tests: TaskThatNoWorkerMayRunHoldsUpNoOtherWork, and the same for a task that fits on no worker, a gang that does not fit and a task that waits for a full worker, failed before.

--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -510,10 +510,17 @@
   };
   /**
    * Preempts runs of lower priorities on the worker where the fewest have to
-   * stop. Does nothing for backfill, or if runs that are already being stopped
-   * free enough resources on a worker.
+   * stop, and withholds all workers where that is possible from lower
+   * priorities for the rest of the pass. Does nothing for backfill. Preempts
+   * nothing if runs that are already being stopped free enough resources on a
+   * worker.
    */
   void PreemptFor(const FleetJob& aJob, const FleetStep& aStep, Instant aNow);
+  /** Whether all members of a gang fit on the targets in options_ once all work
+   * that the priority may preempt has ended. */
+  bool GangFits(const FleetStep& aStep,
+                std::span<const std::size_t> aTargets,
+                std::int64_t aPriority) const;
   PreemptionPlan PlanPreemption(FleetWorker& aWorker,
                                 const FleetResources& aWanted,
                                 std::int64_t aPriority);
--- a/Source/Process/FleetSchedulerLongRunning.cxx
+++ b/Source/Process/FleetSchedulerLongRunning.cxx
@@ -351,7 +351,7 @@
   const FleetWorker* best = nullptr;
   for (const WorkerOption& option : options_) {
     const FleetWorker& worker = *option.worker_;
-    if (!MayRunOn(option, facts) || option.cordoned_ ||
+    if (!MayRunOn(option, facts) || option.cordoned_ || option.withheld_ ||
         !LeavesCapacityFor(worker, wanted)) {
       continue;
     }
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -124,8 +124,9 @@
   UpdateSelection(aNow);
   misses_.Clear();
   std::vector<ReadyKey> placed;
-  // Work of a lower priority must not take capacity that preemption frees.
-  std::optional<std::int64_t> blockedPriority;
+  for (auto& [node, worker] : workers_) {
+    worker.withheldFor_.reset();
+  }
   for (const ReadyKey& key : PlacementOrder()) {
     const auto found = jobs_.find(key.job_);
     if (found == jobs_.end() || found->second.job_->IsOver()) {
@@ -149,15 +150,8 @@
     if (IsDeferred(found->second, *step, aNow)) {
       continue;
     }
-    const bool backfill = step->spec_->backfill_;
-    if (blockedPriority.has_value() && key.priority_ > *blockedPriority &&
-        !backfill) {
-      continue;
-    }
     if (PlaceStep(key, aNow)) {
       placed.push_back(key);
-    } else if (!blockedPriority.has_value() && !backfill) {
-      blockedPriority = key.priority_;
     }
   }
   for (const ReadyKey& key : placed) {
@@ -360,6 +354,8 @@
     option.evacuated_ = IsEvacuated(worker);
     option.reserved_ =
       reservations_.IsReservedFrom(aJob.Spec().id_, worker.node_, aNow);
+    option.withheld_ = worker.withheldFor_.has_value() &&
+                       aJob.Spec().priority_ > *worker.withheldFor_;
     option.fit_ = FitOn(worker, aJob, *aStep.spec_);
     options_.push_back(option);
   }
--- a/Source/Process/FleetSchedulerPreemption.cxx
+++ b/Source/Process/FleetSchedulerPreemption.cxx
@@ -17,14 +17,6 @@
            aLeft.accelerators_ + aRight.accelerators_ };
 }
 
-bool
-Covers(const FleetResources& aRoom, const FleetResources& aWanted)
-{
-  return aRoom.cpuMilli_ >= aWanted.cpuMilli_ &&
-         aRoom.memoryMb_ >= aWanted.memoryMb_ &&
-         aRoom.accelerators_ >= aWanted.accelerators_;
-}
-
 }
 
 std::vector<FleetScheduler::PreemptibleRun>
@@ -83,6 +75,30 @@
   return plan;
 }
 
+bool
+FleetScheduler::GangFits(const FleetStep& aStep,
+                         std::span<const std::size_t> aTargets,
+                         std::int64_t aPriority) const
+{
+  const FleetResources wanted = FixedResourcesOf(*aStep.spec_);
+  const std::uint32_t limit = aStep.spec_->maxPerWorker_;
+  std::size_t members = 0;
+  for (const std::size_t target : aTargets) {
+    FleetResources room =
+      options_[target].worker_->FreeAfterPreemption(aPriority);
+    std::uint32_t here = 0;
+    while (members < aStep.tasks_.size() && (limit == 0 || here < limit) &&
+           Covers(room, wanted)) {
+      room = { room.cpuMilli_ - wanted.cpuMilli_,
+               room.memoryMb_ - wanted.memoryMb_,
+               room.accelerators_ - wanted.accelerators_ };
+      ++here;
+      ++members;
+    }
+  }
+  return members == aStep.tasks_.size();
+}
+
 void
 FleetScheduler::PreemptFor(const FleetJob& aJob,
                            const FleetStep& aStep,
@@ -97,16 +113,21 @@
   facts.service_ = aJob.Spec().service_;
   facts.now_ = aNow;
   FillOptions(aJob, aStep, aNow);
+  const std::int64_t priority = aJob.Spec().priority_;
+  const std::vector<std::size_t> targets =
+    PreemptionTargets(options_, facts, priority);
+  if (aStep.spec_->gang_ && !GangFits(aStep, targets, priority)) {
+    return;
+  }
+  for (const std::size_t target : targets) {
+    FleetWorker& worker = workers_.at(options_[target].worker_->node_);
+    worker.withheldFor_ = worker.withheldFor_.value_or(priority);
+  }
   const FleetWorker* best = nullptr;
   PreemptionPlan bestPreemption;
-  for (const WorkerOption& option : options_) {
-    if (!MayRunOn(option, facts) || option.cordoned_ ||
-        !Covers(option.worker_->FreeAfterPreemption(aJob.Spec().priority_),
-                wanted)) {
-      continue;
-    }
-    FleetWorker& worker = workers_.at(option.worker_->node_);
-    PreemptionPlan plan = PlanPreemption(worker, wanted, aJob.Spec().priority_);
+  for (const std::size_t target : targets) {
+    FleetWorker& worker = workers_.at(options_[target].worker_->node_);
+    PreemptionPlan plan = PlanPreemption(worker, wanted, priority);
     if (plan.inFlight_) {
       return;
     }
--- a/Source/Process/FleetWorker.h
+++ b/Source/Process/FleetWorker.h
@@ -120,6 +120,10 @@
   /** End of the period without new tasks after a run on the worker stalled or a
    * start got no answer. */
   Instant cordonedUntil_;
+  /** Priority of the most urgent step that found no worker in this placement
+   * pass and fits here once preempted runs have ended. The worker is withheld
+   * from less urgent steps, which would take the capacity that becomes free. */
+  std::optional<std::int64_t> withheldFor_;
   /** Smoothed ratio of task durations here to those on other workers. */
   double slowness_ = 1;
   /** Time at which the last reported figures of the runs were measured. */
--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -270,13 +270,35 @@
   return step.maxPerWorker_ == 0 || aOption.sameStep_ < step.maxPerWorker_;
 }
 
+bool
+Covers(const FleetResources& aRoom, const FleetResources& aWanted)
+{
+  return aRoom.cpuMilli_ >= aWanted.cpuMilli_ &&
+         aRoom.memoryMb_ >= aWanted.memoryMb_ &&
+         aRoom.accelerators_ >= aWanted.accelerators_;
+}
+
 bool
 HasCapacityFor(const FleetWorker& aWorker, const FleetResources& aRoom)
 {
-  const FleetResources free = aWorker.Free();
-  return free.cpuMilli_ >= aRoom.cpuMilli_ &&
-         free.memoryMb_ >= aRoom.memoryMb_ &&
-         free.accelerators_ >= aRoom.accelerators_;
+  return Covers(aWorker.Free(), aRoom);
+}
+
+std::vector<std::size_t>
+PreemptionTargets(std::span<const WorkerOption> aOptions,
+                  const ChoiceFacts& aFacts,
+                  std::int64_t aPriority)
+{
+  const FleetResources wanted = FixedResourcesOf(*aFacts.step_);
+  std::vector<std::size_t> targets;
+  for (std::size_t i = 0; i < aOptions.size(); ++i) {
+    const WorkerOption& option = aOptions[i];
+    if (!option.cordoned_ && !option.withheld_ && MayRunOn(option, aFacts) &&
+        Covers(option.worker_->FreeAfterPreemption(aPriority), wanted)) {
+      targets.push_back(i);
+    }
+  }
+  return targets;
 }
 
 namespace {
@@ -292,7 +314,10 @@
   double bestCost = kIneligibleCost;
   for (std::size_t i = 0; i < aOptions.size(); ++i) {
     const FleetWorker& worker = *aOptions[i].worker_;
-    if (!MayRunOn(aOptions[i], aFacts) || !HasCapacityFor(worker, room) ||
+    // Backfill takes no capacity that other tasks wait for.
+    const bool withheld = aOptions[i].withheld_ && !aFacts.step_->backfill_;
+    if (withheld || !MayRunOn(aOptions[i], aFacts) ||
+        !HasCapacityFor(worker, room) ||
         aFacts.now_ < worker.refusalBackoffUntil_ ||
         (aUncordonedOnly && IsCordoned(aOptions[i], aFacts.now_)) ||
         (needsTrust && !IsTrusted(aOptions[i], aFacts))) {
--- a/Source/Process/WorkerChoice.h
+++ b/Source/Process/WorkerChoice.h
@@ -44,6 +44,8 @@
   bool evacuated_ = false;
   /** The worker is reserved for another job; see WorkerReservations. */
   bool reserved_ = false;
+  /** The worker is withheld from the step; see FleetWorker::withheldFor_. */
+  bool withheld_ = false;
   /** For a backfill task: its fit beside the serving tasks on the worker. */
   BackfillFit fit_;
 };
@@ -63,10 +65,23 @@
 bool
 MayRunOn(const WorkerOption& aOption, const ChoiceFacts& aFacts);
 
+/** Whether all resources in aRoom suffice for aWanted. */
+bool
+Covers(const FleetResources& aRoom, const FleetResources& aWanted);
+
 /** Whether the free capacity of the worker is sufficient. */
 bool
 HasCapacityFor(const FleetWorker& aWorker, const FleetResources& aRoom);
 
+/**
+ * Returns the indexes of the workers on which a task fits once all work that
+ * its priority may preempt has ended. Pure.
+ */
+std::vector<std::size_t>
+PreemptionTargets(std::span<const WorkerOption> aOptions,
+                  const ChoiceFacts& aFacts,
+                  std::int64_t aPriority);
+
 /**
  * Returns the index of the best worker for a task; none if the task should
  * wait. Pure.
