Scheduler: Use a cordoned worker where all others stay full

What callers would see: a task waits for minutes beside an idle worker.

Cause: a cordoned worker is used if all others that may run the task are cordoned, too, so that work doesn't wait for a cordon to end (5 s, doubling up to 5 min). A worker that is not cordoned counted even if long-running tasks fill it for good.

Change: a worker counts only if its capacity suffices once all its tasks that are not long-running have ended. A worker that is busy for a while counts as before.

Test: WorkerChoice/CordonedWorkerIsUsedWhereTheOthersStayFull failed before.

--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -187,17 +187,32 @@
   return aOption.cordoned_ || aNow < aOption.worker_->cordonedUntil_;
 }
 
+/** Whether the capacity of the worker suffices once all its tasks that are not
+ * long-running have ended. */
+bool
+MayGetCapacityFor(const FleetWorker& aWorker, const FleetResources& aRoom)
+{
+  const FleetResources& all = aWorker.facts_.room_;
+  const FleetResources& longRunning = aWorker.longRunningUsed_;
+  return Covers({ all.cpuMilli_ - longRunning.cpuMilli_,
+                  all.memoryMb_ - longRunning.memoryMb_,
+                  all.accelerators_ - longRunning.accelerators_ },
+                aRoom);
+}
+
 /**
- * Whether any eligible worker is not cordoned. If all are cordoned, they are
- * used nevertheless: work must not wait indefinitely because every worker had
- * failures for a minute.
+ * Whether any eligible worker is not cordoned and has the capacity now or
+ * later. If there is none, cordoned workers are used nevertheless: work must
+ * not wait indefinitely because every other worker had failures for a minute.
  */
 bool
 AnyUncordoned(std::span<const WorkerOption> aOptions, const ChoiceFacts& aFacts)
 {
+  const FleetResources room = FixedResourcesOf(*aFacts.step_);
   return std::any_of(
-    aOptions.begin(), aOptions.end(), [&aFacts](const WorkerOption& aOption) {
-      return MayRunOn(aOption, aFacts) && !IsCordoned(aOption, aFacts.now_);
+    aOptions.begin(), aOptions.end(), [&](const WorkerOption& aOption) {
+      return MayRunOn(aOption, aFacts) && !IsCordoned(aOption, aFacts.now_) &&
+             MayGetCapacityFor(*aOption.worker_, room);
     });
 }
 
--- a/Tests/Fleet/WorkerChoiceTest.cxx
+++ b/Tests/Fleet/WorkerChoiceTest.cxx
@@ -117,6 +117,25 @@
   cr_assert(ChooseWorker(std::span(&option, 1), facts).has_value());
 }
 
+// Guards against work that waits for a cordon to end, because the only worker
+// that is not cordoned counts although long-running tasks fill it for good.
+Test(WorkerChoice, CordonedWorkerIsUsedWhereTheOthersStayFull)
+{
+  FleetWorker cordoned = Worker("cordoned");
+  FleetWorker full = Worker("full");
+  full.used_ = full.facts_.room_;
+  std::vector<WorkerOption> options(2);
+  options[0].worker_ = &cordoned;
+  options[0].cordoned_ = true;
+  options[1].worker_ = &full;
+  StepSpec step;
+  step.cpuMilli_ = 7000;
+  const ChoiceFacts facts = FactsOf(step);
+  cr_assert_not(ChooseWorker(options, facts).has_value(), "It gets free.");
+  full.longRunningUsed_ = full.used_;
+  cr_assert_eq(ChooseWorker(options, facts), 0);
+}
+
 // Guards against processors that stay idle beside serving tasks with little
 // load, while backfill waits: 40 of 64 processors are declared, and a fifth of
 // them is used.
