Scheduler: Limit the wait of a last attempt for a trusted worker

Cause: the last attempt of a task goes only to a worker that is trusted (the task has not failed there, and the last task there has not), as long as one may run it. That worker stayed full with a long-running task. Its capacity was not asked, and the wait had no limit.

Change: once nothing of the job has run for 1.5 s although a worker that is not trusted has capacity, that worker is used. Callers count a job as lost after 3 s; starving backfill has the same limit. While no worker has capacity, or other tasks of the job run, the attempt waits on. It holds for gangs and backfill as well. The miss of a last attempt says nothing of other tasks any more, which waited behind it, and preemption for it looks at trusted workers only.

Tests: StartsWhereItFailedWhenTheOtherWorkersStayFull, the same for a gang and for backfill, and HoldsUpNoOtherWorkOnAWorkerThatItDoesNotTrust failed before.

--- a/Source/Process/FleetScheduler.h
+++ b/Source/Process/FleetScheduler.h
@@ -456,11 +456,29 @@
                FleetStep& aStep,
                std::uint32_t aIndex,
                Instant aNow);
+  /**
+   * Whether no task of the job has run for kStarvationTimeout although one was
+   * ready; called in each pass in which that is so.
+   */
+  static bool IsStarving(JobEntry& aEntry, Instant aNow);
   bool PlaceStarving(JobEntry& aEntry,
                      FleetStep& aStep,
                      std::uint32_t aIndex,
                      Instant aNow);
   bool PlaceGang(JobEntry& aEntry, FleetStep& aStep, Instant aNow);
+  /** Returns a worker for each member of the gang; none if any member finds
+   * none. */
+  std::vector<FleetWorker*> ChooseForGang(JobEntry& aEntry,
+                                          FleetStep& aStep,
+                                          std::uint32_t aRun,
+                                          Instant aNow,
+                                          bool aStarving = false);
+  /** Returns the workers for a gang with a last attempt that has waited for
+   * trusted workers for too long; none if it has not, or if it finds none. */
+  std::vector<FleetWorker*> ChooseForStarvingGang(JobEntry& aEntry,
+                                                  FleetStep& aStep,
+                                                  std::uint32_t aRun,
+                                                  Instant aNow);
   /** Collects the workers for the tasks of one step in options_. */
   void FillOptions(const FleetJob& aJob, const FleetStep& aStep, Instant aNow);
   /** Updates the option on which a task of the step was placed. */
@@ -471,6 +489,13 @@
   static bool IsLastAttempt(const FleetJob& aJob,
                             const FleetStep& aStep,
                             const FleetTask& aTask);
+  /** Returns the input to the choice of a worker for a task. aRack must outlive
+   * the result. */
+  ChoiceFacts FactsFor(const FleetJob& aJob,
+                       const FleetStep& aStep,
+                       const FleetTask& aTask,
+                       std::string_view aRack,
+                       Instant aNow) const;
   /** Returns the best of options_ for a task, or none if waiting is better. */
   std::optional<std::size_t> ChooseAmongOptions(const FleetJob& aJob,
                                                 const FleetStep& aStep,
@@ -515,7 +540,10 @@
    * nothing if runs that are already being stopped free enough resources on a
    * worker.
    */
-  void PreemptFor(const FleetJob& aJob, const FleetStep& aStep, Instant aNow);
+  void PreemptFor(const FleetJob& aJob,
+                  const FleetStep& aStep,
+                  const FleetTask& aTask,
+                  Instant aNow);
   /** Whether all members of a gang fit on the targets in options_ once all work
    * that the priority may preempt has ended. */
   bool GangFits(const FleetStep& aStep,
--- a/Source/Process/FleetSchedulerPlacement.cxx
+++ b/Source/Process/FleetSchedulerPlacement.cxx
@@ -264,14 +264,15 @@
     }
     const bool isNew = IsNew(entry, task);
     // All tasks of a step request the same resources, so after a miss only a
-    // task with a reservation can still find a worker.
+    // task with a reservation can still find a worker. A last attempt may miss
+    // although there is capacity, on workers that it does not trust.
     const bool mustWait = (isNew && (restarting || admissible == 0)) ||
                           (missed && task.reservedOn_.empty());
     if (mustWait || task.notBefore_ > aNow) {
       allPlaced = false;
     } else if (!PlaceOrMiss(entry, step, i, aNow)) {
       allPlaced = false;
-      missed = true;
+      missed = missed || !IsLastAttempt(*entry.job_, step, task);
     } else if (isNew) {
       --admissible;
     }
@@ -292,8 +293,11 @@
   if (PlaceStarving(aEntry, aStep, aIndex, aNow)) {
     return true;
   }
-  RecordMiss(*aEntry.job_, aStep, aNow);
-  PreemptFor(*aEntry.job_, aStep, aNow);
+  const FleetTask& task = aStep.tasks_[aIndex];
+  if (!IsLastAttempt(*aEntry.job_, aStep, task)) {
+    RecordMiss(*aEntry.job_, aStep, aNow);
+  }
+  PreemptFor(*aEntry.job_, aStep, task, aNow);
   LogLongRunningWait(aEntry, aStep, aIndex, aNow);
   ReserveWorkerFor(aEntry, aStep, aStep.tasks_[aIndex], aNow);
   return false;
@@ -321,12 +325,8 @@
   // Backfill jobs without a run are placed by PlaceStarving, and jobs with a
   // reservation can use their reserved worker.
   const bool idle = aStep.spec_->backfill_ && aEntry.job_->Idle();
-  if (idle || !misses_.Covers(spec, *aStep.spec_) ||
-      !reservations_.NodeOf(spec.id_, aNow).empty()) {
-    return false;
-  }
-  aEntry.idleSince_.reset();
-  return true;
+  return !idle && misses_.Covers(spec, *aStep.spec_) &&
+         reservations_.NodeOf(spec.id_, aNow).empty();
 }
 
 void
@@ -434,16 +434,27 @@
                                    bool aStarving) const
 {
   const std::string rack = RackInUse(aStep);
+  ChoiceFacts facts = FactsFor(aJob, aStep, aTask, rack, aNow);
+  facts.starving_ = aStarving;
+  return ChooseWorker(options_, facts);
+}
+
+ChoiceFacts
+FleetScheduler::FactsFor(const FleetJob& aJob,
+                         const FleetStep& aStep,
+                         const FleetTask& aTask,
+                         std::string_view aRack,
+                         Instant aNow) const
+{
   ChoiceFacts facts;
   facts.step_ = aStep.spec_;
   facts.service_ = aJob.Spec().service_;
   facts.avoid_ = aTask.avoid_;
   facts.farFactor_ = bounds_.farFactor_;
-  facts.rackInUse_ = rack;
+  facts.rackInUse_ = aRack;
   facts.now_ = aNow;
   facts.lastAttempt_ = IsLastAttempt(aJob, aStep, aTask);
-  facts.starving_ = aStarving;
-  return ChooseWorker(options_, facts);
+  return facts;
 }
 
 bool
@@ -520,6 +531,9 @@
  * worker, but only once and not after each of its tasks. For the same reason a
  * task that is stopped for a move and finds its new place taken restarts at
  * once.
+ *
+ * A last attempt starts on a worker that is not trusted once its job has had
+ * nothing running for as long, beside capacity on such a worker.
  */
 bool
 FleetScheduler::PlaceStarving(JobEntry& aEntry,
@@ -527,26 +541,36 @@
                               std::uint32_t aIndex,
                               Instant aNow)
 {
-  if (!aStep.spec_->backfill_ || !aEntry.job_->Idle()) {
+  const bool backfill = aStep.spec_->backfill_;
+  FleetTask& task = aStep.tasks_[aIndex];
+  if (!aEntry.job_->Idle()) {
     aEntry.idleSince_.reset();
     return false;
   }
-  aEntry.idleSince_ = aEntry.idleSince_.value_or(aNow);
-  if (!aEntry.starving_ && aNow - *aEntry.idleSince_ < kStarvationTimeout) {
+  if (!backfill && !IsLastAttempt(*aEntry.job_, aStep, task)) {
+    return false;
+  }
+  if (backfill && !IsStarving(aEntry, aNow)) {
     return false;
   }
-  FleetTask& task = aStep.tasks_[aIndex];
   const auto chosen = ChooseAmongOptions(*aEntry.job_, aStep, task, aNow, true);
   if (!chosen.has_value()) {
+    if (!backfill) {
+      // The task waits for capacity, not for a worker that is trusted.
+      aEntry.idleSince_.reset();
+    }
+    return false;
+  }
+  if (!IsStarving(aEntry, aNow)) {
     return false;
   }
   const auto idle =
     std::chrono::duration_cast<Millis>(aNow - *aEntry.idleSince_);
-  aEntry.starving_ = true;
+  aEntry.starving_ = aEntry.starving_ || backfill;
   aEntry.idleSince_.reset();
   PlaceOn(*chosen, aEntry, aStep, aIndex, aNow);
-  task.runs_.back().starving_ = true;
-  LogEvent("backfill-starving",
+  task.runs_.back().starving_ = backfill;
+  LogEvent(backfill ? "backfill-starving" : "last-attempt-starving",
            aEntry.job_->Spec().id_,
            task.runs_.back().node_,
            "no task of the job ran for " + std::to_string(idle.count()) +
@@ -554,6 +578,13 @@
   return true;
 }
 
+bool
+FleetScheduler::IsStarving(JobEntry& aEntry, Instant aNow)
+{
+  aEntry.idleSince_ = aEntry.idleSince_.value_or(aNow);
+  return aEntry.starving_ || aNow - *aEntry.idleSince_ >= kStarvationTimeout;
+}
+
 bool
 FleetScheduler::PlaceGang(JobEntry& aEntry, FleetStep& aStep, Instant aNow)
 {
@@ -574,11 +605,60 @@
       checkpoint = task.checkpoint_;
     }
   }
+  std::vector<FleetWorker*> chosen = ChooseForGang(aEntry, aStep, run, aNow);
+  if (chosen.empty()) {
+    chosen = ChooseForStarvingGang(aEntry, aStep, run, aNow);
+  }
+  if (chosen.empty()) {
+    PreemptFor(*aEntry.job_, aStep, aStep.tasks_.front(), aNow);
+    return false;
+  }
+  aEntry.idleSince_.reset();
+  for (std::uint32_t i = 0; i < chosen.size(); ++i) {
+    aStep.tasks_[i].lastRun_ = run;
+    aStep.tasks_[i].checkpoint_ = checkpoint;
+    StartRun(aEntry, aStep, i, *chosen[i], run, aNow);
+  }
+  return true;
+}
+
+std::vector<FleetWorker*>
+FleetScheduler::ChooseForStarvingGang(JobEntry& aEntry,
+                                      FleetStep& aStep,
+                                      std::uint32_t aRun,
+                                      Instant aNow)
+{
+  const FleetJob& job = *aEntry.job_;
+  const bool isLast = std::any_of(aStep.tasks_.begin(),
+                                  aStep.tasks_.end(),
+                                  [&job, &aStep](const FleetTask& aTask) {
+                                    return IsLastAttempt(job, aStep, aTask);
+                                  });
+  if (!isLast || !job.Idle()) {
+    return {};
+  }
+  std::vector<FleetWorker*> chosen =
+    ChooseForGang(aEntry, aStep, aRun, aNow, true);
+  if (chosen.empty()) {
+    aEntry.idleSince_.reset();
+  } else if (!IsStarving(aEntry, aNow)) {
+    chosen.clear();
+  }
+  return chosen;
+}
+
+std::vector<FleetWorker*>
+FleetScheduler::ChooseForGang(JobEntry& aEntry,
+                              FleetStep& aStep,
+                              std::uint32_t aRun,
+                              Instant aNow,
+                              bool aStarving)
+{
   FillOptions(*aEntry.job_, aStep, aNow);
   std::vector<FleetWorker*> chosen;
   for (std::uint32_t i = 0; i < aStep.tasks_.size(); ++i) {
     const auto option =
-      ChooseAmongOptions(*aEntry.job_, aStep, aStep.tasks_[i], aNow);
+      ChooseAmongOptions(*aEntry.job_, aStep, aStep.tasks_[i], aNow, aStarving);
     if (!option.has_value()) {
       break;
     }
@@ -587,7 +667,7 @@
       aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, i
     };
     worker->Hold(
-      name.Text(), run, TaskResourcesOf(*aStep.spec_, aEntry.job_->Spec()));
+      name.Text(), aRun, TaskResourcesOf(*aStep.spec_, aEntry.job_->Spec()));
     UpdateOption(*option, *aEntry.job_, aStep);
     TaskRun placeholder;
     placeholder.node_ = worker->node_;
@@ -598,19 +678,13 @@
     const TaskKey name{
       aEntry.job_->Spec().id_, aStep.occurrence_, aStep.index_, i
     };
-    chosen[i]->Release(name.Text(), run);
+    chosen[i]->Release(name.Text(), aRun);
     aStep.tasks_[i].runs_.clear();
   }
   if (chosen.size() < aStep.tasks_.size()) {
-    PreemptFor(*aEntry.job_, aStep, aNow);
-    return false;
+    chosen.clear();
   }
-  for (std::uint32_t i = 0; i < chosen.size(); ++i) {
-    aStep.tasks_[i].lastRun_ = run;
-    aStep.tasks_[i].checkpoint_ = checkpoint;
-    StartRun(aEntry, aStep, i, *chosen[i], run, aNow);
-  }
-  return true;
+  return chosen;
 }
 
 void
--- a/Source/Process/FleetSchedulerPreemption.cxx
+++ b/Source/Process/FleetSchedulerPreemption.cxx
@@ -102,16 +102,15 @@
 void
 FleetScheduler::PreemptFor(const FleetJob& aJob,
                            const FleetStep& aStep,
+                           const FleetTask& aTask,
                            Instant aNow)
 {
   if (aStep.spec_->backfill_) {
     return;
   }
   const FleetResources wanted = FixedResourcesOf(*aStep.spec_);
-  ChoiceFacts facts;
-  facts.step_ = aStep.spec_;
-  facts.service_ = aJob.Spec().service_;
-  facts.now_ = aNow;
+  const std::string rack = RackInUse(aStep);
+  const ChoiceFacts facts = FactsFor(aJob, aStep, aTask, rack, aNow);
   FillOptions(aJob, aStep, aNow);
   const std::int64_t priority = aJob.Spec().priority_;
   const std::vector<std::size_t> targets =
--- a/Source/Process/WorkerChoice.cxx
+++ b/Source/Process/WorkerChoice.cxx
@@ -228,7 +228,7 @@
 bool
 NeedsTrust(std::span<const WorkerOption> aOptions, const ChoiceFacts& aFacts)
 {
-  return aFacts.lastAttempt_ &&
+  return aFacts.lastAttempt_ && !aFacts.starving_ &&
          std::any_of(aOptions.begin(),
                      aOptions.end(),
                      [&aFacts](const WorkerOption& aOption) {
@@ -305,10 +305,12 @@
                   std::int64_t aPriority)
 {
   const FleetResources wanted = FixedResourcesOf(*aFacts.step_);
+  const bool needsTrust = NeedsTrust(aOptions, aFacts);
   std::vector<std::size_t> targets;
   for (std::size_t i = 0; i < aOptions.size(); ++i) {
     const WorkerOption& option = aOptions[i];
     if (!option.cordoned_ && !option.withheld_ && MayRunOn(option, aFacts) &&
+        (!needsTrust || IsTrusted(option, aFacts)) &&
         Covers(option.worker_->FreeAfterPreemption(aPriority), wanted)) {
       targets.push_back(i);
     }
--- a/Source/Process/WorkerChoice.h
+++ b/Source/Process/WorkerChoice.h
@@ -25,8 +25,8 @@
   Instant now_;
   /** One more failure of the task fails its job. */
   bool lastAttempt_ = false;
-  /** Backfill that found no suitable worker for a long time; any worker is
-   * accepted. */
+  /** The job has found no suitable worker for a long time: any worker is
+   * accepted for backfill, and one that is not trusted for a last attempt. */
   bool starving_ = false;
 };
 
@@ -93,7 +93,7 @@
  *   measure whether it does.
  * - All other tasks are spread by free capacity.
  * - The last attempt of a task waits for a worker on which it has not failed
- * and that is no suspect, as long as there is one.
+ *   and that is no suspect, until its job is starving.
  */
 std::optional<std::size_t>
 ChooseWorker(std::span<const WorkerOption> aOptions, const ChoiceFacts& aFacts);
