Leader: Wait for a side whose row can't be read

What callers would see: tasks that run twice after a change of the leader.

Cause: a leader ignored a row of a side that it could not decode, and so did not wait for the runs beside that side. A row whose address could not be parsed replaced the address in use and closed the link.

Evidence: a side's row replaced by 10,000 opening brackets or by a length of 2^63, then a change of the leader: the tasks of the side start elsewhere while they run. No process ended.

Change: such a row is logged, leaves the link as it is, and registers the side, so that a new leader waits for it.

Tests: NestedTextInPlaceOfASidesRowStartsNoTaskTwice and TooLargeNumberInPlaceOfASidesRowStartsNoTaskTwice failed before, on a second run of a task; PortOutOfRangeInASidesRowStartsNoTaskTwice passed before as well.

--- a/Source/Process/FleetLeader.h
+++ b/Source/Process/FleetLeader.h
@@ -219,15 +219,20 @@
       scheduler_.OnSideRemoved(node);
       return;
     }
-    const Result<MemberRecord> record = DecodeRecord<MemberRecord>(aRow.value_);
-    if (const auto* failure = std::get_if<Failure>(&record)) {
+    const Result<MemberRecord> record = DecodeMember(aRow.value_);
+    const auto* failure = std::get_if<Failure>(&record);
+    Side& side = sides_[node];
+    side.rowVersion_ = aRow.version_;
+    if (failure != nullptr) {
+      // Another writer may have replaced the row of a side that has runs. The
+      // link stays, and a new leader waits for the side, which writes its row
+      // again once no leader contacts it.
       LogProblem("member-unreadable",
                  { { "row", node }, { "reason", failure->message_ } });
+      scheduler_.OnSideRegistered(node, ReadMonotonicClock());
       return;
     }
     const auto& member = std::get<MemberRecord>(record);
-    Side& side = sides_[node];
-    side.rowVersion_ = aRow.version_;
     if (side.address_ != member.address_ ||
         side.incarnation_ != member.incarnation_) {
       LoseLink(node, side);
@@ -244,6 +249,20 @@
     }
   }
 
+  /** Decodes the row of a side; fails if its address can't be used. */
+  static Result<MemberRecord> DecodeMember(std::string_view aValue)
+  {
+    Result<MemberRecord> record = DecodeRecord<MemberRecord>(aValue);
+    if (const auto* member = std::get_if<MemberRecord>(&record)) {
+      const Result<SocketAddress> address =
+        ParseSocketAddress(member->address_);
+      if (const auto* failure = std::get_if<Failure>(&address)) {
+        return *failure;
+      }
+    }
+    return record;
+  }
+
   void OnMembersRead()
   {
     if (Loaded()) {
@@ -362,7 +381,7 @@
     std::vector<std::string> timedOut;
     for (auto& [node, side] : sides_) {
       if (side.link_.isNull()) {
-        if (now >= side.retryAt_) {
+        if (!side.address_.empty() && now >= side.retryAt_) {
           OpenLink(node, side);
         }
       } else if (now - side.lastReceivedAt_ > kSideTimeout) {
--- a/Tests/Fleet/ProcessFleetTest.cxx
+++ b/Tests/Fleet/ProcessFleetTest.cxx
@@ -257,6 +257,68 @@
   cr_assert_leq(RunsOfJob(fleet, 2, "long"), 4);
 }
 
+namespace {
+
+/** Replaces the row of a side that has runs by a row of another writer, and
+ * checks that the next leader starts none of its tasks elsewhere. */
+void
+ReplaceRowAndChangeLeader(const std::string& aRow)
+{
+  const Application application;
+  ProcessFleet fleet(2, 2);
+  WarmUp(fleet);
+  for (std::size_t side = 0; side < 2; ++side) {
+    fleet.Worker(side).taskTime_ = Millis(600000);
+  }
+  cr_assert_eq(fleet.Ask(0, "POST", "long", "4").status_, 200);
+  cr_assert(fleet.Wait([&fleet] { return RunsOfJob(fleet, 2, "long") == 4; }));
+  const std::size_t replaced = fleet.Worker(0).runs_.empty() ? 1 : 0;
+  const RowId id = MemberRowId(fleet.SideName(replaced));
+  RowTransaction odd;
+  odd.puts_.push_back({ id, aRow });
+  odd.puts_.push_back({ MemberRowId("nobody"), aRow });
+  MemoryTables::OfTest().Apply(odd);
+
+  const std::size_t next = ProcessFleet::Leader() == "entry0" ? 1 : 0;
+  fleet.StopEntry(1 - next);
+  cr_assert(fleet.Wait([&fleet, next] {
+    return fleet.Ask(next, "POST", "after", "1").status_ == 200;
+  }));
+  cr_assert(fleet.Wait([&fleet] { return RunsOfJob(fleet, 2, "after") == 1; }));
+  cr_assert_leq(RunsOfJob(fleet, 2, "long"), 4);
+  // The side writes its row again, and its runs are still there.
+  cr_assert(fleet.Wait([&id, &aRow] {
+    return MemoryTables::OfTest().rows_.at(id).value_ != aRow;
+  }));
+  cr_assert_eq(fleet.Ask(next, "DELETE", "long").status_, 200);
+  cr_assert(fleet.Wait([&fleet] { return RunsOfJob(fleet, 2, "long") == 0; }));
+}
+
+}
+
+// Guards against tasks that run twice: a leader ignored the row of a side that
+// another writer had replaced, and did not wait for its runs.
+Test(ProcessFleet, NestedTextInPlaceOfASidesRowStartsNoTaskTwice)
+{
+  ReplaceRowAndChangeLeader(std::string(10000, '['));
+}
+
+// The same for a row that states a length of 2^63 bytes.
+Test(ProcessFleet, TooLargeNumberInPlaceOfASidesRowStartsNoTaskTwice)
+{
+  std::string row = EncodeRecord(std::string());
+  row.back() = static_cast<char>(0x80);
+  ReplaceRowAndChangeLeader(row);
+}
+
+// The same for an address whose port is out of range; a leader dropped its link
+// to the side as well.
+Test(ProcessFleet, PortOutOfRangeInASidesRowStartsNoTaskTwice)
+{
+  ReplaceRowAndChangeLeader(
+    EncodeRecord(MemberRecord{ "127.0.0.1:70001", "other" }));
+}
+
 // Guards against a leader on a host with an eighth of a processor, which falls
 // seconds behind, so that callers wait and watchers are not running. Such a
 // host may read an expired lease first, as each entry reads it every 0.7 s, and
