Side: Let a worker correct the service in its first announcement

Cause: the service in the first announcement counted as the true one for good.

Change: two announcements in a row that name the same other service, with rising sequence numbers, replace the service in use. Single ones between those of the worker change nothing, as before.

Test: WorkerIncarnation/InvalidFirstAnnouncementIsReplacedByTheWorkersOwn failed before; SingleInvalidAnnouncementsNeverChangeTheService guards the limit.

--- a/Source/Process/WorkerKeeper.cxx
+++ b/Source/Process/WorkerKeeper.cxx
@@ -99,12 +99,17 @@
 bool
 WorkerKeeper::IsInvalid(const WorkerAnnouncement& aAnnouncement) const
 {
-  const WorkerDescription& facts = aAnnouncement.facts_;
-  // A process does not change its service, so another service under the same
-  // identity is from another writer.
-  const bool otherService =
-    facts.Incarnation() == Incarnation() && facts.service_ != facts_.service_;
-  return otherService || (startTimeSeen_ && facts.startedAtMs_ == 0);
+  return startTimeSeen_ && aAnnouncement.facts_.startedAtMs_ == 0;
+}
+
+bool
+WorkerKeeper::ConfirmsOtherService(const WorkerAnnouncement& aAnnouncement)
+{
+  const std::optional<WorkerAnnouncement> former =
+    std::exchange(contradiction_, aAnnouncement);
+  return former.has_value() &&
+         former->facts_.service_ == aAnnouncement.facts_.service_ &&
+         former->sequence_ < aAnnouncement.sequence_;
 }
 
 AnnouncementOutcome
@@ -122,14 +127,25 @@
     BeginIncarnation(aAnnouncement, fence_, aNow);
     return AnnouncementOutcome::Accepted;
   }
-  if (announced != Incarnation()) {
+  const bool sameIncarnation = announced == Incarnation();
+  const bool otherService =
+    sameIncarnation && aAnnouncement.facts_.service_ != facts_.service_;
+  // A process does not change its service, so one of the two announcements is
+  // from another writer: this one, or the first one after the side's start.
+  if (otherService && !ConfirmsOtherService(aAnnouncement)) {
+    return AnnouncementOutcome::Invalid;
+  }
+  if (sameIncarnation) {
+    contradiction_.reset();
+  }
+  if (!sameIncarnation) {
     // Either the worker has restarted after a crash, or this announcement of an
     // earlier incarnation was delayed. A probe of the worker decides.
     candidate_ = aAnnouncement;
     nextHoldAt_ = aNow;
     return AnnouncementOutcome::Accepted;
   }
-  if (aAnnouncement.sequence_ < sequence_) {
+  if (aAnnouncement.sequence_ < sequence_ && !otherService) {
     return AnnouncementOutcome::Ignored;
   }
   leaveUnverified_ = leaveUnverified_ && aAnnouncement.sequence_ == sequence_;
@@ -144,7 +160,7 @@
     clockMs_ = aAnnouncement.clockMs_;
     clockReadAt_ = aNow;
   }
-  reportDue_ = reportDue_ || changed;
+  reportDue_ = reportDue_ || changed || otherService;
   return AnnouncementOutcome::Accepted;
 }
 
@@ -176,6 +192,7 @@
   }
   facts_ = aAnnouncement.facts_;
   facts_.answers_ = false;
+  contradiction_.reset();
   leaving_ = false;
   leaveUnverified_ = false;
   otherAnswers_ = false;
--- a/Source/Process/WorkerKeeper.h
+++ b/Source/Process/WorkerKeeper.h
@@ -360,6 +360,9 @@
   static bool IsOfOtherIncarnation(const CallInFlight& aCall,
                                    const CallAnswer& aAnswer);
   bool IsInvalid(const WorkerAnnouncement& aAnnouncement) const;
+  /** Whether the announcement is the second one in a row that contradicts the
+   * service in use and names the same other one. */
+  bool ConfirmsOtherService(const WorkerAnnouncement& aAnnouncement);
   bool HasPastIncarnation(const std::string& aWorkerId) const;
   void OnProbeAnswer(const CallInFlight& aCall,
                      const CallAnswer& aAnswer,
@@ -395,6 +398,8 @@
   std::uint64_t ordersSeen_ = 0;
   WorkerDescription facts_;
   std::uint64_t sequence_ = 0;
+  /** Last announcement, if it contradicts the service in use. */
+  std::optional<WorkerAnnouncement> contradiction_;
   std::optional<WorkerAnnouncement> candidate_;
   /** Past incarnations of the worker, whose late announcements are ignored. */
   std::set<WorkerIncarnation> pastIncarnations_;
--- a/Tests/Fleet/WorkerIncarnationTest.cxx
+++ b/Tests/Fleet/WorkerIncarnationTest.cxx
@@ -356,6 +356,46 @@
   cr_assert_eq(report->worker_.startedAtMs_, kFormer);
 }
 
+// Guards against a side that rejects all announcements of its worker, because
+// the first one after the side's start was from another writer.
+Test(WorkerIncarnation, InvalidFirstAnnouncementIsReplacedByTheWorkersOwn)
+{
+  WorkerKeeper keeper({ Millis(10000), Millis(500), kFence }, At(10000));
+  WorkerAnnouncement odd = Announcement(kFormer, 1000000);
+  odd.facts_.service_ = "other";
+  cr_assert_eq(keeper.OnAnnounced(odd, At(10000)),
+               AnnouncementOutcome::Accepted);
+  cr_assert_eq(keeper.OnAnnounced(Announcement(kFormer, 1), At(11000)),
+               AnnouncementOutcome::Invalid);
+  cr_assert_eq(keeper.OnAnnounced(Announcement(kFormer, 2), At(12000)),
+               AnnouncementOutcome::Accepted);
+  cr_assert_eq(keeper.OnAnnounced(Announcement(kFormer, 3), At(13000)),
+               AnnouncementOutcome::Accepted);
+  for (const WorkerCall& call : keeper.TakeCalls(At(13000))) {
+    keeper.OnAnswer(
+      std::get<HoldCall>(call).head_.id_, Lists(kFormer), At(13000));
+  }
+  keeper.OnLeaderLink(At(14000));
+  cr_assert_eq(keeper.TakeReport(At(14000))->worker_.service_, "service");
+}
+
+// Guards against another writer that changes the service of a worker by single
+// announcements between those of the worker.
+Test(WorkerIncarnation, SingleInvalidAnnouncementsNeverChangeTheService)
+{
+  Fixture fixture;
+  for (std::uint64_t i = 0; i < 5; ++i) {
+    const auto now = At(11000 + static_cast<std::int64_t>(i) * 1000);
+    WorkerAnnouncement other = Announcement(kFormer, 2000 + i);
+    other.facts_.service_ = "other";
+    cr_assert_eq(fixture.keeper_.OnAnnounced(other, now),
+                 AnnouncementOutcome::Invalid);
+    cr_assert_eq(
+      fixture.keeper_.OnAnnounced(Announcement(kFormer, 1000 + i), now),
+      AnnouncementOutcome::Accepted);
+  }
+}
+
 // Guards against a leader that takes the runs of the former incarnation for
 // those of the present one: its task would be lost.
 Test(WorkerIncarnation, LeaderRestartsTheWorkOfTheFormerIncarnation)
