Side: Check the service of an announcement in one place

The check of the service stood before the one of the incarnation and tested the incarnation a second time. A vector of known size is reserved, as the linter asks. No change of behaviour.

--- a/Source/Process/FleetLeader.h
+++ b/Source/Process/FleetLeader.h
@@ -548,6 +548,7 @@
       }
     }
     std::vector<std::vector<std::string>> batches;
+    batches.reserve(byPart.size());
     for (auto& [part, batch] : byPart) {
       batches.push_back(std::move(batch));
     }
--- a/Source/Process/WorkerKeeper.cxx
+++ b/Source/Process/WorkerKeeper.cxx
@@ -127,24 +127,20 @@
     BeginIncarnation(aAnnouncement, fence_, aNow);
     return AnnouncementOutcome::Accepted;
   }
-  const bool sameIncarnation = announced == Incarnation();
-  const bool otherService =
-    sameIncarnation && aAnnouncement.facts_.service_ != facts_.service_;
-  // A process does not change its service, so one of the two announcements is
-  // from another writer: this one, or the first one after the side's start.
-  if (otherService && !ConfirmsOtherService(aAnnouncement)) {
-    return AnnouncementOutcome::Invalid;
-  }
-  if (sameIncarnation) {
-    contradiction_.reset();
-  }
-  if (!sameIncarnation) {
+  if (announced != Incarnation()) {
     // Either the worker has restarted after a crash, or this announcement of an
     // earlier incarnation was delayed. A probe of the worker decides.
     candidate_ = aAnnouncement;
     nextHoldAt_ = aNow;
     return AnnouncementOutcome::Accepted;
   }
+  // A process does not change its service, so one of the two announcements is
+  // from another writer: this one, or the first one after the side's start.
+  const bool otherService = aAnnouncement.facts_.service_ != facts_.service_;
+  if (otherService && !ConfirmsOtherService(aAnnouncement)) {
+    return AnnouncementOutcome::Invalid;
+  }
+  contradiction_.reset();
   if (aAnnouncement.sequence_ < sequence_ && !otherService) {
     return AnnouncementOutcome::Ignored;
   }
